--- /dev/null
+++ b/acceptance/src/lib.rs
@@ -0,0 +1,1 @@
+//! Acceptance.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder while the workspace is laid out.
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
