--- /dev/null
+++ b/crates/coordination/src/clock.rs
@@ -0,0 +1,86 @@
+//! Time as the state machines see it.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Point on a host's monotonic clock, in milliseconds since an arbitrary origin.
+///
+/// Instants of different hosts must not be compared.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Instant(u64);
+
+impl Instant {
+    /// Makes an instant from milliseconds since the origin.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// Milliseconds since the origin.
+    #[must_use]
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// Time that passed since `earlier`; zero when `earlier` is later.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Instant {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        Self(self.0.saturating_add(millis(duration)))
+    }
+}
+
+impl Sub<Duration> for Instant {
+    type Output = Self;
+
+    fn sub(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(millis(duration)))
+    }
+}
+
+/// Bound on the rate error of a host's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Drift {
+    parts_per_million: u32,
+}
+
+impl Drift {
+    /// Makes a bound in parts per million.
+    #[must_use]
+    pub const fn from_parts_per_million(parts_per_million: u32) -> Self {
+        Self { parts_per_million }
+    }
+
+    /// Time to wait by the own clock until `duration` has surely passed on any other host's clock.
+    ///
+    /// Both clocks may be off by the bound, in opposite directions.
+    #[must_use]
+    pub fn surely_passed(self, duration: Duration) -> Duration {
+        let millis = millis(duration);
+        let margin = (millis * 2 * u64::from(self.parts_per_million)).div_ceil(1_000_000);
+        // One millisecond more, since instants are rounded down.
+        Duration::from_millis(millis + margin + 1)
+    }
+}
+
+impl Default for Drift {
+    /// 1,000 parts per million, far above the error of a working quartz oscillator.
+    fn default() -> Self {
+        Self::from_parts_per_million(1_000)
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder while the workspace is laid out.
+//! Coordination parts of a router fleet, as deterministic state machines.
+//!
+//! Nothing here reads a clock, draws random numbers or does I/O: callers pass the time and the
+//! event, and carry out the returned actions. State that must last is derived from an append-only
+//! log by [`replica::Replica`].
+
+pub mod clock;
+pub mod configuration;
+pub mod record;
+pub mod replica;
--- /dev/null
+++ b/crates/settings/src/key.rs
@@ -0,0 +1,69 @@
+//! Keys of customers, which settings hold as keyed hashes only.
+
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+
+/// Secret of a deployment that is mixed into the hashes of its keys.
+#[derive(Clone)]
+pub struct Pepper(Vec<u8>);
+
+impl Pepper {
+    /// Wraps the secret's bytes.
+    #[must_use]
+    pub fn new(bytes: impl Into<Vec<u8>>) -> Self {
+        Self(bytes.into())
+    }
+}
+
+impl std::fmt::Debug for Pepper {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("Pepper(..)")
+    }
+}
+
+/// Keyed hash of a key.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Hash([u8; 32]);
+
+impl Hash {
+    /// Hashes the text of a key.
+    #[must_use]
+    pub fn of(key: &str, pepper: &Pepper) -> Self {
+        let mut code =
+            Hmac::<Sha256>::new_from_slice(&pepper.0).expect("HMAC accepts a key of any length");
+        code.update(key.as_bytes());
+        Self(code.finalize().into_bytes().into())
+    }
+
+    /// Compares in constant time.
+    #[must_use]
+    pub fn matches(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+
+    /// The hash in hexadecimal.
+    #[must_use]
+    pub fn to_hex(self) -> String {
+        self.0.iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+
+    /// Reads a hexadecimal hash.
+    #[must_use]
+    pub fn from_hex(text: &str) -> Option<Self> {
+        if text.len() != 64 || !text.is_ascii() {
+            return None;
+        }
+        let mut bytes = [0; 32];
+        for (byte, index) in bytes.iter_mut().zip((0..64).step_by(2)) {
+            *byte = u8::from_str_radix(&text[index..index + 2], 16).ok()?;
+        }
+        Some(Self(bytes))
+    }
+}
+
+impl std::fmt::Debug for Hash {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("Hash(..)")
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder while the workspace is laid out.
+//! Log and metrics set-up shared by the daemons.
+
+pub mod log;
+pub mod metrics;
--- /dev/null
+++ b/crates/wire/src/error.rs
@@ -0,0 +1,31 @@
+//! Errors of the wire format.
+
+/// Result of wire operations.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Reasons for which a frame cannot be written or is not accepted.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum Error {
+    /// The body cannot be represented in MessagePack.
+    #[error("frame cannot be encoded: {0}")]
+    Encode(#[from] rmp_serde::encode::Error),
+    /// The bytes are not a frame of the expected body type.
+    #[error("frame cannot be decoded: {0}")]
+    Decode(#[from] rmp_serde::decode::Error),
+    /// The frame is shorter than its authentication code.
+    #[error("frame has {length} bytes, which is too short")]
+    Short {
+        /// Length of the received data in bytes.
+        length: usize,
+    },
+    /// The authentication code does not match the content.
+    #[error("frame authentication failed")]
+    Authentication,
+    /// The sender speaks a protocol version outside the accepted range.
+    #[error("protocol version {found} is not supported")]
+    Version {
+        /// Version that the frame states.
+        found: u16,
+    },
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder while the workspace is laid out.
+//! Messages between the system's own processes: authenticated MessagePack frames over HTTP.
+
+pub mod error;
+pub mod frame;
+pub mod local;
+pub mod peer;
+
+pub use error::{Error, Result};
+pub use frame::{Frame, Secret};
--- /dev/null
+++ b/crates/wire/src/local.rs
@@ -0,0 +1,125 @@
+//! Messages from a gateway to the coordinator of its host.
+
+use serde::{Deserialize, Serialize};
+
+/// Path of the coordinator's interface for its gateway.
+pub const PATH: &str = "/v1/local";
+
+/// Message of a gateway.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[non_exhaustive]
+pub enum Request {
+    /// Asks for tokens, a decode slot and endpoints for a model request.
+    Admit(Admit),
+    /// Reports the exact size of a prompt after its prefill.
+    Prefilled(Prefilled),
+    /// Reports the end of an admitted request.
+    Settle(Settle),
+    /// Waits for a configuration newer than `after`.
+    Watch {
+        /// Version in force at the gateway; zero for none.
+        after: u64,
+    },
+}
+
+/// Answer of a coordinator.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[non_exhaustive]
+pub enum Response {
+    /// The request may run as described.
+    Admitted(Admitted),
+    /// The request must not run.
+    Refused(Refused),
+    /// A configuration newer than the one asked about.
+    Configuration(Configuration),
+    /// Nothing to report.
+    Done,
+}
+
+/// Description of a model request for admission.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Admit {
+    /// Request id, unique over all hosts.
+    pub request: String,
+    /// Name of the customer; empty on open routes.
+    pub customer: String,
+    /// Name of the model.
+    pub model: String,
+    /// Estimated prompt length in tokens.
+    pub prompt_tokens: u32,
+    /// Highest number of tokens to generate.
+    pub max_tokens: u32,
+    /// Hashes of the prompt's prefixes, one for each complete cache piece.
+    pub pieces: Vec<u64>,
+    /// Hash of customer, route and body.
+    pub fingerprint: u64,
+    /// Endpoints that failed this request before.
+    pub avoid: Vec<String>,
+}
+
+/// Permission to run a model request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Admitted {
+    /// Name of the prefill endpoint.
+    pub prefill: String,
+    /// Name of the decode endpoint.
+    pub decode: String,
+    /// Tokens charged to the customer.
+    pub charged_tokens: u64,
+    /// Milliseconds for which the permission is valid.
+    pub lifetime_ms: u64,
+    /// Scheduling priority for the engines; lower runs first.
+    pub priority: i32,
+}
+
+/// Refusal of a request that was not run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refused {
+    /// Machine-readable reason, also the label of the refusal counter.
+    pub code: String,
+    /// Milliseconds after which a retry is worth while.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// Exact prompt size of a running request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Prefilled {
+    /// Request id.
+    pub request: String,
+    /// Prompt length in tokens, as the engine counted it.
+    pub prompt_tokens: u32,
+    /// Tokens of the prompt that were already cached.
+    pub cached_tokens: u32,
+}
+
+/// End of an admitted request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settle {
+    /// Request id.
+    pub request: String,
+    /// Tokens generated.
+    pub completion_tokens: u32,
+    /// How the request ended.
+    pub end: End,
+}
+
+/// Ways in which an admitted request ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[non_exhaustive]
+pub enum End {
+    /// The whole answer was delivered.
+    Finished,
+    /// The caller left.
+    Cancelled,
+    /// An endpoint failed.
+    Failed,
+}
+
+/// A configuration in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Configuration {
+    /// Log offset of the accepted publish.
+    pub version: u64,
+    /// Merged settings as JSON text.
+    pub document: String,
+}
