Serve the whole path thinly: gateway, coordinator, stand-ins and demo

Cause: nothing ran yet. A streamed completion now goes from a caller through a gateway, a prefill and a decode engine and back; plain calls go to services; settings go through the platform's log into force at three hosts.

Ruled out: relying on the HTTP server to notice that a caller left, because it does so only when it writes; the gateway watches a duplicate of the socket instead, which needs no unsafe code (AsyncFd registration does in this tokio).

Quotas, leases, reaping and the other mechanisms are not wired in yet.

--- /dev/null
+++ b/acceptance/src/caller.rs
@@ -0,0 +1,234 @@
+//! A caller of the system, and a client for the stand-ins' controls.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use berylknot_border::sse::Decoder;
+use eyre::eyre;
+use futures_util::StreamExt;
+use serde::Serialize;
+use serde_json::Value;
+
+/// Deadline of a request.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Answer to a request.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Value of the outcome header; empty when there is none.
+    pub outcome: String,
+    /// Body as JSON; null when it is something else.
+    pub body: Value,
+}
+
+impl Answer {
+    /// Machine-readable reason of a refusal; empty for an answer.
+    #[must_use]
+    pub fn code(&self) -> &str {
+        self.body["error"]["code"].as_str().unwrap_or_default()
+    }
+}
+
+/// What a caller has read of a streamed completion.
+#[derive(Clone, Debug, Default)]
+pub struct Streamed {
+    /// Text of the answer.
+    pub text: String,
+    /// Number of token events.
+    pub tokens: u32,
+    /// Whether the end marker arrived.
+    pub done: bool,
+    /// Machine-readable reason of an error event; empty for none.
+    pub error: String,
+}
+
+fn client() -> awc::Client {
+    awc::Client::builder().timeout(TIMEOUT).finish()
+}
+
+/// Sends a request with optional key and headers.
+///
+/// # Errors
+/// Fails when the connection fails.
+pub async fn send(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    key: Option<&str>,
+    headers: &[(&str, &str)],
+    body: Option<&Value>,
+) -> eyre::Result<Answer> {
+    let method = awc::http::Method::from_bytes(method.as_bytes())?;
+    let mut request = client().request(method, format!("http://{address}{path}"));
+    if let Some(key) = key {
+        request = request.insert_header(("authorization", format!("Bearer {key}")));
+    }
+    for header in headers {
+        request = request.insert_header(*header);
+    }
+    let sent = match body {
+        Some(body) => request.send_json(body).await,
+        None => request.send().await,
+    };
+    let mut response = sent.map_err(|error| eyre!("request failed: {error}"))?;
+    let outcome = response.headers().get("x-berylknot-outcome");
+    let outcome = outcome
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_owned();
+    let bytes = response
+        .body()
+        .await
+        .map_err(|error| eyre!("answer failed: {error}"))?;
+    let body = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
+    Ok(Answer {
+        status: response.status().as_u16(),
+        outcome,
+        body,
+    })
+}
+
+/// Body of a completion request.
+#[must_use]
+pub fn completion(prompt: &str, max_tokens: u32, stream: bool) -> Value {
+    serde_json::json!({
+        "model": "dossier-reader", "prompt": prompt, "max_tokens": max_tokens, "stream": stream,
+    })
+}
+
+/// Streams a completion; the caller leaves after `leave_after` tokens, if given.
+///
+/// # Errors
+/// Fails when the connection fails; a refusal is reported by its code.
+pub async fn stream(
+    address: SocketAddr,
+    key: &str,
+    prompt: &str,
+    max_tokens: u32,
+    leave_after: Option<u32>,
+) -> eyre::Result<Streamed> {
+    let request = client()
+        .post(format!("http://{address}/v1/completions"))
+        .insert_header(("authorization", format!("Bearer {key}")))
+        .send_json(&completion(prompt, max_tokens, true));
+    let mut response = request
+        .await
+        .map_err(|error| eyre!("request failed: {error}"))?;
+    let mut streamed = Streamed::default();
+    if !response.status().is_success() {
+        let body: Value = response
+            .json()
+            .await
+            .map_err(|error| eyre!("answer failed: {error}"))?;
+        streamed.error = body["error"]["code"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned();
+        return Ok(streamed);
+    }
+    let mut decoder = Decoder::default();
+    while let Some(bytes) = response.next().await {
+        decoder.feed(&bytes.map_err(|error| eyre!("stream failed: {error}"))?)?;
+        while let Some(data) = decoder.next_data() {
+            streamed.take(data);
+        }
+        if leave_after.is_some_and(|limit| streamed.tokens >= limit) {
+            break;
+        }
+    }
+    Ok(streamed)
+}
+
+impl Streamed {
+    fn take(&mut self, data: &[u8]) {
+        if data == b"[DONE]" {
+            self.done = true;
+            return;
+        }
+        let event: Value = serde_json::from_slice(data).unwrap_or(Value::Null);
+        if let Some(code) = event["error"]["code"].as_str() {
+            self.error = code.to_owned();
+            return;
+        }
+        let text = event["choices"][0]["text"].as_str().unwrap_or_default();
+        if !text.is_empty() {
+            self.tokens += 1;
+            self.text.push_str(text);
+        }
+    }
+}
+
+/// The true answer of the stand-in engine to a prompt.
+#[must_use]
+pub fn true_answer(prompt: &str, max_tokens: u32) -> String {
+    let seed = standins::engine::seed(prompt);
+    (0..max_tokens)
+        .map(|index| standins::engine::token(seed, index))
+        .collect()
+}
+
+/// Reads JSON from a stand-in or daemon.
+///
+/// # Errors
+/// Fails when the connection fails or the answer is not JSON.
+pub async fn get(address: SocketAddr, path: &str) -> eyre::Result<Value> {
+    let sent = client().get(format!("http://{address}{path}")).send().await;
+    let mut response = sent.map_err(|error| eyre!("request failed: {error}"))?;
+    response
+        .json()
+        .await
+        .map_err(|error| eyre!("answer failed: {error}"))
+}
+
+/// Sends JSON to a stand-in.
+///
+/// # Errors
+/// Fails when the connection fails or the stand-in refuses.
+pub async fn put<T: Serialize>(address: SocketAddr, path: &str, body: &T) -> eyre::Result<()> {
+    let method = if path == "/control" {
+        awc::http::Method::POST
+    } else {
+        awc::http::Method::PUT
+    };
+    let sent = client()
+        .request(method, format!("http://{address}{path}"))
+        .send_json(body)
+        .await;
+    let response = sent.map_err(|error| eyre!("request failed: {error}"))?;
+    eyre::ensure!(
+        response.status().is_success(),
+        "{path} answered {}",
+        response.status()
+    );
+    Ok(())
+}
+
+/// Value of a metric, summed over its labels that contain `labels`.
+///
+/// # Errors
+/// Fails when the connection fails.
+pub async fn metric(address: SocketAddr, name: &str, labels: &str) -> eyre::Result<f64> {
+    let sent = client()
+        .get(format!("http://{address}/metrics"))
+        .send()
+        .await;
+    let mut response = sent.map_err(|error| eyre!("request failed: {error}"))?;
+    let bytes = response
+        .body()
+        .await
+        .map_err(|error| eyre!("answer failed: {error}"))?;
+    let mut sum = 0.0;
+    for line in String::from_utf8_lossy(&bytes).lines() {
+        let Some((series, value)) = line.rsplit_once(' ') else {
+            continue;
+        };
+        let (series_name, series_labels) = series.split_once('{').unwrap_or((series, ""));
+        if series_name != name || !series_labels.contains(labels) {
+            continue;
+        }
+        sum += value.parse::<f64>().unwrap_or_default();
+    }
+    Ok(sum)
+}
--- /dev/null
+++ b/acceptance/src/deployment.rs
@@ -0,0 +1,387 @@
+//! A whole deployment on loopback: platform, engines, services and entry hosts.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use berylknot_border::batch;
+use berylknot_border::platform::{AppendRequest, HostList, HostState, ListedHost, ReadResponse};
+use berylknot_coordination::record::{Entry, Id, Incarnation, Position, Publish, Record};
+use berylknot_coordination::replica::Replica;
+use berylknot_settings::key::{Hash, Pepper};
+use berylknot_wire::entry;
+use serde_json::{Value, json};
+
+use crate::caller;
+use crate::process::{Process, free_address};
+
+/// Longest wait for something to come about.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Key of the customer that the plan creates first.
+pub const KEY: &str = "bk-demo-key-of-a-breeder";
+
+/// Key that is withdrawn from the start.
+pub const WITHDRAWN_KEY: &str = "bk-demo-key-withdrawn";
+
+const PEPPER: &[u8] = b"pepper for tests";
+const SECRET: &[u8] = b"secret for tests";
+
+/// Sizes of a deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Entry hosts.
+    pub hosts: usize,
+    /// Prefill engines.
+    pub prefills: usize,
+    /// Decode engines.
+    pub decodes: usize,
+    /// Counter servers.
+    pub services: usize,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            hosts: 3,
+            prefills: 2,
+            decodes: 2,
+            services: 2,
+        }
+    }
+}
+
+/// A stand-in.
+#[derive(Debug)]
+pub struct Standin {
+    /// Its process.
+    pub process: Process,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// An entry host with its two daemons.
+#[derive(Debug)]
+pub struct Host {
+    /// Name.
+    pub name: String,
+    /// The control plane.
+    pub coordinator: Process,
+    /// The data plane.
+    pub gateway: Process,
+    /// Address of the coordinator.
+    pub coordinator_address: SocketAddr,
+    /// Address for callers.
+    pub address: SocketAddr,
+    /// Address for the operator.
+    pub operator_address: SocketAddr,
+    folder: PathBuf,
+}
+
+impl Host {
+    /// Starts the gateway again, on the same addresses.
+    ///
+    /// # Errors
+    /// Fails when the process cannot be started.
+    pub fn restart_gateway(&mut self) -> eyre::Result<()> {
+        self.gateway = start_daemon(&self.folder, &self.name, "gateway")?;
+        Ok(())
+    }
+
+    /// Starts the coordinator again, on the same address.
+    ///
+    /// # Errors
+    /// Fails when the process cannot be started.
+    pub fn restart_coordinator(&mut self) -> eyre::Result<()> {
+        self.coordinator = start_daemon(&self.folder, &self.name, "coordinator")?;
+        Ok(())
+    }
+}
+
+/// A running deployment; all its processes end when it is dropped.
+#[derive(Debug)]
+pub struct Deployment {
+    /// The platform.
+    pub platform: Standin,
+    /// Prefill engines.
+    pub prefills: Vec<Standin>,
+    /// Decode engines.
+    pub decodes: Vec<Standin>,
+    /// Counter servers.
+    pub services: Vec<Standin>,
+    /// Entry hosts.
+    pub hosts: Vec<Host>,
+    /// Settings that were published last.
+    pub settings: Value,
+    published: u64,
+    folder: tempfile::TempDir,
+}
+
+impl Deployment {
+    /// Starts everything, publishes the settings and waits until all hosts are ready.
+    ///
+    /// # Errors
+    /// Fails when a process cannot be started or does not become ready.
+    pub async fn start(plan: Plan) -> eyre::Result<Self> {
+        let folder = tempfile::tempdir()?;
+        let start = |kind: &str, index: usize| {
+            let name = format!("{kind}-{index}");
+            let binary = match kind {
+                "prefill" | "decode" => "standin-engine",
+                "counter" => "standin-service",
+                _ => "standin-platform",
+            };
+            let (process, address) = Process::start_standin(folder.path(), &name, binary, None)?;
+            Ok::<_, eyre::Report>(Standin { process, address })
+        };
+        let several = |kind: &str, count: usize| {
+            (0..count)
+                .map(|index| start(kind, index))
+                .collect::<eyre::Result<Vec<_>>>()
+        };
+        let platform = start("platform", 0)?;
+        let prefills = several("prefill", plan.prefills)?;
+        let decodes = several("decode", plan.decodes)?;
+        let services = several("counter", plan.services)?;
+        std::fs::write(folder.path().join("pepper"), PEPPER)?;
+        std::fs::write(folder.path().join("secret"), SECRET)?;
+        let mut hosts = Vec::new();
+        let names: Vec<String> = (0..plan.hosts)
+            .map(|index| format!("host-{index}"))
+            .collect();
+        for name in &names {
+            hosts.push(start_host(folder.path(), name, &names, platform.address)?);
+        }
+        let mut deployment = Self {
+            platform,
+            prefills,
+            decodes,
+            services,
+            hosts,
+            settings: Value::Null,
+            published: 0,
+            folder,
+        };
+        deployment.list_hosts().await?;
+        deployment.settings = deployment.initial_settings();
+        deployment.publish().await?;
+        deployment.wait_until_ready().await?;
+        Ok(deployment)
+    }
+
+    /// Folder with the logs and settings of all processes.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    async fn list_hosts(&self) -> eyre::Result<()> {
+        let mut list = HostList { hosts: Vec::new() };
+        for host in &self.hosts {
+            list.hosts.push(ListedHost {
+                name: host.name.clone(),
+                address: host.coordinator_address.to_string(),
+                state: HostState::Live,
+            });
+        }
+        caller::put(self.platform.address, "/hosts", &list).await
+    }
+
+    fn initial_settings(&self) -> Value {
+        let pepper = Pepper::new(PEPPER);
+        let mut endpoints = serde_json::Map::new();
+        for (kind, standins) in [
+            ("prefill", &self.prefills),
+            ("decode", &self.decodes),
+            ("service", &self.services),
+        ] {
+            for standin in standins {
+                let mut endpoint = json!({
+                    "kind": kind,
+                    "address": standin.address.to_string(),
+                    "data_centre": "rosario",
+                });
+                if kind != "service" {
+                    endpoint["model"] = json!("dossier-reader");
+                }
+                endpoints.insert(standin.process.name().to_owned(), endpoint);
+            }
+        }
+        let counters: Vec<&str> = self
+            .services
+            .iter()
+            .map(|standin| standin.process.name())
+            .collect();
+        json!({
+            "customers": { "breeder": { "rate": 200_000, "burst": 2_000_000 } },
+            "keys": {
+                "breeder-1": { "customer": "breeder", "hash": Hash::of(KEY, &pepper).to_hex() },
+                "breeder-0": {
+                    "customer": "breeder",
+                    "hash": Hash::of(WITHDRAWN_KEY, &pepper).to_hex(),
+                    "withdrawn": true,
+                },
+            },
+            "models": { "dossier-reader": { "bytes_per_token": 4 } },
+            "endpoints": endpoints,
+            "routes": { "counter": { "endpoints": counters } },
+            "quota": { "planned_hosts": self.hosts.len() },
+        })
+    }
+
+    /// State that the log describes now.
+    ///
+    /// # Errors
+    /// Fails when the log cannot be read.
+    pub async fn replica(&self) -> eyre::Result<Replica> {
+        let mut replica = Replica::default();
+        loop {
+            let path = format!("/log/read?from={}", replica.next_offset());
+            let read: ReadResponse =
+                serde_json::from_value(caller::get(self.platform.address, &path).await?)?;
+            for raw in &read.entries {
+                let bytes = batch::decode(&raw.data).unwrap_or_default();
+                let (offset, appended_at_ms) = (raw.offset, raw.appended_at_ms);
+                replica.apply(&Entry {
+                    offset,
+                    appended_at_ms,
+                    records: entry::decode(&bytes)?,
+                });
+            }
+            if read.entries.is_empty() || replica.next_offset() >= read.next {
+                return Ok(replica);
+            }
+        }
+    }
+
+    /// Publishes the current settings and returns the new version.
+    ///
+    /// # Errors
+    /// Fails when the log does not accept them.
+    pub async fn publish(&mut self) -> eyre::Result<u64> {
+        let base_version = self.replica().await?.configuration().version();
+        self.published += 1;
+        let id = Id {
+            incarnation: Incarnation(1),
+            sequence: self.published,
+        };
+        let document = self.settings.to_string();
+        let record = Record::Publish(Publish {
+            id,
+            base_version,
+            document,
+        });
+        let data = batch::encode(&entry::encode(&[record])?);
+        let body = serde_json::to_value(AppendRequest { data })?;
+        let platform = self.platform.address;
+        let answer = caller::send(platform, "POST", "/log/append", None, &[], Some(&body)).await?;
+        let offset = answer.body["offset"].as_u64().unwrap_or_default();
+        eyre::ensure!(offset > 0, "the log did not accept the settings");
+        Ok(Position::new(offset, 0).as_u64())
+    }
+
+    async fn wait_until_ready(&self) -> eyre::Result<()> {
+        for host in &self.hosts {
+            wait_for("host is ready", || async {
+                for address in [host.coordinator_address, host.operator_address] {
+                    let answer = caller::send(address, "GET", "/ready", None, &[], None).await;
+                    if !answer.is_ok_and(|answer| answer.status == 200) {
+                        return false;
+                    }
+                }
+                true
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Requests that run at all engines.
+    ///
+    /// # Errors
+    /// Fails when an engine does not answer.
+    pub async fn running(&self) -> eyre::Result<u64> {
+        let mut running = 0;
+        for engine in self.prefills.iter().chain(&self.decodes) {
+            running += caller::get(engine.address, "/stats").await?["running"]
+                .as_u64()
+                .unwrap_or(0);
+        }
+        Ok(running)
+    }
+}
+
+/// Waits until a condition holds, at most for [`PATIENCE`].
+///
+/// # Errors
+/// Fails when the condition does not come about.
+pub async fn wait_for<F, C>(what: &str, mut condition: F) -> eyre::Result<()>
+where
+    F: FnMut() -> C,
+    C: Future<Output = bool>,
+{
+    const INTERVAL: Duration = Duration::from_millis(20);
+    let started = Instant::now();
+    while !condition().await {
+        eyre::ensure!(
+            started.elapsed() < PATIENCE,
+            "{what}: not within {PATIENCE:?}"
+        );
+        actix_rt::time::sleep(INTERVAL).await;
+    }
+    Ok(())
+}
+
+fn start_host(
+    folder: &Path,
+    name: &str,
+    names: &[String],
+    platform: SocketAddr,
+) -> eyre::Result<Host> {
+    let (coordinator, address, operator) = (free_address()?, free_address()?, free_address()?);
+    let file = |name: &str| folder.join(name).display().to_string();
+    let settings = json!({
+        "host": name,
+        "data_centre": "rosario",
+        "listen": coordinator.to_string(),
+        "secret_file": file("secret"),
+        "configured_hosts": names,
+        "platform": { "url": format!("http://{platform}"), "poll_ms": 50 },
+    });
+    std::fs::write(
+        folder.join(format!("{name}-coordinator.json")),
+        settings.to_string(),
+    )?;
+    let settings = json!({
+        "host": name,
+        "listen": address.to_string(),
+        "operator_listen": operator.to_string(),
+        "coordinator": coordinator.to_string(),
+        "secret_file": file("secret"),
+        "pepper_file": file("pepper"),
+    });
+    std::fs::write(
+        folder.join(format!("{name}-gateway.json")),
+        settings.to_string(),
+    )?;
+    Ok(Host {
+        name: name.to_owned(),
+        coordinator: start_daemon(folder, name, "coordinator")?,
+        gateway: start_daemon(folder, name, "gateway")?,
+        coordinator_address: coordinator,
+        address,
+        operator_address: operator,
+        folder: folder.to_owned(),
+    })
+}
+
+fn start_daemon(folder: &Path, host: &str, daemon: &str) -> eyre::Result<Process> {
+    let name = format!("{host}-{daemon}");
+    let settings = folder.join(format!("{name}.json")).display().to_string();
+    Process::start(
+        folder,
+        &name,
+        &format!("berylknot-{daemon}"),
+        &["--settings", &settings],
+    )
+}
--- /dev/null
+++ b/acceptance/src/process.rs
@@ -0,0 +1,133 @@
+//! Child processes that are ended when their handle is dropped.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use eyre::{OptionExt, WrapErr};
+use rustix::process::{Pid, Signal, kill_process};
+
+/// A child process.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    name: String,
+}
+
+impl Process {
+    /// Starts a binary of the workspace; its standard error goes to `<folder>/<name>.log`.
+    ///
+    /// # Errors
+    /// Fails when the binary does not exist or cannot be started.
+    pub fn start(folder: &Path, name: &str, binary: &str, args: &[&str]) -> eyre::Result<Self> {
+        let path = binary_path(binary)?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(folder.join(format!("{name}.log")))?;
+        let child = Command::new(&path)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .wrap_err_with(|| format!("{} cannot be started", path.display()))?;
+        Ok(Self {
+            child,
+            name: name.to_owned(),
+        })
+    }
+
+    /// Starts a stand-in and waits until it tells its address.
+    ///
+    /// # Errors
+    /// Fails when the stand-in ends before it listens.
+    pub fn start_standin(
+        folder: &Path,
+        name: &str,
+        binary: &str,
+        listen: Option<SocketAddr>,
+    ) -> eyre::Result<(Self, SocketAddr)> {
+        let address = listen
+            .unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)))
+            .to_string();
+        let mut process = Self::start(folder, name, binary, &["--listen", &address])?;
+        let output = process
+            .child
+            .stdout
+            .take()
+            .ok_or_eyre("standard output is not piped")?;
+        let mut line = String::new();
+        BufReader::new(output).read_line(&mut line)?;
+        let address = line
+            .trim()
+            .strip_prefix("listening ")
+            .ok_or_eyre("stand-in did not start")?;
+        Ok((process, address.parse()?))
+    }
+
+    /// Name of the process.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    /// Fails when the process has ended.
+    pub fn signal(&self, signal: Signal) -> eyre::Result<()> {
+        let pid = Pid::from_child(&self.child);
+        Ok(kill_process(pid, signal)?)
+    }
+
+    /// Whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Exit code, once the process has ended.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child
+            .try_wait()
+            .ok()
+            .flatten()
+            .and_then(|status| status.code())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Path of a binary in the target folder that holds the running program.
+fn binary_path(binary: &str) -> eyre::Result<PathBuf> {
+    let running = std::env::current_exe()?;
+    for folder in running.ancestors().skip(1).take(2) {
+        let path = folder.join(binary);
+        if path.is_file() {
+            return Ok(path);
+        }
+    }
+    Err(eyre::eyre!(
+        "binary {binary} is not built; run ./scripts/test, which builds all binaries"
+    ))
+}
+
+/// A loopback address that was free a moment ago.
+///
+/// # Errors
+/// Fails when no port is free.
+pub fn free_address() -> eyre::Result<SocketAddr> {
+    Ok(std::net::TcpListener::bind(("127.0.0.1", 0))?.local_addr()?)
+}
--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -1,6 +1,8 @@
 //! Protocols at the borders: callers, engines and the platform.
 
 pub mod batch;
+pub mod event;
 mod generated;
+pub mod sse;
 
 pub use generated::{caller, engine, platform};
--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -2,10 +2,22 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Random number that identifies one start of a coordinator process.
+/// Number that identifies one start of a daemon process; a later start of a host has a higher one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
 
+impl Incarnation {
+    /// Random bits that keep apart two hosts that start in the same millisecond.
+    const RANDOM_BITS: u32 = 20;
+
+    /// Makes the incarnation of a process that starts at a Unix time in milliseconds.
+    #[must_use]
+    pub const fn new(unix_ms: u64, random: u32) -> Self {
+        let mask = (1 << Self::RANDOM_BITS) - 1;
+        Self(unix_ms << Self::RANDOM_BITS | (random as u64 & mask))
+    }
+}
+
 /// Unique id that an appender gives to a record, to recognise it after a lost answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Id {
--- /dev/null
+++ b/crates/coordinator/src/clock.rs
@@ -0,0 +1,27 @@
+//! The host's monotonic clock.
+
+use berylknot_coordination::clock::Instant;
+
+/// Monotonic clock whose origin is its creation.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock {
+    origin: std::time::Instant,
+}
+
+impl Clock {
+    /// Starts a clock.
+    pub(crate) fn start() -> Self {
+        // One hour ahead of the origin, so that subtracting an interval never reaches below zero.
+        const HOUR: std::time::Duration = std::time::Duration::from_secs(3_600);
+        let now = std::time::Instant::now();
+        Self {
+            origin: now.checked_sub(HOUR).unwrap_or(now),
+        }
+    }
+
+    /// Current time.
+    pub(crate) fn now(&self) -> Instant {
+        let passed = self.origin.elapsed().as_millis();
+        Instant::from_millis(u64::try_from(passed).unwrap_or(u64::MAX))
+    }
+}
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder while the workspace is laid out.
+//! The coordinator: control plane of an entry host.
+//!
+//! It follows the platform's log, decides on admissions for the gateway of its host and talks to
+//! the coordinators of other hosts. The decisions are made by `berylknot-coordination`.
+
+pub mod args;
+pub mod options;
+pub mod run;
+
+pub(crate) mod admission;
+pub(crate) mod clock;
+pub(crate) mod local;
+pub(crate) mod log;
+pub(crate) mod metrics;
+pub(crate) mod peer;
+pub(crate) mod replica;
+pub(crate) mod server;
+pub(crate) mod state;
--- /dev/null
+++ b/crates/coordinator/src/peer.rs
@@ -0,0 +1,28 @@
+//! HTTP interface for the coordinators of other hosts.
+
+use actix_web::{HttpResponse, web};
+use berylknot_wire::Frame;
+use berylknot_wire::peer::{Request, Response};
+
+use crate::state::State;
+
+/// Handles a message of another coordinator.
+pub(crate) async fn handle(state: web::Data<State>, body: web::Bytes) -> HttpResponse {
+    let identity = &state.identity;
+    let Ok(frame) = Frame::<Request>::open(&body, &identity.secret) else {
+        return HttpResponse::Forbidden().finish();
+    };
+    let reply = Frame::new(
+        &identity.host,
+        identity.incarnation.0,
+        frame.sequence,
+        Response::Done,
+    );
+    match reply.seal(&identity.secret) {
+        Ok(sealed) => HttpResponse::Ok().body(sealed),
+        Err(error) => {
+            tracing::error!(%error, "peer: answer cannot be encoded");
+            HttpResponse::InternalServerError().finish()
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/run.rs
@@ -0,0 +1,73 @@
+//! Start of the coordinator.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use actix::Supervisor;
+use berylknot_coordination::record::Incarnation;
+use berylknot_telemetry::log::Format;
+use berylknot_wire::Secret;
+use eyre::WrapErr;
+use tokio::sync::watch;
+
+use crate::admission::Admission;
+use crate::log::Http;
+use crate::metrics::Metrics;
+use crate::options::Options;
+use crate::replica::Replica;
+use crate::state::{Configuration, Identity, State};
+
+/// Runs the coordinator until it is told to stop.
+///
+/// # Errors
+/// Fails when the settings name files or addresses that cannot be used.
+pub fn run(options: Options) -> eyre::Result<()> {
+    let format = if options.log.json {
+        Format::Json
+    } else {
+        Format::Text
+    };
+    berylknot_telemetry::log::install(format, &options.log.filter)?;
+    actix_rt::System::new().block_on(serve(options))
+}
+
+async fn serve(options: Options) -> eyre::Result<()> {
+    let secret = std::fs::read(&options.secret_file).wrap_err_with(|| {
+        format!(
+            "secret file {} cannot be read",
+            options.secret_file.display()
+        )
+    })?;
+    let unix = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let unix_ms = u64::try_from(unix.as_millis()).unwrap_or(u64::MAX);
+    let identity = Identity {
+        host: options.host.clone(),
+        incarnation: Incarnation::new(unix_ms, rand::random()),
+        secret: Secret::new(secret),
+    };
+    let listener = std::net::TcpListener::bind(options.listen)
+        .wrap_err_with(|| format!("address {} cannot be bound", options.listen))?;
+    tracing::info!(host = %identity.host, address = %listener.local_addr()?, "server: listening");
+    let (sender, configuration) = watch::channel(Configuration::default());
+    let timeout = Duration::from_millis(options.platform.timeout_ms);
+    let poll = Duration::from_millis(options.platform.poll_ms);
+    let (url, host) = (options.platform.url.clone(), options.host.clone());
+    let log = Http::new(&url, &host, timeout);
+    Supervisor::start(move |_| Replica::new(log, poll, sender));
+    let decisions = configuration.clone();
+    let admission = Supervisor::start(move |_| Admission::new(decisions));
+    let metrics = Arc::new(Metrics::new());
+    crate::server::serve(
+        listener,
+        State {
+            identity,
+            configuration,
+            admission,
+            metrics,
+        },
+    )
+    .await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/coordinator/src/server.rs
@@ -0,0 +1,64 @@
+//! HTTP server of the coordinator.
+
+use actix_web::{App, HttpResponse, HttpServer, web};
+use berylknot_telemetry::metrics;
+
+use crate::state::State;
+use crate::{local, peer};
+
+/// Largest frame in bytes; a configuration has at most 4 MiB.
+const FRAME_LIMIT_BYTES: usize = 8 << 20;
+
+/// Serves on a bound listener until the process is told to stop.
+pub(crate) async fn serve(listener: std::net::TcpListener, state: State) -> std::io::Result<()> {
+    let state = web::Data::new(state);
+    HttpServer::new(move || {
+        App::new()
+            .app_data(state.clone())
+            .app_data(web::PayloadConfig::new(FRAME_LIMIT_BYTES))
+            .route(berylknot_wire::local::PATH, web::post().to(local::handle))
+            .route(berylknot_wire::peer::PATH, web::post().to(peer::handle))
+            .route("/live", web::get().to(HttpResponse::Ok))
+            .route("/ready", web::get().to(ready))
+            .route("/status", web::get().to(status))
+            .route("/metrics", web::get().to(render))
+    })
+    .workers(1)
+    .listen(listener)?
+    .run()
+    .await
+}
+
+fn is_ready(state: &State) -> bool {
+    state.configuration.borrow().version.as_u64() > 0
+}
+
+async fn ready(state: web::Data<State>) -> HttpResponse {
+    if is_ready(&state) {
+        HttpResponse::Ok().finish()
+    } else {
+        HttpResponse::ServiceUnavailable().finish()
+    }
+}
+
+async fn status(state: web::Data<State>) -> HttpResponse {
+    let version = state.configuration.borrow().version.as_u64();
+    HttpResponse::Ok().json(serde_json::json!({
+        "host": state.identity.host,
+        "version": version,
+        "age_ms": 0,
+        "ready": is_ready(&state),
+    }))
+}
+
+async fn render(state: web::Data<State>) -> HttpResponse {
+    match metrics::render(&state.metrics.registry) {
+        Ok(text) => HttpResponse::Ok()
+            .content_type(metrics::CONTENT_TYPE)
+            .body(text),
+        Err(error) => {
+            tracing::error!(%error, "server: metrics cannot be rendered");
+            HttpResponse::InternalServerError().finish()
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/state.rs
@@ -0,0 +1,43 @@
+//! State that the coordinator's actors and HTTP handlers share.
+
+use std::sync::Arc;
+
+use actix::Addr;
+use berylknot_coordination::record::{Incarnation, Position};
+use berylknot_settings::Fleet;
+use berylknot_wire::Secret;
+use tokio::sync::watch;
+
+use crate::admission::Admission;
+use crate::metrics::Metrics;
+
+/// The accepted configuration in checked form.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Configuration {
+    /// Position of the accepted proposal.
+    pub(crate) version: Position,
+    /// Merged settings as JSON text.
+    pub(crate) document: Arc<str>,
+    /// Checked settings.
+    pub(crate) fleet: Arc<Fleet>,
+}
+
+/// Identity of this process.
+#[derive(Clone, Debug)]
+pub(crate) struct Identity {
+    /// Name of the host.
+    pub(crate) host: String,
+    /// Number of this process start.
+    pub(crate) incarnation: Incarnation,
+    /// Secret of the deployment.
+    pub(crate) secret: Secret,
+}
+
+/// What the HTTP handlers need.
+#[derive(Clone, Debug)]
+pub(crate) struct State {
+    pub(crate) identity: Identity,
+    pub(crate) configuration: watch::Receiver<Configuration>,
+    pub(crate) admission: Addr<Admission>,
+    pub(crate) metrics: Arc<Metrics>,
+}
--- /dev/null
+++ b/crates/gateway/src/caller.rs
@@ -0,0 +1,48 @@
+//! Authentication of callers.
+
+use actix_web::HttpRequest;
+use actix_web::http::StatusCode;
+use actix_web::http::header::AUTHORIZATION;
+use berylknot_settings::Fleet;
+use berylknot_settings::fleet::CustomerKey;
+use berylknot_settings::key::Pepper;
+
+use crate::refusal::Refusal;
+
+/// A caller with a valid key.
+#[derive(Clone, Debug)]
+pub(crate) struct Caller {
+    /// Customer that the key belongs to.
+    pub(crate) customer: CustomerKey,
+    /// Public id of the key.
+    pub(crate) key_id: String,
+}
+
+/// The key text that a request presents.
+pub(crate) fn presented_key(request: &HttpRequest) -> Option<&str> {
+    let value = request.headers().get(AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then_some(key.trim())
+}
+
+/// Finds the customer whose key comes with a request.
+pub(crate) fn authenticate(
+    request: &HttpRequest,
+    fleet: &Fleet,
+    pepper: &Pepper,
+) -> Result<Caller, Refusal> {
+    let unauthorized =
+        |code, message: &str| Refusal::not_run(code, StatusCode::UNAUTHORIZED, message);
+    let presented = presented_key(request)
+        .ok_or_else(|| unauthorized("key_missing", "the request carries no bearer key"))?;
+    let key = fleet
+        .find_key(presented, pepper)
+        .ok_or_else(|| unauthorized("key_unknown", "the key is not known"))?;
+    if key.withdrawn {
+        return Err(unauthorized("key_withdrawn", "the key was withdrawn"));
+    }
+    Ok(Caller {
+        customer: key.customer,
+        key_id: key.id.clone(),
+    })
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,1 +1,21 @@
-//! Placeholder while the workspace is laid out.
+//! The gateway: data plane of an entry host.
+//!
+//! It serves callers, runs their requests at the endpoints that the coordinator of the host
+//! chooses, and releases an endpoint's work as soon as its caller is gone.
+
+pub mod args;
+pub mod options;
+pub mod run;
+
+pub(crate) mod caller;
+pub(crate) mod completion;
+pub(crate) mod configuration;
+pub(crate) mod connection;
+pub(crate) mod control;
+pub(crate) mod engine;
+pub(crate) mod flow;
+pub(crate) mod metrics;
+pub(crate) mod refusal;
+pub(crate) mod server;
+pub(crate) mod service;
+pub(crate) mod state;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,17 @@
-//! Stand-ins.
+//! Parts shared by the stand-ins for the platform, engines and plain services.
+
+use std::net::SocketAddr;
+
+pub mod engine;
+pub mod platform;
+pub mod service;
+
+/// Binds an address and announces it on standard output, so that a test can use port 0.
+///
+/// # Errors
+/// Fails when the address cannot be bound.
+pub fn listen(address: SocketAddr) -> eyre::Result<std::net::TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    println!("listening {}", listener.local_addr()?);
+    Ok(listener)
+}
--- /dev/null
+++ b/standins/src/platform.rs
@@ -0,0 +1,224 @@
+//! The platform: an append-only log with retention, a host list and a rate-limited weight store.
+
+use std::collections::VecDeque;
+use std::net::TcpListener;
+use std::sync::Mutex;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use actix_web::http::StatusCode;
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use berylknot_border::platform::{
+    AppendRequest, AppendResponse, HostList, LogEntry, ReadResponse, WeightRequest, WeightResponse,
+};
+use serde::{Deserialize, Serialize};
+
+/// Header by which a client names its host, so that one host alone can be cut off.
+pub const HOST_HEADER: &str = "x-platform-client";
+
+/// Largest number of entries in one answer.
+const READ_LIMIT: usize = 1_000;
+
+/// Faults, set by POST /control.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Control {
+    /// Appends fail without effect.
+    pub fail_appends: bool,
+    /// Appends take effect, but their answer is an error.
+    pub lose_answers: bool,
+    /// Reads fail.
+    pub fail_reads: bool,
+    /// Requests to the log are never answered.
+    pub silent: bool,
+    /// Delay of every answer of the log in milliseconds.
+    pub delay_ms: u64,
+    /// Entries kept; zero keeps all.
+    pub retained_entries: usize,
+    /// Hosts whose requests to the log fail.
+    pub blocked_hosts: Vec<String>,
+    /// Least time between two weight loads in milliseconds.
+    pub weight_interval_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    control: Control,
+    entries: VecDeque<LogEntry>,
+    next: u64,
+    appends: u64,
+    hosts: Vec<berylknot_border::platform::ListedHost>,
+    last_weight_load: Option<Instant>,
+}
+
+#[derive(Debug, Default)]
+struct Platform(Mutex<State>);
+
+impl Platform {
+    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+        self.0
+            .lock()
+            .expect("no thread panics while it holds the state")
+    }
+
+    /// Applies the faults that concern reads and appends alike; `Some` ends the request.
+    async fn disturb(&self, request: &HttpRequest) -> Option<HttpResponse> {
+        let control = self.state().control.clone();
+        if control.silent {
+            std::future::pending::<()>().await;
+        }
+        actix_rt::time::sleep(Duration::from_millis(control.delay_ms)).await;
+        let client = request
+            .headers()
+            .get(HOST_HEADER)
+            .and_then(|value| value.to_str().ok());
+        let blocked =
+            client.is_some_and(|name| control.blocked_hosts.iter().any(|host| host == name));
+        blocked.then(unavailable)
+    }
+}
+
+fn unavailable() -> HttpResponse {
+    HttpResponse::new(StatusCode::SERVICE_UNAVAILABLE)
+}
+
+/// Serves until the process is ended.
+///
+/// # Errors
+/// Fails when the server cannot start.
+pub async fn run(listener: TcpListener) -> eyre::Result<()> {
+    let platform = web::Data::new(Platform(Mutex::new(State {
+        next: 1,
+        ..State::default()
+    })));
+    HttpServer::new(move || {
+        App::new()
+            .app_data(platform.clone())
+            .app_data(web::JsonConfig::default().limit(64 << 20))
+            .route("/log/append", web::post().to(append))
+            .route("/log/read", web::get().to(read))
+            .route("/log/stats", web::get().to(stats))
+            .route("/hosts", web::get().to(hosts))
+            .route("/hosts", web::put().to(set_hosts))
+            .route("/weights/load", web::post().to(load_weights))
+            .route("/control", web::post().to(set_control))
+    })
+    .workers(1)
+    .disable_signals()
+    .listen(listener)?
+    .run()
+    .await?;
+    Ok(())
+}
+
+async fn append(
+    platform: web::Data<Platform>,
+    request: HttpRequest,
+    body: web::Json<AppendRequest>,
+) -> HttpResponse {
+    if let Some(response) = platform.disturb(&request).await {
+        return response;
+    }
+    let mut state = platform.state();
+    if state.control.fail_appends {
+        return unavailable();
+    }
+    let offset = state.next;
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let appended_at_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+    state.entries.push_back(LogEntry {
+        offset,
+        appended_at_ms,
+        data: body.into_inner().data,
+    });
+    state.next += 1;
+    state.appends += 1;
+    let retained = state.control.retained_entries;
+    while retained > 0 && state.entries.len() > retained {
+        state.entries.pop_front();
+    }
+    if state.control.lose_answers {
+        return unavailable();
+    }
+    HttpResponse::Ok().json(AppendResponse { offset })
+}
+
+#[derive(Debug, Deserialize)]
+struct ReadQuery {
+    from: u64,
+    limit: Option<usize>,
+}
+
+async fn read(
+    platform: web::Data<Platform>,
+    request: HttpRequest,
+    query: web::Query<ReadQuery>,
+) -> HttpResponse {
+    if let Some(response) = platform.disturb(&request).await {
+        return response;
+    }
+    let state = platform.state();
+    if state.control.fail_reads {
+        return unavailable();
+    }
+    let limit = query.limit.unwrap_or(READ_LIMIT).min(READ_LIMIT);
+    let oldest = state
+        .entries
+        .front()
+        .map_or(state.next, |entry| entry.offset);
+    let skipped = usize::try_from(query.from.saturating_sub(oldest)).unwrap_or(usize::MAX);
+    let entries = state
+        .entries
+        .iter()
+        .skip(skipped)
+        .take(limit)
+        .cloned()
+        .collect();
+    HttpResponse::Ok().json(ReadResponse {
+        oldest,
+        next: state.next,
+        entries,
+    })
+}
+
+async fn stats(platform: web::Data<Platform>) -> HttpResponse {
+    HttpResponse::Ok().json(serde_json::json!({ "appends": platform.state().appends }))
+}
+
+async fn hosts(platform: web::Data<Platform>) -> HttpResponse {
+    HttpResponse::Ok().json(HostList {
+        hosts: platform.state().hosts.clone(),
+    })
+}
+
+async fn set_hosts(platform: web::Data<Platform>, list: web::Json<HostList>) -> HttpResponse {
+    platform.state().hosts = list.into_inner().hosts;
+    HttpResponse::NoContent().finish()
+}
+
+async fn load_weights(platform: web::Data<Platform>, _: web::Json<WeightRequest>) -> HttpResponse {
+    let mut state = platform.state();
+    let interval = Duration::from_millis(state.control.weight_interval_ms);
+    if let Some(last) = state.last_weight_load {
+        let passed = last.elapsed();
+        if passed < interval {
+            let wait = u64::try_from((interval - passed).as_millis()).unwrap_or(u64::MAX);
+            let refused = WeightResponse {
+                started: false,
+                retry_after_ms: Some(wait),
+            };
+            return HttpResponse::TooManyRequests().json(refused);
+        }
+    }
+    state.last_weight_load = Some(Instant::now());
+    HttpResponse::Ok().json(WeightResponse {
+        started: true,
+        retry_after_ms: None,
+    })
+}
+
+async fn set_control(platform: web::Data<Platform>, control: web::Json<Control>) -> HttpResponse {
+    platform.state().control = control.into_inner();
+    HttpResponse::NoContent().finish()
+}
--- /dev/null
+++ b/standins/src/service.rs
@@ -0,0 +1,103 @@
+//! A plain service: names that can be looked up and reserved. It counts how often each call ran.
+
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use serde::{Deserialize, Serialize};
+
+/// Faults, set by POST /control.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Control {
+    /// Delay of every answer in milliseconds.
+    pub delay_ms: u64,
+    /// Calls take effect and are never answered.
+    pub silent: bool,
+    /// The process ends after the effect of the next call, before its answer.
+    pub crash_after_effect: bool,
+}
+
+/// What the service saw.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Stats {
+    /// Runs by method and path, with the body's text for calls that have one.
+    pub runs: BTreeMap<String, u64>,
+    /// Names and values of all headers that arrived, once each.
+    pub headers: BTreeMap<String, Vec<String>>,
+}
+
+#[derive(Debug, Default)]
+struct Service {
+    control: Mutex<Control>,
+    stats: Mutex<Stats>,
+}
+
+/// Serves until the process is ended.
+///
+/// # Errors
+/// Fails when the server cannot start.
+pub async fn run(listener: TcpListener) -> eyre::Result<()> {
+    let service = web::Data::new(Service::default());
+    HttpServer::new(move || {
+        App::new()
+            .app_data(service.clone())
+            .route("/stats", web::get().to(stats))
+            .route("/control", web::post().to(set_control))
+            .default_service(web::to(call))
+    })
+    .workers(1)
+    .disable_signals()
+    .listen(listener)?
+    .run()
+    .await?;
+    Ok(())
+}
+
+async fn call(service: web::Data<Service>, request: HttpRequest, body: web::Bytes) -> HttpResponse {
+    let control = lock(&service.control).clone();
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let run = format!("{} {} {text}", request.method(), request.path())
+        .trim_end()
+        .to_owned();
+    let count = record(&service, &request, &run);
+    if control.crash_after_effect {
+        std::process::exit(1);
+    }
+    if control.silent {
+        std::future::pending::<()>().await;
+    }
+    actix_rt::time::sleep(Duration::from_millis(control.delay_ms)).await;
+    HttpResponse::Ok().json(serde_json::json!({ "ran": run, "count": count }))
+}
+
+fn record(service: &Service, request: &HttpRequest, run: &str) -> u64 {
+    let mut stats = lock(&service.stats);
+    for (name, value) in request.headers() {
+        let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+        let values = stats.headers.entry(name.to_string()).or_default();
+        if !values.contains(&value) {
+            values.push(value);
+        }
+    }
+    let count = stats.runs.entry(run.to_owned()).or_default();
+    *count += 1;
+    *count
+}
+
+async fn stats(service: web::Data<Service>) -> HttpResponse {
+    HttpResponse::Ok().json(&*lock(&service.stats))
+}
+
+async fn set_control(service: web::Data<Service>, control: web::Json<Control>) -> HttpResponse {
+    *lock(&service.control) = control.into_inner();
+    HttpResponse::NoContent().finish()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .expect("no thread panics while it holds the state")
+}
