--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -92,24 +92,18 @@
 pub(crate) async fn completions(
     state: web::Data<State>,
     request: HttpRequest,
-    body: web::Bytes,
+    payload: web::Payload,
 ) -> HttpResponse {
-    answer(
-        &state,
-        &request,
-        question::<CompletionRequest>(&body),
-        &body,
-    )
-    .await
+    answer::<CompletionRequest>(&state, &request, payload).await
 }
 
 /// Handles POST /v1/chat/completions.
 pub(crate) async fn chat(
     state: web::Data<State>,
     request: HttpRequest,
-    body: web::Bytes,
+    payload: web::Payload,
 ) -> HttpResponse {
-    answer(&state, &request, question::<ChatRequest>(&body), &body).await
+    answer::<ChatRequest>(&state, &request, payload).await
 }
 
 fn question<R>(body: &[u8]) -> Result<Question, Refusal>
@@ -122,21 +116,19 @@
     Question::try_from(request)
 }
 
-async fn answer(
-    state: &State,
-    request: &HttpRequest,
-    question: Result<Question, Refusal>,
-    body: &[u8],
-) -> HttpResponse {
+async fn answer<R>(state: &State, request: &HttpRequest, payload: web::Payload) -> HttpResponse
+where
+    R: serde::de::DeserializeOwned,
+    Question: TryFrom<R, Error = Refusal>,
+{
     let request_id = state.shared.identity.next_request_id();
-    let job = match prepare(state, request, question, body, &request_id) {
+    let (job, question) = match prepare::<R>(state, request, payload, &request_id).await {
         Ok(prepared) => prepared,
         Err(refusal) => {
             state.shared.metrics.count_refusal(refusal.code);
             return refusal.response(&request_id);
         }
     };
-    let (job, question) = job;
     let connection = request.conn_data::<Connection>().cloned();
     let (sender, receiver) = mpsc::channel(WAITING_PIECES);
     actix_rt::spawn(flow::run(state.clone(), job, connection, sender));
@@ -147,24 +139,23 @@
     }
 }
 
-fn prepare(
+async fn prepare<R>(
     state: &State,
     request: &HttpRequest,
-    question: Result<Question, Refusal>,
-    body: &[u8],
+    payload: web::Payload,
     request_id: &str,
-) -> Result<(Job, Question), Refusal> {
-    if flow::is_draining(state) {
-        let message = "this host is shutting down";
-        return Err(
-            Refusal::not_run("draining", StatusCode::SERVICE_UNAVAILABLE, message)
-                .retry_after_ms(Some(1_000)),
-        );
-    }
+) -> Result<(Job, Question), Refusal>
+where
+    R: serde::de::DeserializeOwned,
+    Question: TryFrom<R, Error = Refusal>,
+{
+    state.shared.accepts_requests()?;
     let configuration = state.shared.configuration.borrow().clone();
+    // The key comes first, so that a stranger's body costs nothing.
     let caller = authenticate(request, &configuration.fleet, &state.shared.pepper)?;
-    let question = question?;
-    refuse_key_in_body(request, body)?;
+    let body = crate::body::read(payload, &state.shared.options.limits).await?;
+    refuse_key_in_body(request, &body)?;
+    let question = question::<R>(&body)?;
     let model = configuration
         .fleet
         .models()
@@ -177,7 +168,7 @@
     let default = std::num::NonZeroU32::new(model.max_tokens).unwrap_or(std::num::NonZeroU32::MIN);
     let bytes = u32::try_from(question.prompt.len()).unwrap_or(u32::MAX);
     let mut hasher = DefaultHasher::new();
-    (&customer, &question.model, body).hash(&mut hasher);
+    (&customer, &question.model, &body).hash(&mut hasher);
     let job = Job {
         request_id: request_id.to_owned(),
         customer,
@@ -191,21 +182,20 @@
     Ok((job, question))
 }
 
-/// No endpoint may see a key, so a body that repeats the caller's key is refused.
+/// No endpoint may see a key, so a request that repeats the caller's key outside its header is
+/// refused.
 pub(crate) fn refuse_key_in_body(request: &HttpRequest, body: &[u8]) -> Result<(), Refusal> {
     let Some(key) = presented_key(request).filter(|key| !key.is_empty()) else {
         return Ok(());
     };
-    let key = key.as_bytes();
-    if body.windows(key.len()).any(|window| window == key) {
+    let contains = |text: &[u8]| {
+        text.windows(key.len())
+            .any(|window| window == key.as_bytes())
+    };
+    if contains(body) {
         return Err(invalid("key_in_body", "the body contains the caller's key"));
     }
-    let uri = request.uri().to_string();
-    if uri
-        .as_bytes()
-        .windows(key.len())
-        .any(|window| window == key)
-    {
+    if contains(request.uri().to_string().as_bytes()) {
         return Err(invalid("key_in_url", "the URL contains the caller's key"));
     }
     Ok(())
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -8,6 +8,7 @@
 use actix_web::dev::Extensions;
 use actix_web::rt::net::TcpStream;
 use tokio::io::Interest;
+use tokio_rustls::server::TlsStream;
 
 /// A caller's connection, watched beside the HTTP server that reads from it.
 ///
@@ -19,7 +20,10 @@
 impl Connection {
     /// Remembers the connection for its requests; called once per accepted connection.
     pub(crate) fn accept(io: &dyn Any, extensions: &mut Extensions) {
-        let Some(stream) = io.downcast_ref::<TcpStream>() else {
+        let encrypted = io
+            .downcast_ref::<TlsStream<TcpStream>>()
+            .map(|stream| stream.get_ref().0);
+        let Some(stream) = io.downcast_ref::<TcpStream>().or(encrypted) else {
             return;
         };
         match Self::watch(stream) {
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -1,7 +1,6 @@
 //! The course of one model request: admission, prefill, decode, and release at every exit.
 
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use actix_web::http::StatusCode;
@@ -494,8 +493,3 @@
         delay *= 2;
     }
 }
-
-/// Whether the gateway takes new requests.
-pub(crate) fn is_draining(state: &State) -> bool {
-    state.shared.draining.load(Ordering::Relaxed)
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod options;
 pub mod run;
 
+pub(crate) mod body;
 pub(crate) mod caller;
 pub(crate) mod completion;
 pub(crate) mod configuration;
@@ -19,3 +20,4 @@
 pub(crate) mod server;
 pub(crate) mod service;
 pub(crate) mod state;
+pub(crate) mod tls;
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -7,9 +7,11 @@
 
 mod limits;
 mod log;
+mod tls;
 
 pub use limits::Limits;
 pub use log::Log;
+pub use tls::Tls;
 
 /// Settings of the gateway.
 #[derive(Clone, Debug, Deserialize)]
@@ -27,6 +29,9 @@
     pub secret_file: PathBuf,
     /// File with the secret that is mixed into the hashes of keys.
     pub pepper_file: PathBuf,
+    /// TLS towards callers; plain HTTP when absent.
+    #[serde(default)]
+    pub tls: Option<Tls>,
     /// Bounds on what callers can cost.
     #[serde(default)]
     pub limits: Limits,
--- a/crates/gateway/src/options/limits.rs
+++ b/crates/gateway/src/options/limits.rs
@@ -8,6 +8,8 @@
 pub struct Limits {
     /// Largest request body in bytes.
     pub body_bytes: usize,
+    /// Connections of callers at one time, for each worker.
+    pub connections: usize,
     /// Requests that run at one time.
     pub open_requests: usize,
     /// Time within which the headers of a request must arrive, in milliseconds.
@@ -30,6 +32,7 @@
     fn default() -> Self {
         Self {
             body_bytes: 4 << 20,
+            connections: 10_000,
             open_requests: 10_000,
             header_timeout_ms: 5_000,
             body_timeout_ms: 10_000,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -12,7 +12,7 @@
 use crate::refusal::Refusal;
 use crate::service::Client;
 use crate::state::{Shared, State};
-use crate::{completion, service};
+use crate::{completion, service, tls};
 
 fn state_of(shared: &Shared) -> State {
     let limits = &shared.options.limits;
@@ -31,14 +31,18 @@
 pub(crate) fn callers(
     listener: std::net::TcpListener,
     shared: &Shared,
-) -> std::io::Result<actix_web::dev::Server> {
+) -> eyre::Result<actix_web::dev::Server> {
+    let tls = shared
+        .options
+        .tls
+        .as_ref()
+        .map(tls::configure)
+        .transpose()?;
     let limits = shared.options.limits.clone();
     let shared = shared.clone();
     let server = HttpServer::new(move || {
-        let limits = &shared.options.limits;
         App::new()
             .app_data(web::Data::new(state_of(&shared)))
-            .app_data(web::PayloadConfig::new(limits.body_bytes))
             .route("/v1/completions", web::post().to(completion::completions))
             .route("/v1/chat/completions", web::post().to(completion::chat))
             .route("/v1/models", web::get().to(completion::models))
@@ -47,11 +51,15 @@
     });
     let server = server
         .workers(limits.workers)
+        .max_connections(limits.connections)
         .on_connect(Connection::accept)
         .client_request_timeout(Duration::from_millis(limits.header_timeout_ms))
         .shutdown_timeout(limits.drain_s)
-        .disable_signals()
-        .listen(listener)?;
+        .disable_signals();
+    let server = match tls {
+        Some(tls) => server.listen_rustls_0_23(listener, tls)?,
+        None => server.listen(listener)?,
+    };
     Ok(server.run())
 }
 
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -11,7 +11,6 @@
 
 use crate::caller::authenticate;
 use crate::completion::refuse_key_in_body;
-use crate::flow::is_draining;
 use crate::metrics::Reason;
 use crate::refusal::{REQUEST_ID_HEADER, Refusal};
 use crate::state::State;
@@ -62,11 +61,11 @@
     state: web::Data<State>,
     request: HttpRequest,
     target: web::Path<(String, String)>,
-    body: web::Bytes,
+    payload: web::Payload,
 ) -> HttpResponse {
     let request_id = state.shared.identity.next_request_id();
     let (route, path) = target.into_inner();
-    match call(&state, &request, &request_id, &route, &path, body).await {
+    match call(&state, &request, &request_id, &route, &path, payload).await {
         Ok(response) => response,
         Err(refusal) => {
             state.shared.metrics.count_refusal(refusal.code);
@@ -82,15 +81,9 @@
     request_id: &str,
     route: &str,
     path: &str,
-    body: web::Bytes,
+    payload: web::Payload,
 ) -> Result<HttpResponse, Refusal> {
-    if is_draining(state) {
-        let message = "this host is shutting down";
-        return Err(
-            Refusal::not_run("draining", StatusCode::SERVICE_UNAVAILABLE, message)
-                .retry_after_ms(Some(1_000)),
-        );
-    }
+    state.shared.accepts_requests()?;
     let fleet = state.shared.configuration.borrow().fleet.clone();
     let route = fleet.route(route).ok_or_else(|| {
         Refusal::not_run(
@@ -99,7 +92,9 @@
             "the route does not exist",
         )
     })?;
-    authorize(state, request, &fleet, route, &body)?;
+    authorize(state, request, &fleet, route)?;
+    let body = crate::body::read(payload, &state.shared.options.limits).await?;
+    refuse_key_in_body(request, &body)?;
     let path = format!("/{path}");
     let idempotent = route.is_idempotent(request.method().as_str(), &path);
     let mut tried = 0;
@@ -137,9 +132,7 @@
     request: &HttpRequest,
     fleet: &Fleet,
     route: &Route,
-    body: &[u8],
 ) -> Result<(), Refusal> {
-    refuse_key_in_body(request, body)?;
     if route.open {
         return Ok(());
     }
@@ -238,7 +231,9 @@
     call = call.insert_header((REQUEST_ID_HEADER, request_id));
     let timeout = Duration::from_millis(route.timeout_ms);
     let sent = actix_rt::time::timeout(timeout, call.send_body(body.clone())).await;
-    let response = sent.map_err(|_| Failure::Timeout)?.map_err(failure_of)?;
+    let response = sent
+        .map_err(|_| Failure::Timeout)?
+        .map_err(|error| failure_of(&error))?;
     state.shared.metrics.service_calls.inc();
     let mut answer = HttpResponse::build(response.status());
     for (name, value) in response.headers() {
@@ -254,7 +249,7 @@
     !DROPPED_HEADERS.contains(&name.as_str()) && !name.as_str().starts_with(INTERNAL_PREFIX)
 }
 
-fn failure_of(error: SendRequestError) -> Failure {
+fn failure_of(error: &SendRequestError) -> Failure {
     match error {
         SendRequestError::Connect(ConnectError::Disconnected) => Failure::Broken,
         SendRequestError::Connect(_) | SendRequestError::Url(_) => Failure::NotSent,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,8 +1,9 @@
 //! State that the gateway's handlers share.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 
+use actix_web::http::StatusCode;
 use berylknot_settings::key::Pepper;
 use tokio::sync::watch;
 
@@ -11,6 +12,7 @@
 use crate::engine::http::Http;
 use crate::metrics::Metrics;
 use crate::options::Options;
+use crate::refusal::Refusal;
 
 /// State shared by all threads.
 #[derive(Clone, Debug)]
@@ -23,6 +25,28 @@
     pub(crate) draining: Arc<AtomicBool>,
 }
 
+impl Shared {
+    /// Refuses a new request while the gateway drains or has too many.
+    pub(crate) fn accepts_requests(&self) -> Result<(), Refusal> {
+        const RETRY_AFTER_MS: Option<u64> = Some(1_000);
+        let unavailable = |code, message: &str| {
+            Refusal::not_run(code, StatusCode::SERVICE_UNAVAILABLE, message)
+                .retry_after_ms(RETRY_AFTER_MS)
+        };
+        if self.draining.load(Ordering::Relaxed) {
+            return Err(unavailable("draining", "this host is shutting down"));
+        }
+        let open = usize::try_from(self.metrics.open_requests.get()).unwrap_or_default();
+        if open >= self.options.limits.open_requests {
+            return Err(unavailable(
+                "too_many_requests",
+                "this host has too many open requests",
+            ));
+        }
+        Ok(())
+    }
+}
+
 /// State of one thread.
 #[derive(Clone, Debug)]
 pub(crate) struct State {
