Add leases derived from the log, and rates as pool and floor

Cause: the design gives shards and seats owners by log records and counts each customer's rate over all hosts; neither existed.

Change: records Renew, Claim and Release; lease::Table, equal on all replicas; lease::Holder, one host's view by its own clock, with an even plan of shards over live hosts; quota buckets, pools, floors, grants, donations and handovers in 64-bit nanotokens.

--- a/crates/coordination/src/clock.rs
+++ b/crates/coordination/src/clock.rs
@@ -56,21 +56,38 @@
 }
 
 impl Drift {
-    /// Makes a bound in parts per million.
+    /// Largest accepted bound; a clock that is off by more than 10 % is broken.
+    const LIMIT: u32 = 100_000;
+
+    /// Makes a bound in parts per million; values above 100,000 are lowered to it.
     #[must_use]
     pub const fn from_parts_per_million(parts_per_million: u32) -> Self {
+        if parts_per_million > Self::LIMIT {
+            return Self {
+                parts_per_million: Self::LIMIT,
+            };
+        }
         Self { parts_per_million }
     }
 
+    /// The bound in parts per million.
+    #[must_use]
+    pub const fn parts_per_million(self) -> u32 {
+        self.parts_per_million
+    }
+
     /// Time to wait by the own clock until `duration` has surely passed on any other host's clock.
     ///
-    /// Both clocks may be off by the bound, in opposite directions.
+    /// The other clock may be slow and the own clock fast by the bound, so the factor is
+    /// (1 + drift) / (1 - drift). Its approximation 1 + 2 x drift is 6 ms too short for the
+    /// one-hour lease of a seat.
     #[must_use]
     pub fn surely_passed(self, duration: Duration) -> Duration {
-        let millis = millis(duration);
-        let margin = (millis * 2 * u64::from(self.parts_per_million)).div_ceil(1_000_000);
+        let millis = u128::from(millis(duration));
+        let drift = u128::from(self.parts_per_million);
+        let waited = (millis * (1_000_000 + drift)).div_ceil(1_000_000 - drift);
         // One millisecond more, since instants are rounded down.
-        Duration::from_millis(millis + margin + 1)
+        Duration::from_millis(u64::try_from(waited + 1).unwrap_or(u64::MAX))
     }
 }
 
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,5 +6,7 @@
 
 pub mod clock;
 pub mod configuration;
+pub mod lease;
+pub mod quota;
 pub mod record;
 pub mod replica;
--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::lease::Subject;
+
 /// Random number that identifies one start of a coordinator process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
@@ -67,6 +69,12 @@
 pub enum Record {
     /// Proposes a configuration.
     Publish(Publish),
+    /// Renews everything that a host holds.
+    Renew(Renew),
+    /// Takes shards or a seat.
+    Claim(Claim),
+    /// Gives up shards or a seat.
+    Release(Release),
 }
 
 /// Proposal of a configuration by an operator.
@@ -79,3 +87,38 @@
     /// Merged settings as JSON text.
     pub document: String,
 }
+
+/// Renewal of the seat and all shards that the appender holds at the record's position.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renew {
+    /// Id; a renewal is ignored unless its sequence exceeds that of the incarnation's last one.
+    pub id: Id,
+    /// Name of the host.
+    pub host: String,
+    /// Configuration that was in force on the host when it sent the renewal.
+    pub configuration_version: Position,
+}
+
+/// Claim of shards or a seat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Id of the record; the claimer is its incarnation.
+    pub id: Id,
+    /// Each subject with the position of its last owning record, as the claimer read it. The claim
+    /// of a subject is void when the position differs, which also makes a repetition harmless.
+    pub subjects: Vec<(Subject, Position)>,
+}
+
+/// Release of shards or a seat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Release {
+    /// Id of the record; the releaser is its incarnation.
+    pub id: Id,
+    /// Each subject with the position from which the releaser held it. The release of a subject is
+    /// void when the position differs, so that a late copy cannot end a later holding.
+    pub subjects: Vec<(Subject, Position)>,
+    /// Incarnation that holds the subjects from this record on, if any.
+    pub successor: Option<Incarnation>,
+    /// Whether the releaser is shutting down and takes no more shards.
+    pub leaving: bool,
+}
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -1,6 +1,7 @@
 //! The state that every host derives from the log, in offset order.
 
 use crate::configuration::{Register, Verdict};
+use crate::lease;
 use crate::record::{Entry, Id, Position, Record};
 
 /// Effect of a record on the derived state.
@@ -16,6 +17,8 @@
         /// Its fate.
         verdict: Verdict,
     },
+    /// A lease was renewed or changed its owner.
+    Lease(lease::Change),
 }
 
 /// State derived from the log.
@@ -23,6 +26,7 @@
 pub struct Replica {
     next_offset: u64,
     configuration: Register,
+    leases: lease::Table,
 }
 
 impl Replica {
@@ -41,6 +45,18 @@
                     position,
                     verdict: self.configuration.apply(position, publish),
                 }),
+                Record::Renew(renew) => {
+                    let renewed = self.leases.renew(position, renew);
+                    changes.extend(renewed.map(Change::Lease));
+                }
+                Record::Claim(claim) => {
+                    let claimed = self.leases.claim(position, claim);
+                    changes.extend(claimed.into_iter().map(Change::Lease));
+                }
+                Record::Release(release) => {
+                    let released = self.leases.release(position, release);
+                    changes.extend(released.into_iter().map(Change::Lease));
+                }
             }
         }
         changes
@@ -52,6 +68,12 @@
         self.next_offset
     }
 
+    /// Owners of shards and seats.
+    #[must_use]
+    pub const fn leases(&self) -> &lease::Table {
+        &self.leases
+    }
+
     /// Accepted configuration.
     #[must_use]
     pub const fn configuration(&self) -> &Register {
