Add the appender, the table of idempotency keys and a gap check of replicas

Change: a batch starts with a `Batch` record that carries an id. A lost answer is resolved by a read of the tail that was sent after the loss; each lost answer leads to at most one repeat of the same batch. A replica refuses entries after a gap.

Ruled out: reporting "not appended" on a refusal by the log, and reporting the offset of the answer. The proof found both wrong when the network doubles the request: one copy is refused or gets a later offset while the other counts.

The key table is not proved yet.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,6 +4,8 @@
 //! event, and carry out the returned actions. State that must last is derived from an append-only
 //! log by [`replica::Replica`].
 
+pub mod append;
+pub mod claim;
 pub mod clock;
 pub mod configuration;
 pub mod record;
--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::claim;
+
 /// Random number that identifies one start of a coordinator process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
@@ -25,6 +27,9 @@
     /// Highest number of records in one entry.
     pub const RECORDS_PER_ENTRY: usize = 256;
 
+    /// Offset of the first entry of a log from which nothing has expired.
+    pub const FIRST_OFFSET: u64 = 1;
+
     /// Position of the record at `index` of the entry at `offset`.
     #[must_use]
     pub const fn new(offset: u64, index: u8) -> Self {
@@ -67,6 +72,10 @@
 pub enum Record {
     /// Proposes a configuration.
     Publish(Publish),
+    /// First record of a batch; the rest of the entry is ignored when the batch is a duplicate.
+    Batch(Id),
+    /// Claims, finishes or abandons an idempotency key.
+    Key(claim::Event),
 }
 
 /// Proposal of a configuration by an operator.
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -1,7 +1,10 @@
 //! The state that every host derives from the log, in offset order.
 
+use serde::{Deserialize, Serialize};
+
 use crate::configuration::{Register, Verdict};
 use crate::record::{Entry, Id, Position, Record};
+use crate::{append, claim};
 
 /// Effect of a record on the derived state.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,22 +19,75 @@
         /// Its fate.
         verdict: Verdict,
     },
+    /// An entry repeats a batch and was ignored.
+    Duplicate(Id),
+    /// An idempotency key was claimed, finished or abandoned, or the attempt to do so failed.
+    Key {
+        /// Id of the claim.
+        id: Id,
+        /// What the record did.
+        verdict: claim::Verdict,
+    },
+    /// The entry was not applied because earlier entries are missing.
+    Gap {
+        /// Offset that the replica needs next.
+        expected: u64,
+        /// Offset of the entry.
+        found: u64,
+    },
 }
 
 /// State derived from the log.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Replica {
     next_offset: u64,
+    log_time_ms: u64,
     configuration: Register,
+    batches: append::Table,
+    claims: claim::Table,
+}
+
+impl Default for Replica {
+    fn default() -> Self {
+        Self {
+            next_offset: Position::FIRST_OFFSET,
+            log_time_ms: 0,
+            configuration: Register::default(),
+            batches: append::Table::default(),
+            claims: claim::Table::default(),
+        }
+    }
 }
 
 impl Replica {
+    /// Makes an empty replica with limits other than the default ones, equal on all hosts.
+    #[must_use]
+    pub fn new(claims: claim::Limits) -> Self {
+        Self {
+            claims: claim::Table::new(claims),
+            ..Self::default()
+        }
+    }
+
     /// Applies an entry; entries that were applied before have no effect.
+    ///
+    /// An entry after a gap is not applied, see [`Change::Gap`].
     pub fn apply(&mut self, entry: &Entry) -> Vec<Change> {
         if entry.offset < self.next_offset {
             return Vec::new();
         }
+        if entry.offset > self.next_offset {
+            return vec![Change::Gap {
+                expected: self.next_offset,
+                found: entry.offset,
+            }];
+        }
         self.next_offset = entry.offset + 1;
+        // The log's clock may be corrected backwards; periods are measured on its highest reading.
+        self.log_time_ms = self.log_time_ms.max(entry.appended_at_ms);
+        let time_ms = self.log_time_ms;
+        self.batches.forget(time_ms);
+        self.claims.forget(time_ms);
         let mut changes = Vec::new();
         for (index, record) in (0..=u8::MAX).zip(&entry.records) {
             let position = Position::new(entry.offset, index);
@@ -41,6 +97,16 @@
                     position,
                     verdict: self.configuration.apply(position, publish),
                 }),
+                Record::Batch(id) => {
+                    if !self.batches.apply(*id, entry.offset, time_ms) {
+                        changes.push(Change::Duplicate(*id));
+                        break;
+                    }
+                }
+                Record::Key(event) => changes.push(Change::Key {
+                    id: event.id(),
+                    verdict: self.claims.apply(position, time_ms, event),
+                }),
             }
         }
         changes
@@ -52,9 +118,27 @@
         self.next_offset
     }
 
+    /// Highest time of an append among the applied entries, in milliseconds since the Unix epoch.
+    #[must_use]
+    pub const fn log_time_ms(&self) -> u64 {
+        self.log_time_ms
+    }
+
     /// Accepted configuration.
     #[must_use]
     pub const fn configuration(&self) -> &Register {
         &self.configuration
     }
+
+    /// Last batch of each appender.
+    #[must_use]
+    pub const fn batches(&self) -> &append::Table {
+        &self.batches
+    }
+
+    /// Idempotency keys.
+    #[must_use]
+    pub const fn claims(&self) -> &claim::Table {
+        &self.claims
+    }
 }
--- /dev/null
+++ b/crates/coordination/tests/append.rs
@@ -0,0 +1,275 @@
+//! Proof of the appender: records count at most once, and reported fates are true.
+
+mod support;
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+
+use berylknot_coordination::append::{Action, Answer, Appender, Fate, Limits, Ticket};
+use berylknot_coordination::clock::Instant;
+use berylknot_coordination::record::{Id, Incarnation, Position, Publish, Record};
+use berylknot_coordination::replica::{Change, Replica};
+use proptest::prelude::*;
+use support::log::Log;
+use support::network::Network;
+use support::run::{Agreement, Result, catches, holds};
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    None,
+    /// A lost answer is followed by a new append without looking for the first one.
+    ResendUnresolved,
+    /// Replicas apply repeated batches.
+    RepeatsCount,
+    /// A record that was sent is reported as not appended at its deadline.
+    DeadlineMeansNo,
+}
+
+#[derive(Clone, Debug)]
+struct Plan {
+    seed: u64,
+    trouble_percent: u32,
+    steps: Vec<(u8, u16)>,
+}
+
+fn plans() -> impl Strategy<Value = Plan> {
+    let steps = proptest::collection::vec((0_u8..10, 0_u16..3_000), 10..40);
+    (any::<u64>(), 0_u32..50, steps).prop_map(|(seed, trouble_percent, steps)| Plan {
+        seed,
+        trouble_percent,
+        steps,
+    })
+}
+
+#[derive(Clone)]
+enum Message {
+    Append(Id, Vec<Record>),
+    Answer(Id, Answer),
+}
+
+struct World {
+    fault: Fault,
+    now_ms: u64,
+    log: Log,
+    log_up: bool,
+    network: Network<Message>,
+    appender: Appender,
+    replica: Replica,
+    submitted: u64,
+    tickets: BTreeMap<Ticket, u64>,
+    fates: BTreeMap<u64, Vec<Fate>>,
+    effects: BTreeMap<u64, Vec<Position>>,
+    waiting: Option<(Id, u64, Vec<Record>)>,
+    agreement: Agreement,
+}
+
+impl World {
+    fn submit(&mut self, number: u64) {
+        let publish = Publish {
+            id: Id {
+                incarnation: Incarnation(9),
+                sequence: number,
+            },
+            base_version: Position::default(),
+            document: String::new(),
+        };
+        let deadline = Instant::from_millis(self.now_ms + 4_000);
+        if let Ok(ticket) = self
+            .appender
+            .submit(Record::Publish(publish), 100, deadline)
+        {
+            self.tickets.insert(ticket, number);
+        }
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Append { id, records } => {
+                    self.waiting = Some((id, self.now_ms + 500, records.clone()));
+                    self.network
+                        .send(self.now_ms, 3_000, &Message::Append(id, records));
+                }
+                Action::Report { ticket, fate } => {
+                    let fate = match fate {
+                        Fate::MayHaveBeenAppended if self.fault == Fault::DeadlineMeansNo => {
+                            Fate::NotAppended
+                        }
+                        fate => fate,
+                    };
+                    self.fates
+                        .entry(self.tickets[&ticket])
+                        .or_default()
+                        .push(fate);
+                }
+            }
+        }
+    }
+
+    fn lose(&mut self, id: Id) {
+        if self.fault == Fault::ResendUnresolved
+            && let Some((_, _, records)) = self.waiting.take()
+        {
+            // The faulty appender forgets the lost batch and appends its records under a new id.
+            let forgotten = Id {
+                sequence: id.sequence + 1_000,
+                ..id
+            };
+            let records = std::iter::once(Record::Batch(forgotten))
+                .chain(records.into_iter().skip(1))
+                .collect();
+            self.network
+                .send(self.now_ms, 3_000, &Message::Append(forgotten, records));
+        }
+        self.waiting = None;
+        let actions = self
+            .appender
+            .answered(Instant::from_millis(self.now_ms), id, Answer::Lost);
+        self.act(actions);
+    }
+
+    fn deliver(&mut self, message: Message) {
+        let now = Instant::from_millis(self.now_ms);
+        match message {
+            Message::Append(id, records) if self.log_up => {
+                self.log.append(self.now_ms, records);
+                self.network
+                    .send(self.now_ms, 3_000, &Message::Answer(id, Answer::Appended));
+            }
+            Message::Append(id, _) => {
+                self.network
+                    .send(self.now_ms, 3_000, &Message::Answer(id, Answer::Lost));
+            }
+            Message::Answer(id, answer) => {
+                if self.waiting.as_ref().is_some_and(|waiting| waiting.0 == id) {
+                    self.waiting = None;
+                    let actions = self.appender.answered(now, id, answer);
+                    self.act(actions);
+                }
+            }
+        }
+    }
+
+    fn read(&mut self) -> Result {
+        if !self.log_up || self.network.trouble() {
+            return Ok(());
+        }
+        let read = self.log.read(self.replica.next_offset());
+        assert!(read.oldest <= self.replica.next_offset());
+        for mut entry in read.entries {
+            if self.fault == Fault::RepeatsCount {
+                entry.records.remove(0);
+            }
+            for change in self.replica.apply(&entry) {
+                if let Change::Published { id, position, .. } = change {
+                    self.effects.entry(id.sequence).or_default().push(position);
+                }
+            }
+            self.agreement.check(&self.replica)?;
+        }
+        let now = Instant::from_millis(self.now_ms);
+        let actions = self.appender.reached_tail(now, self.replica.batches());
+        self.act(actions);
+        Ok(())
+    }
+
+    fn advance(&mut self, millis: u64) -> Result {
+        for _ in 0..millis / 50 {
+            self.now_ms += 50;
+            while let Some(message) = self.network.receive(self.now_ms) {
+                self.deliver(message);
+            }
+            if let Some((id, due, _)) = self.waiting
+                && due <= self.now_ms
+            {
+                self.lose(id);
+            }
+            let actions = self.appender.poll(Instant::from_millis(self.now_ms));
+            self.act(actions);
+            self.read()?;
+        }
+        Ok(())
+    }
+
+    fn oracle(&self) -> Result {
+        for number in self.tickets.values() {
+            let effects = self.effects.get(number).map_or(&[][..], Vec::as_slice);
+            if effects.len() > 1 {
+                return Err(format!("record {number} counts twice: {effects:?}"));
+            }
+            match self.fates.get(number).map_or(&[][..], Vec::as_slice) {
+                [Fate::NotAppended] if !effects.is_empty() => {
+                    return Err(format!("record {number} was reported as not appended"));
+                }
+                [Fate::Appended] if effects.is_empty() => {
+                    return Err(format!("record {number} was reported as appended"));
+                }
+                [_] => {}
+                fates => return Err(format!("record {number} has fates {fates:?}")),
+            }
+        }
+        Ok(())
+    }
+}
+
+fn run(plan: &Plan, fault: Fault) -> std::result::Result<usize, String> {
+    let limits = Limits {
+        records: 3,
+        waiting: 8,
+        ..Limits::default()
+    };
+    let mut world = World {
+        fault,
+        now_ms: 1_000,
+        log: Log::new(u64::MAX / 2),
+        log_up: true,
+        network: Network::new(plan.seed, plan.trouble_percent),
+        appender: Appender::new(Incarnation(1), limits),
+        replica: Replica::default(),
+        submitted: 0,
+        tickets: BTreeMap::new(),
+        fates: BTreeMap::new(),
+        effects: BTreeMap::new(),
+        waiting: None,
+        agreement: Agreement::default(),
+    };
+    for &(step, millis) in &plan.steps {
+        match step {
+            0 => world.log_up = !world.log_up,
+            1..=6 => {
+                for _ in 0..step {
+                    world.submitted += 1;
+                    world.submit(world.submitted);
+                }
+            }
+            _ => {}
+        }
+        world.advance(u64::from(millis))?;
+    }
+    world.log_up = true;
+    world.network.trouble_percent = 0;
+    world.advance(10_000)?;
+    world.oracle()?;
+    Ok(world.effects.len())
+}
+
+/// Guards against records that count twice, are lost, or are reported wrongly.
+#[test]
+fn records_count_once_and_fates_are_true() {
+    let appended = Cell::new(0);
+    holds(2_000, plans(), |plan| {
+        appended.set(appended.get() + run(&plan, Fault::None)?);
+        Ok(())
+    });
+    assert!(appended.get() > 50_000, "only {} records", appended.get());
+}
+
+/// Guards against an oracle that cannot fail.
+#[yare::parameterized(
+    resend_unresolved = { Fault::ResendUnresolved, "counts twice" },
+    repeats_count = { Fault::RepeatsCount, "counts twice" },
+    deadline_means_no = { Fault::DeadlineMeansNo, "reported as not appended" },
+)]
+fn oracle_reports_fault(fault: Fault, violation: &str) {
+    catches(&plans(), violation, |plan| run(&plan, fault).map(|_| ()));
+}
--- /dev/null
+++ b/crates/coordination/tests/support/network.rs
@@ -0,0 +1,52 @@
+//! Model of a network that loses, doubles, delays and reorders messages.
+
+use std::collections::BTreeMap;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub(crate) struct Network<M> {
+    pub(crate) random: ChaCha8Rng,
+    pub(crate) trouble_percent: u32,
+    flights: BTreeMap<(u64, u64), M>,
+    sent: u64,
+}
+
+impl<M: Clone> Network<M> {
+    pub(crate) fn new(seed: u64, trouble_percent: u32) -> Self {
+        Self {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            trouble_percent,
+            flights: BTreeMap::new(),
+            sent: 0,
+        }
+    }
+
+    /// Whether something improbable happens now.
+    pub(crate) fn trouble(&mut self) -> bool {
+        let percent = self.trouble_percent;
+        self.random.random_range(0..100) < percent
+    }
+
+    /// Sends a message that takes up to `slow_ms` when it is delayed.
+    pub(crate) fn send(&mut self, now_ms: u64, slow_ms: u64, message: &M) {
+        let copies = if self.trouble() {
+            self.random.random_range(0..3)
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            let delay = if self.trouble() { slow_ms.max(2) } else { 20 };
+            let delay = self.random.random_range(1..=delay);
+            self.sent += 1;
+            self.flights
+                .insert((now_ms + delay, self.sent), message.clone());
+        }
+    }
+
+    /// Takes the next message that has arrived by `now_ms`.
+    pub(crate) fn receive(&mut self, now_ms: u64) -> Option<M> {
+        let first = self.flights.first_entry()?;
+        (first.key().0 <= now_ms).then(|| first.remove())
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/support/run.rs
@@ -0,0 +1,71 @@
+//! Seeded runs. `BERYLKNOT_FUZZ_CASES` multiplies the number of cases and `BERYLKNOT_FUZZ_SEED`
+//! changes the seed.
+
+use std::collections::BTreeMap;
+
+use berylknot_coordination::replica::Replica;
+use proptest::strategy::Strategy;
+use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
+
+pub(crate) type Result = std::result::Result<(), String>;
+
+fn variable(name: &str, default: u64) -> u64 {
+    std::env::var(name).map_or(default, |value| value.parse().expect("a number"))
+}
+
+fn runner(cases: u32) -> TestRunner {
+    let mut seed = [0; 32];
+    seed[..8].copy_from_slice(&variable("BERYLKNOT_FUZZ_SEED", 1).to_le_bytes());
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &seed))
+}
+
+/// Asserts that no case violates the oracle.
+pub(crate) fn holds<S: Strategy>(cases: u32, plans: S, case: impl Fn(S::Value) -> Result) {
+    let cases = cases * u32::try_from(variable("BERYLKNOT_FUZZ_CASES", 1)).expect("a small number");
+    let checked = |plan| case(plan).map_err(TestCaseError::fail);
+    if let Err(error) = runner(cases).run(&plans, checked) {
+        panic!("{error}");
+    }
+}
+
+/// Asserts that the oracle reports a violation whose text contains `violation` for some case.
+pub(crate) fn catches<S: Strategy>(plans: &S, violation: &str, case: impl Fn(S::Value) -> Result) {
+    let mut runner = runner(1);
+    let mut other = None;
+    for _ in 0..2_000 {
+        let plan = plans.new_tree(&mut runner).expect("a plan");
+        match case(proptest::strategy::ValueTree::current(&plan)) {
+            Err(found) if found.contains(violation) => return,
+            Err(found) => other = Some(found),
+            Ok(()) => {}
+        }
+    }
+    panic!("the oracle did not report {violation:?}; other report: {other:?}");
+}
+
+/// Oracle: replicas with the same next offset are equal.
+#[derive(Default)]
+pub(crate) struct Agreement {
+    seen: BTreeMap<u64, Replica>,
+}
+
+impl Agreement {
+    pub(crate) fn check(&mut self, replica: &Replica) -> Result {
+        let first = self
+            .seen
+            .entry(replica.next_offset())
+            .or_insert_with(|| replica.clone());
+        if first != replica {
+            return Err(format!(
+                "replicas disagree before {}",
+                replica.next_offset()
+            ));
+        }
+        Ok(())
+    }
+}
