--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::claim;
 use crate::lease::Subject;
 
 /// Number that identifies one start of a daemon process; a later start of a host has a higher one.
@@ -39,6 +40,9 @@
     /// Highest number of records in one entry.
     pub const RECORDS_PER_ENTRY: usize = 256;
 
+    /// Offset of the first entry of a log from which nothing has expired.
+    pub const FIRST_OFFSET: u64 = 1;
+
     /// Position of the record at `index` of the entry at `offset`.
     #[must_use]
     pub const fn new(offset: u64, index: u8) -> Self {
@@ -87,6 +91,10 @@
     Claim(Claim),
     /// Gives up shards or a seat.
     Release(Release),
+    /// First record of a batch; the rest of the entry is ignored when the batch is a duplicate.
+    Batch(Id),
+    /// Claims, finishes or abandons an idempotency key.
+    Key(claim::Event),
 }
 
 /// Proposal of a configuration by an operator.
