Add the request tracker and request ids

Cause: most callers leave before their answer is finished. Change: request::Tracker follows a request from the queue to its last confirmed cancel. It is the tombstone of a submit that was not sent yet; it repeats cancels with backoff; "unknown request" confirms a cancel only when the question cannot have overtaken the submit. A refused decode keeps its prefill for 0.8 s. request::Id has one text per id. Ruled out: trusting every positive answer to a cancel. Ending a sent non-idempotent call when its caller leaves: its outcome would be lost to a repeated key, so it runs on until its answer or its deadline.

--- /dev/null
+++ b/crates/coordination/examples/request.rs
@@ -0,0 +1,34 @@
+//! A caller leaves while its prefill runs: the prefill is cancelled until the engine confirms.
+
+use std::time::Duration;
+
+use berylknot_coordination::clock::Instant;
+use berylknot_coordination::request::{Action, Charge, Endpoint, Event, Kind, Limits, Tracker};
+
+fn main() {
+    let start = Instant::from_millis(0);
+    let mut request = Tracker::new(Kind::Model, Limits::default());
+    let placed = Event::Placed {
+        charge: Charge {
+            prompt: 900,
+            output: 100,
+        },
+        first: Endpoint(1),
+        decode: Endpoint(2),
+    };
+    let actions = request.event(start, placed);
+    println!("{actions:?}");
+    let Some(&Action::Submit { submit, .. }) = actions.first() else {
+        return;
+    };
+    println!("may be sent: {}", request.send(start, submit));
+    println!("{:?}", request.event(start, Event::CallerGone));
+    let later = start + Duration::from_millis(100);
+    println!("after 0.1 s: {:?}", request.tick(later));
+    let confirmed = Event::CancelAnswered {
+        submit,
+        known: true,
+        asked: later,
+    };
+    println!("{:?}", request.event(later, confirmed));
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod deadline;
 pub mod record;
 pub mod replica;
+pub mod request;
 pub mod stream;
