--- /dev/null
+++ b/crates/experiment/src/engines.rs
@@ -0,0 +1,234 @@
+//! Events at the engines of a run.
+
+use rand::Rng;
+
+use crate::fakes::{Arrived, Key, Running};
+use crate::world::{End, Event, Stage, TRANSFER_DEADLINE, World};
+
+/// Share of transfers that never finish while transfers stall.
+const STALLED: f64 = 0.2;
+
+impl World<'_> {
+    fn is_current(&self, job: Key, attempt: u32, stage: Stage) -> bool {
+        self.jobs[job].attempt == attempt && self.jobs[job].stage == stage
+    }
+
+    pub(crate) fn prefill_submit(&mut self, job: Key, attempt: u32) {
+        if !self.is_current(job, attempt, Stage::Sent) {
+            return;
+        }
+        let server = self.jobs[job].prefill;
+        self.jobs[job].stage = Stage::Prefilling;
+        self.prefills[server].waiting.push_back(job);
+        self.start_prefill(server);
+    }
+
+    pub(crate) fn start_prefill(&mut self, server: usize) {
+        if self.prefills[server].running.is_some() {
+            return;
+        }
+        let Some(job) = self.prefills[server].waiting.pop_front() else {
+            return;
+        };
+        let arrival = &self.workload.arrivals[self.jobs[job].arrival];
+        let cached = self.prefills[server].cached(&arrival.pieces) as u32 * self.model.piece_tokens;
+        let tokens = arrival.prompt - cached.min(arrival.prompt);
+        let duration =
+            self.model.prefill_base + u64::from(tokens) * self.model.prefill_per_token_ns / 1_000;
+        let engine = &mut self.prefills[server];
+        engine.running = Some(Running {
+            request: job,
+            started: self.now,
+            ends: self.now + duration,
+            tokens,
+        });
+        engine.epoch += 1;
+        let epoch = engine.epoch;
+        self.schedule(self.now + duration, Event::PrefillEnd { server, epoch });
+    }
+
+    pub(crate) fn prefill_end(&mut self, server: usize, epoch: u64) {
+        if self.prefills[server].epoch != epoch {
+            return;
+        }
+        let Some(running) = self.prefills[server].running.take() else {
+            return;
+        };
+        let job = running.request;
+        self.prefilled_tokens += u64::from(running.tokens);
+        self.jobs[job].computed = running.tokens;
+        self.jobs[job].stage = Stage::Handover;
+        let pieces = &self.workload.arrivals[self.jobs[job].arrival].pieces;
+        self.prefills[server].store(pieces, self.model.cache_pieces);
+        let delay = self.delay(server, self.jobs[job].decode);
+        let attempt = self.jobs[job].attempt;
+        self.schedule(self.now + delay, Event::DecodeSubmit { job, attempt });
+        self.schedule(
+            self.now + self.model.kv_lifetime,
+            Event::KvExpire { job, attempt },
+        );
+        self.start_prefill(server);
+    }
+
+    pub(crate) fn decode_submit(&mut self, job: Key, attempt: u32) {
+        if !self.is_current(job, attempt, Stage::Handover) {
+            return;
+        }
+        let server = self.jobs[job].decode;
+        if !self.decodes[server].alive {
+            self.attempt_failed(job);
+            return;
+        }
+        self.decodes[server].waiting.push_back(Arrived {
+            request: job,
+            attempt,
+        });
+        self.fill_slots(server);
+    }
+
+    /// Gives free slots to waiting requests and starts their transfers.
+    pub(crate) fn fill_slots(&mut self, server: usize) {
+        while self.decodes[server].used() < self.model.slots {
+            let Some(arrived) = self.decodes[server].waiting.pop_front() else {
+                return;
+            };
+            let job = arrived.request;
+            let attempt = arrived.attempt;
+            self.decodes[server].joining.push(job);
+            self.jobs[job].stage = Stage::Joining;
+            self.jobs[job].computed = 0;
+            let prompt = self.workload.arrivals[self.jobs[job].arrival].prompt;
+            let bytes = u64::from(prompt) * self.model.kv_bytes_per_token;
+            let from = self.jobs[job].prefill % self.fleet.data_centres;
+            let to = server % self.fleet.data_centres;
+            let arrives = if from == to {
+                self.local_links[self.jobs[job].prefill].send(
+                    self.now,
+                    bytes,
+                    self.model.local_link,
+                )
+            } else {
+                let link = from * self.fleet.data_centres + to;
+                self.cross_links[link].send(self.now, bytes, self.model.cross_link)
+            };
+            self.slot_started(job);
+            if self.stalling && self.random.random::<f64>() < STALLED {
+                let deadline = self.now + TRANSFER_DEADLINE;
+                self.schedule(deadline, Event::TransferTimeout { job, attempt });
+                continue;
+            }
+            self.schedule(arrives, Event::Join { job, attempt });
+        }
+    }
+
+    pub(crate) fn kv_expire(&mut self, job: Key, attempt: u32) {
+        if !self.is_current(job, attempt, Stage::Handover) {
+            return;
+        }
+        self.slot_missed(job);
+        self.attempt_failed(job);
+    }
+
+    pub(crate) fn transfer_timeout(&mut self, job: Key, attempt: u32) {
+        if !self.is_current(job, attempt, Stage::Joining) {
+            return;
+        }
+        self.attempt_failed(job);
+    }
+
+    pub(crate) fn join(&mut self, job: Key, attempt: u32) {
+        if !self.is_current(job, attempt, Stage::Joining) {
+            return;
+        }
+        let server = self.jobs[job].decode;
+        self.decodes[server].joining.retain(|one| *one != job);
+        self.decodes[server].batch.push(job);
+        self.jobs[job].stage = Stage::Decoding;
+        self.jobs[job].joined = self.now;
+        self.start_step(server);
+    }
+
+    fn start_step(&mut self, server: usize) {
+        let engine = &mut self.decodes[server];
+        if engine.stepping || engine.batch.is_empty() {
+            return;
+        }
+        engine.stepping = true;
+        engine.step_started = self.now;
+        engine.epoch += 1;
+        let epoch = engine.epoch;
+        let duration = engine.step(self.model);
+        self.schedule(self.now + duration, Event::Step { server, epoch });
+    }
+
+    pub(crate) fn step(&mut self, server: usize, epoch: u64) {
+        if self.decodes[server].epoch != epoch {
+            return;
+        }
+        self.decodes[server].stepping = false;
+        for job in self.decodes[server].batch.clone() {
+            // A request that joined during the step gets its first token with the next one.
+            if self.jobs[job].joined > self.decodes[server].step_started {
+                continue;
+            }
+            let arrives = self.now + self.delay(server, self.jobs[job].host);
+            let one = &mut self.jobs[job];
+            one.first.get_or_insert(arrives);
+            one.last = arrives;
+            one.tokens += 1;
+            if one.tokens >= self.workload.arrivals[one.arrival].answer {
+                self.finish(job, End::Finished);
+            }
+        }
+        self.start_step(server);
+    }
+
+    pub(crate) fn crash_decode(&mut self, server: usize) {
+        let engine = &mut self.decodes[server];
+        engine.alive = false;
+        engine.stepping = false;
+        engine.epoch += 1;
+        let mut lost: Vec<Key> = engine
+            .batch
+            .drain(..)
+            .chain(engine.joining.drain(..))
+            .collect();
+        lost.extend(engine.waiting.drain(..).map(|arrived| arrived.request));
+        for job in lost {
+            self.attempt_failed(job);
+        }
+    }
+
+    /// Takes a job's work off the engines, without deciding its end.
+    pub(crate) fn withdraw(&mut self, job: Key) {
+        let prefill = self.jobs[job].prefill;
+        match self.jobs[job].stage {
+            Stage::Prefilling => {
+                let engine = &mut self.prefills[prefill];
+                engine.waiting.retain(|one| *one != job);
+                if let Some(running) = engine.running
+                    && running.request == job
+                {
+                    let total = (running.ends - running.started).max(1);
+                    let done = u64::from(running.tokens) * (self.now - running.started) / total;
+                    self.prefilled_tokens += done;
+                    self.wasted_tokens += done;
+                    engine.running = None;
+                    engine.epoch += 1;
+                    self.start_prefill(prefill);
+                }
+            }
+            Stage::Handover => {
+                self.wasted_tokens += u64::from(self.jobs[job].computed);
+                let server = self.jobs[job].decode;
+                self.decodes[server].remove(job);
+            }
+            Stage::Joining | Stage::Decoding => {
+                let server = self.jobs[job].decode;
+                self.decodes[server].remove(job);
+                self.fill_slots(server);
+            }
+            Stage::Queued | Stage::Sent | Stage::Done => {}
+        }
+    }
+}
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -1,1 +1,17 @@
-//! Placeholder while the workspace is laid out.
+//! Experiments with the scheduling policy: the real decision code of several hosts against small
+//! fakes of engines, links and callers, in virtual time.
+
+mod admission;
+pub mod arguments;
+mod engines;
+mod fakes;
+pub mod measure;
+pub mod model;
+pub mod policy;
+pub mod report;
+pub mod scenario;
+pub mod workload;
+pub mod world;
+
+/// Virtual time in microseconds since the start of a run.
+pub type Micros = u64;
