--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,7 +4,13 @@
 //! event, and carry out the returned actions. State that must last is derived from an append-only
 //! log by [`replica::Replica`].
 
+pub mod balance;
 pub mod clock;
 pub mod configuration;
+pub mod eject;
+pub mod placement;
+pub mod queue;
 pub mod record;
 pub mod replica;
+pub mod retry;
+pub mod slot;
--- /dev/null
+++ b/crates/coordination/src/queue.rs
@@ -0,0 +1,433 @@
+//! Weighted fair, deadline-aware order of waiting requests, counted in tokens.
+//!
+//! Customers share the drain rate in proportion to their weights (start-time fair queuing). Within
+//! a customer, requests that can still meet the TTFT target go first, by the time at which they
+//! must start; every fourth place goes to the oldest one that cannot, so that nothing starves.
+//! Plain-service calls use a queue of their own.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::num::NonZeroU32;
+use std::time::Duration;
+
+use crate::clock::Instant;
+
+/// Result of an operation that may refuse.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// Resolution of virtual time: units for one token at weight 1.
+const UNITS_PER_TOKEN: u64 = 1 << 16;
+/// Timely requests of a customer that go before a late one of the same customer.
+const TIMELY_RUN: u8 = 3;
+/// Shortest time over which the drain rate is sampled; shorter samples follow single long prompts.
+const SAMPLE: Duration = Duration::from_millis(500);
+/// Weight of a new sample of the drain rate, in eighths.
+const SAMPLE_EIGHTHS: u64 = 2;
+/// Bounds of Retry-After.
+const SHORTEST_RETRY: Duration = Duration::from_millis(100);
+const LONGEST_RETRY: Duration = Duration::from_secs(60);
+/// Pushes between two sweeps over the state of customers without a weight of their own.
+const SWEEP_PERIOD: u64 = 1_024;
+
+/// Bounds of a queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Waiting requests of one customer.
+    pub per_customer: usize,
+    /// Waiting requests in total.
+    pub total: usize,
+}
+
+/// A request for a place in the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Request<C> {
+    /// Customer that pays.
+    pub customer: C,
+    /// Cost in tokens: prompt plus tokens to generate.
+    pub tokens: u64,
+    /// Latest start at which the TTFT target can be met.
+    pub start_by: Instant,
+    /// Time at which the request is refused when it still waits.
+    pub deadline: Instant,
+}
+
+/// Handle of a waiting request; also its place in the order of arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(u64);
+
+/// A request whose turn it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Turn<C> {
+    /// Handle that [`Fair::push`] gave.
+    pub ticket: Ticket,
+    /// The request.
+    pub request: Request<C>,
+    charge: u64,
+}
+
+/// Why a request was refused. Its name is the label of the refusal counter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The customer has as many waiting requests as it may have.
+    CustomerFull,
+    /// The queue is full.
+    QueueFull,
+    /// The deadline cannot be met at the observed drain rate, or has passed.
+    TooLate,
+}
+
+/// Refusal of a request that was not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("request refused ({cause:?}), retry after {} ms", retry_after.as_millis())]
+pub struct Refusal {
+    cause: Cause,
+    retry_after: Duration,
+}
+
+impl Refusal {
+    /// Why the request was refused.
+    #[must_use]
+    pub const fn cause(&self) -> Cause {
+        self.cause
+    }
+
+    /// Time after which a retry is expected to be served.
+    #[must_use]
+    pub const fn retry_after(&self) -> Duration {
+        self.retry_after
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Lane {
+    weight: NonZeroU32,
+    configured: bool,
+    /// Virtual start time of the next request.
+    tag: u64,
+    timely: BTreeSet<(Instant, Ticket)>,
+    late: BTreeSet<Ticket>,
+    run: u8,
+    tokens: u64,
+}
+
+impl Lane {
+    const fn new(tag: u64) -> Self {
+        Self {
+            weight: NonZeroU32::MIN,
+            configured: false,
+            tag,
+            timely: BTreeSet::new(),
+            late: BTreeSet::new(),
+            run: 0,
+            tokens: 0,
+        }
+    }
+
+    fn len(&self) -> usize {
+        self.timely.len() + self.late.len()
+    }
+
+    fn charge(&self, tokens: u64) -> u64 {
+        tokens.saturating_mul(UNITS_PER_TOKEN) / u64::from(self.weight.get())
+    }
+
+    /// Takes the request whose turn it is within the customer.
+    fn next(&mut self, now: Instant) -> Option<Ticket> {
+        while let Some(&(start_by, ticket)) = self.timely.first()
+            && start_by < now
+        {
+            self.timely.pop_first();
+            self.late.insert(ticket);
+        }
+        if self.run >= TIMELY_RUN
+            && let Some(ticket) = self.late.pop_first()
+        {
+            self.run = 0;
+            return Some(ticket);
+        }
+        if let Some((_, ticket)) = self.timely.pop_first() {
+            self.run = self.run.saturating_add(1);
+            return Some(ticket);
+        }
+        self.run = 0;
+        self.late.pop_first()
+    }
+}
+
+/// Tokens that left the queue while it was not empty.
+#[derive(Clone, Copy, Debug, Default)]
+struct Drain {
+    tokens: u64,
+    since: Option<Instant>,
+    /// Tokens per second; zero before the first sample.
+    rate: u64,
+}
+
+impl Drain {
+    fn sample(&mut self, now: Instant) {
+        let Some(since) = self.since else {
+            return;
+        };
+        let elapsed = now.since(since);
+        if elapsed < SAMPLE {
+            return;
+        }
+        let millis = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        let rate = self.tokens.saturating_mul(1_000) / millis;
+        self.rate = if self.rate == 0 {
+            rate
+        } else {
+            (self.rate * (8 - SAMPLE_EIGHTHS) + rate * SAMPLE_EIGHTHS) / 8
+        };
+        self.tokens = 0;
+        self.since = Some(now);
+    }
+}
+
+/// Queue of waiting requests.
+#[derive(Clone, Debug)]
+pub struct Fair<C> {
+    limits: Limits,
+    lanes: BTreeMap<C, Lane>,
+    /// Customers with waiting requests, by virtual start time.
+    active: BTreeSet<(u64, C)>,
+    active_weight: u64,
+    waiting: BTreeMap<Ticket, Request<C>>,
+    deadlines: BTreeSet<(Instant, Ticket)>,
+    virtual_time: u64,
+    next: u64,
+    drain: Drain,
+}
+
+impl<C: Copy + Ord> Fair<C> {
+    /// Makes an empty queue.
+    #[must_use]
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            lanes: BTreeMap::new(),
+            active: BTreeSet::new(),
+            active_weight: 0,
+            waiting: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            virtual_time: 0,
+            next: 0,
+            drain: Drain::default(),
+        }
+    }
+
+    /// Sets the weight of a customer; customers without one have weight 1.
+    pub fn set_weight(&mut self, customer: C, weight: NonZeroU32) {
+        let lane = self.lanes.entry(customer).or_insert_with(|| Lane::new(0));
+        if lane.len() > 0 {
+            self.active_weight -= u64::from(lane.weight.get());
+            self.active_weight += u64::from(weight.get());
+        }
+        lane.weight = weight;
+        lane.configured = true;
+    }
+
+    /// Forgets the weight of a customer that is no longer configured.
+    pub fn forget(&mut self, customer: C) {
+        if let Some(lane) = self.lanes.get_mut(&customer) {
+            lane.configured = false;
+        }
+    }
+
+    /// Waiting requests.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Observed drain rate in tokens per second; zero while unknown.
+    #[must_use]
+    pub const fn drain_rate(&self) -> u64 {
+        self.drain.rate
+    }
+
+    /// Queues a request.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request for which there is no room, or whose deadline cannot be met.
+    pub fn push(&mut self, now: Instant, request: Request<C>) -> Result<Ticket> {
+        self.drain.sample(now);
+        if self.next % SWEEP_PERIOD == SWEEP_PERIOD - 1 {
+            self.sweep();
+        }
+        let wait = self.expected_wait(request.customer, request.tokens);
+        let refuse = |cause, retry_after: Duration| {
+            Err(Refusal {
+                cause,
+                retry_after: retry_after.clamp(SHORTEST_RETRY, LONGEST_RETRY),
+            })
+        };
+        let queued = self.lanes.get(&request.customer).map_or(0, Lane::len);
+        if queued >= self.limits.per_customer {
+            return refuse(Cause::CustomerFull, wait);
+        }
+        if self.waiting.len() >= self.limits.total {
+            return refuse(Cause::QueueFull, wait);
+        }
+        let left = request.deadline.since(now);
+        if wait > left || left.is_zero() {
+            return refuse(Cause::TooLate, wait.saturating_sub(left));
+        }
+        let ticket = Ticket(self.next);
+        self.next += 1;
+        self.insert(now, ticket, request, false);
+        Ok(ticket)
+    }
+
+    /// Takes the request whose turn it is.
+    pub fn pop(&mut self, now: Instant) -> Option<Turn<C>> {
+        self.drain.sample(now);
+        let (tag, customer) = self.active.pop_first()?;
+        let lane = self.lanes.get_mut(&customer)?;
+        let ticket = lane.next(now)?;
+        let request = self.waiting.remove(&ticket)?;
+        self.deadlines.remove(&(request.deadline, ticket));
+        let charge = lane.charge(request.tokens);
+        self.virtual_time = self.virtual_time.max(tag);
+        lane.tag = tag + charge;
+        lane.tokens -= request.tokens;
+        if lane.len() > 0 {
+            self.active.insert((lane.tag, customer));
+        } else {
+            self.active_weight -= u64::from(lane.weight.get());
+        }
+        self.drain.tokens += request.tokens;
+        if self.waiting.is_empty() {
+            self.rest();
+        }
+        Some(Turn {
+            ticket,
+            request,
+            charge,
+        })
+    }
+
+    /// Returns a request that could not be sent on; it keeps its ticket and is not charged.
+    pub fn put_back(&mut self, now: Instant, turn: Turn<C>) {
+        let customer = turn.request.customer;
+        let lane = self
+            .lanes
+            .entry(customer)
+            .or_insert_with(|| Lane::new(self.virtual_time));
+        let before = (lane.tag, customer);
+        lane.tag = lane.tag.saturating_sub(turn.charge);
+        lane.run = lane.run.saturating_sub(1);
+        let tag = lane.tag;
+        if self.active.remove(&before) {
+            self.active.insert((tag, customer));
+        }
+        self.drain.tokens = self.drain.tokens.saturating_sub(turn.request.tokens);
+        self.insert(now, turn.ticket, turn.request, true);
+    }
+
+    /// Removes a request whose caller left.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<Request<C>> {
+        let request = self.waiting.remove(&ticket)?;
+        self.deadlines.remove(&(request.deadline, ticket));
+        let lane = self.lanes.get_mut(&request.customer)?;
+        lane.timely.remove(&(request.start_by, ticket));
+        lane.late.remove(&ticket);
+        lane.tokens -= request.tokens;
+        if lane.len() == 0 {
+            self.active.remove(&(lane.tag, request.customer));
+            self.active_weight -= u64::from(lane.weight.get());
+        }
+        if self.waiting.is_empty() {
+            self.rest();
+        }
+        Some(request)
+    }
+
+    /// Removes and refuses the requests whose deadline has passed.
+    pub fn expire(&mut self, now: Instant) -> Vec<(Ticket, Refusal)> {
+        self.drain.sample(now);
+        let mut refused = Vec::new();
+        while let Some(&(deadline, ticket)) = self.deadlines.first()
+            && deadline <= now
+        {
+            let Some(request) = self.remove(ticket) else {
+                break;
+            };
+            let wait = self.expected_wait(request.customer, request.tokens);
+            refused.push((
+                ticket,
+                Refusal {
+                    cause: Cause::TooLate,
+                    retry_after: wait.clamp(SHORTEST_RETRY, LONGEST_RETRY),
+                },
+            ));
+        }
+        refused
+    }
+
+    /// Time until a customer's new request is served at the observed drain rate.
+    fn expected_wait(&self, customer: C, tokens: u64) -> Duration {
+        if self.waiting.is_empty() || self.drain.rate == 0 {
+            return Duration::ZERO;
+        }
+        let lane = self.lanes.get(&customer);
+        let ahead = lane.map_or(0, |lane| lane.tokens) + tokens;
+        let weight = lane.map_or(1, |lane| u64::from(lane.weight.get()));
+        let others = if lane.is_some_and(|lane| lane.len() > 0) {
+            self.active_weight
+        } else {
+            self.active_weight + weight
+        };
+        let share = (self.drain.rate * weight / others.max(1)).max(1);
+        // The queue never needs longer than all of its tokens at the whole rate.
+        let queued: u64 = self.active.iter().fold(tokens, |sum, (_, customer)| {
+            sum + self.lanes.get(customer).map_or(0, |lane| lane.tokens)
+        });
+        let millis = (ahead.saturating_mul(1_000) / share)
+            .min(queued.saturating_mul(1_000) / self.drain.rate);
+        Duration::from_millis(millis)
+    }
+
+    fn insert(&mut self, now: Instant, ticket: Ticket, request: Request<C>, again: bool) {
+        let lane = self
+            .lanes
+            .entry(request.customer)
+            .or_insert_with(|| Lane::new(self.virtual_time));
+        if lane.len() == 0 {
+            if !again {
+                lane.tag = lane.tag.max(self.virtual_time);
+            }
+            self.active.insert((lane.tag, request.customer));
+            self.active_weight += u64::from(lane.weight.get());
+        }
+        if request.start_by < now {
+            lane.late.insert(ticket);
+        } else {
+            lane.timely.insert((request.start_by, ticket));
+        }
+        lane.tokens += request.tokens;
+        self.waiting.insert(ticket, request);
+        self.deadlines.insert((request.deadline, ticket));
+        if self.drain.since.is_none() {
+            self.drain.since = Some(now);
+        }
+    }
+
+    /// Stops the drain clock: an empty queue says nothing about the rate.
+    fn rest(&mut self) {
+        self.drain.since = None;
+        self.drain.tokens = 0;
+    }
+
+    fn sweep(&mut self) {
+        let virtual_time = self.virtual_time;
+        self.lanes
+            .retain(|_, lane| lane.configured || lane.len() > 0 || lane.tag > virtual_time);
+    }
+}
--- a/crates/experiment/src/admission.rs
+++ b/crates/experiment/src/admission.rs
@@ -1,5 +1,7 @@
 //! Events at the entry hosts of a run.
 
+use berylknot_coordination::retry::Reason;
+use berylknot_coordination::slot;
 use rand::Rng;
 
 use crate::fakes::Key;
@@ -8,9 +10,9 @@
 use crate::world::{BALANCER_LAG, End, Event, Job, Stage, World};
 
 /// Requests that wait at a host before it refuses.
-const QUEUE_BOUND: usize = 64;
-/// Share of requests that a host may retry.
-const RETRY_SHARE: u64 = 10;
+pub(crate) const QUEUE_BOUND: usize = 64;
+/// Attempts of a request.
+const MOST_ATTEMPTS: u32 = 2;
 
 impl World<'_> {
     pub(crate) fn arrive(&mut self, index: usize, resent: Option<Key>) {
@@ -36,6 +38,12 @@
             last: 0,
             tokens: 0,
             end: None,
+            ticket: None,
+            turn: None,
+            choice: None,
+            asked: 0,
+            reserved: false,
+            gap_from: 0,
         });
         if !self.hosts[host].alive {
             self.finish(job, End::Failed);
@@ -53,14 +61,15 @@
         if let Some(after) = arrival.leaves_after {
             self.schedule(self.now + after, Event::Leave(job));
         }
+        self.hosts[host].budget.request();
         self.enqueue(job);
     }
 
-    fn enqueue(&mut self, job: Key) {
+    pub(crate) fn enqueue(&mut self, job: Key) {
         let host = self.jobs[job].host;
         match self.policy.admit {
             Admit::AtOnce => {
-                let (prefill, decode) = self.place(host);
+                let (prefill, decode) = self.place(job);
                 self.send(job, prefill, decode, self.now);
             }
             Admit::Fifo if self.hosts[host].queue.len() >= QUEUE_BOUND => {
@@ -70,24 +79,29 @@
                 self.hosts[host].queue.push_back(job);
                 self.pump(host);
             }
+            Admit::Fair => self.push_fair(job),
         }
     }
 
     /// Sends waiting requests on while there is room.
     pub(crate) fn pump(&mut self, host: usize) {
-        if self.policy.admit == Admit::Fifo {
-            while !self.hosts[host].queue.is_empty() && self.free_slots(host) > 0 {
-                let Some(job) = self.hosts[host].queue.pop_front() else {
-                    return;
-                };
-                let (prefill, decode) = self.place(host);
-                self.send(job, prefill, decode, self.now);
-            }
+        if !self.hosts[host].alive {
+            return;
+        }
+        if self.policy.admit == Admit::Fair {
+            self.pump_fair(host);
+        }
+        while self.policy.admit == Admit::Fifo && self.free_slots(host) > 0 {
+            let Some(job) = self.hosts[host].queue.pop_front() else {
+                return;
+            };
+            let (prefill, decode) = self.place(job);
+            self.send(job, prefill, decode, self.now);
         }
     }
 
     /// Free decode slots by load reports and the own count.
-    fn free_slots(&self, host: usize) -> usize {
+    pub(crate) fn free_slots(&self, host: usize) -> usize {
         let host = &self.hosts[host];
         (0..self.fleet.decode)
             .filter(|&server| host.decode_load[server].alive)
@@ -99,12 +113,14 @@
             .sum()
     }
 
-    fn place(&mut self, host: usize) -> (usize, usize) {
+    pub(crate) fn place(&mut self, job: Key) -> (usize, usize) {
+        let host = self.jobs[job].host;
         let prefills = self.fleet.prefill;
         let alive: Vec<usize> = (0..self.fleet.decode)
             .filter(|&server| self.hosts[host].decode_load[server].alive)
             .collect();
         match self.policy.place {
+            Place::Chooser => self.place_by_chooser(job),
             Place::RoundRobin => {
                 self.hosts[host].turn += 1;
                 let turn = self.hosts[host].turn;
@@ -146,7 +162,7 @@
         }
     }
 
-    fn send(&mut self, job: Key, prefill: usize, decode: usize, at: u64) {
+    pub(crate) fn send(&mut self, job: Key, prefill: usize, decode: usize, at: u64) {
         let host = self.jobs[job].host;
         self.jobs[job].stage = Stage::Sent;
         self.jobs[job].attempt += 1;
@@ -155,6 +171,7 @@
         self.hosts[host].prefill_sent[prefill] += 1;
         self.hosts[host].decode_sent[decode] += 1;
         self.hosts[host].decode_unseen[decode].push_back(self.now);
+        self.note_sent(job);
         let attempt = self.jobs[job].attempt;
         let arrives = at.max(self.now) + self.delay(host, prefill);
         self.schedule(arrives, Event::PrefillSubmit { job, attempt });
@@ -164,17 +181,22 @@
         let (host, prefill) = (self.jobs[job].host, self.jobs[job].prefill);
         let sent = &mut self.hosts[host].prefill_sent[prefill];
         *sent = sent.saturating_sub(1);
+        self.tell_started(job);
     }
 
-    pub(crate) fn slot_missed(&mut self, _job: Key) {}
-
     /// Forgets the endpoints of a job that no longer runs there.
     fn forget(&mut self, job: Key) {
         let one = &self.jobs[job];
-        if one.attempt == 0 || matches!(one.stage, Stage::Queued | Stage::Done) {
+        if matches!(one.stage, Stage::Queued | Stage::Reserving | Stage::Done) {
             return;
         }
+        let now = self.instant();
+        let one = &self.jobs[job];
         let host = &mut self.hosts[one.host];
+        host.chooser.ended(now, host.decode_keys[one.decode]);
+        if matches!(one.stage, Stage::Sent | Stage::Prefilling) {
+            host.chooser.ended(now, host.prefill_keys[one.prefill]);
+        }
         let sent = &mut host.decode_sent[one.decode];
         *sent = sent.saturating_sub(1);
         if !matches!(one.stage, Stage::Joining | Stage::Decoding) {
@@ -183,17 +205,22 @@
         }
     }
 
-    /// Tries a request again elsewhere when the budget allows and no token was delivered.
-    pub(crate) fn attempt_failed(&mut self, job: Key) {
-        self.withdraw(job);
+    /// Tries a request again elsewhere when the budget allows.
+    pub(crate) fn attempt_failed(&mut self, job: Key, reason: Reason) {
+        let end = match reason {
+            Reason::KvExpired => slot::End::EngineFull,
+            _ => slot::End::Failed,
+        };
+        self.release(job, end);
         self.forget(job);
+        self.withdraw(job);
         self.jobs[job].stage = Stage::Queued;
         if self.jobs[job].end.is_some() {
             self.jobs[job].stage = Stage::Done;
             return;
         }
-        let allowed = self.retries * RETRY_SHARE < self.jobs.len() as u64;
-        if !allowed || self.jobs[job].attempt >= 2 {
+        let again = self.jobs[job].attempt < MOST_ATTEMPTS;
+        if !again || !self.hosts[self.jobs[job].host].budget.retry(reason) {
             self.finish(job, End::Failed);
             return;
         }
@@ -231,24 +258,17 @@
         let host = self.jobs[job].host;
         if self.jobs[job].stage == Stage::Queued {
             self.hosts[host].queue.retain(|one| *one != job);
+            if let Some(ticket) = self.jobs[job].ticket.take() {
+                self.hosts[host].fair.remove(ticket);
+                self.hosts[host].tickets.remove(&ticket);
+            }
         }
+        self.release(job, slot::End::Released);
         self.forget(job);
-        self.withdraw_and_close(job);
-    }
-
-    fn withdraw_and_close(&mut self, job: Key) {
         self.withdraw(job);
         self.jobs[job].stage = Stage::Done;
-    }
-
-    pub(crate) fn lookup(&mut self, index: usize) {
-        let lookup = self.workload.lookups[index];
-        let server = match self.policy.place {
-            Place::RoundRobin => index % self.fleet.services,
-            _ => self.random.random_range(0..self.fleet.services),
-        };
-        let delay = self.delay(lookup.host, server);
-        let answered = self.services[server].call(self.now + delay, lookup.work) + delay;
-        self.lookup_times.push(answered - self.now);
+        if self.policy.admit == Admit::Fair {
+            self.pump_soon(host);
+        }
     }
 }
--- a/crates/experiment/src/engines.rs
+++ b/crates/experiment/src/engines.rs
@@ -2,12 +2,17 @@
 
 use rand::Rng;
 
+use berylknot_coordination::retry::Reason;
+
 use crate::fakes::{Arrived, Key, Running};
 use crate::world::{End, Event, Stage, TRANSFER_DEADLINE, World};
 
 /// Share of transfers that never finish while transfers stall.
 const STALLED: f64 = 0.2;
 
+/// Tokens over which a host measures the time between tokens.
+const GAP_SAMPLE: u32 = 16;
+
 impl World<'_> {
     fn is_current(&self, job: Key, attempt: u32, stage: Stage) -> bool {
         self.jobs[job].attempt == attempt && self.jobs[job].stage == stage
@@ -59,7 +64,13 @@
         self.jobs[job].computed = running.tokens;
         self.jobs[job].stage = Stage::Handover;
         let pieces = &self.workload.arrivals[self.jobs[job].arrival].pieces;
-        self.prefills[server].store(pieces, self.model.cache_pieces);
+        let mut events = self.prefills[server].store(pieces, self.model.cache_pieces);
+        events.retain(|_| self.random.random::<f64>() >= self.model.event_loss);
+        self.schedule(
+            self.now + self.model.event_lag,
+            Event::Cached { server, events },
+        );
+        self.prefill_finished(job, running.tokens);
         let delay = self.delay(server, self.jobs[job].decode);
         let attempt = self.jobs[job].attempt;
         self.schedule(self.now + delay, Event::DecodeSubmit { job, attempt });
@@ -76,7 +87,8 @@
         }
         let server = self.jobs[job].decode;
         if !self.decodes[server].alive {
-            self.attempt_failed(job);
+            self.decode_failed(job);
+            self.attempt_failed(job, Reason::EndpointFailed);
             return;
         }
         self.decodes[server].waiting.push_back(Arrived {
@@ -125,15 +137,14 @@
         if !self.is_current(job, attempt, Stage::Handover) {
             return;
         }
-        self.slot_missed(job);
-        self.attempt_failed(job);
+        self.attempt_failed(job, Reason::KvExpired);
     }
 
     pub(crate) fn transfer_timeout(&mut self, job: Key, attempt: u32) {
         if !self.is_current(job, attempt, Stage::Joining) {
             return;
         }
-        self.attempt_failed(job);
+        self.attempt_failed(job, Reason::TransferTimeout);
     }
 
     pub(crate) fn join(&mut self, job: Key, attempt: u32) {
@@ -176,6 +187,10 @@
             one.first.get_or_insert(arrives);
             one.last = arrives;
             one.tokens += 1;
+            if one.tokens.is_multiple_of(GAP_SAMPLE) {
+                self.decode_gaps(job);
+            }
+            let one = &self.jobs[job];
             if one.tokens >= self.workload.arrivals[one.arrival].answer {
                 self.finish(job, End::Finished);
             }
@@ -195,7 +210,8 @@
             .collect();
         lost.extend(engine.waiting.drain(..).map(|arrived| arrived.request));
         for job in lost {
-            self.attempt_failed(job);
+            self.decode_failed(job);
+            self.attempt_failed(job, Reason::EndpointFailed);
         }
     }
 
@@ -228,7 +244,7 @@
                 self.decodes[server].remove(job);
                 self.fill_slots(server);
             }
-            Stage::Queued | Stage::Sent | Stage::Done => {}
+            Stage::Queued | Stage::Reserving | Stage::Sent | Stage::Done => {}
         }
     }
 }
--- a/crates/experiment/src/fakes.rs
+++ b/crates/experiment/src/fakes.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 
+use berylknot_coordination::placement::CacheChange;
+
 use crate::Micros;
 use crate::model::Model;
 
@@ -17,6 +19,14 @@
     pub(crate) tokens: u32,
 }
 
+/// Change of a prefix cache.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CacheEvent {
+    pub(crate) sequence: u64,
+    pub(crate) change: CacheChange,
+    pub(crate) piece: u64,
+}
+
 /// A prefill engine: one prompt at a time, with a prefix cache.
 #[derive(Debug, Default)]
 pub(crate) struct Prefill {
@@ -25,6 +35,7 @@
     pub(crate) epoch: u64,
     /// Least recently used piece first.
     cache: VecDeque<u64>,
+    sequence: u64,
 }
 
 impl Prefill {
@@ -37,17 +48,31 @@
     }
 
     /// Stores the pieces of a prompt, dropping the least recently used ones.
-    pub(crate) fn store(&mut self, pieces: &[u64], capacity: usize) {
+    pub(crate) fn store(&mut self, pieces: &[u64], capacity: usize) -> Vec<CacheEvent> {
+        let mut events = Vec::new();
         for &piece in pieces {
             if let Some(place) = self.cache.iter().position(|held| *held == piece) {
                 self.cache.remove(place);
                 self.cache.push_back(piece);
                 continue;
             }
-            if self.cache.len() >= capacity {
-                self.cache.pop_front();
+            if self.cache.len() >= capacity
+                && let Some(dropped) = self.cache.pop_front()
+            {
+                events.push(self.event(CacheChange::Removed, dropped));
             }
             self.cache.push_back(piece);
+            events.push(self.event(CacheChange::Stored, piece));
+        }
+        events
+    }
+
+    fn event(&mut self, change: CacheChange, piece: u64) -> CacheEvent {
+        self.sequence += 1;
+        CacheEvent {
+            sequence: self.sequence - 1,
+            change,
+            piece,
         }
     }
 }
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -5,11 +5,13 @@
 pub mod arguments;
 mod engines;
 mod fakes;
+mod lookups;
 pub mod measure;
 pub mod model;
 pub mod policy;
 pub mod report;
 pub mod scenario;
+mod scheduling;
 pub mod workload;
 pub mod world;
 
--- /dev/null
+++ b/crates/experiment/src/lookups.rs
@@ -0,0 +1,98 @@
+//! Plain lookups of a run.
+
+use berylknot_coordination::eject::Outcome;
+use berylknot_coordination::retry::Reason;
+use rand::Rng;
+
+use crate::Micros;
+use crate::model::MILLISECOND;
+use crate::policy::Place;
+use crate::world::{Event, World};
+
+impl World<'_> {
+    pub(crate) fn lookup(&mut self, index: usize) {
+        let lookup = self.workload.lookups[index];
+        if !self.hosts[lookup.host].alive {
+            return;
+        }
+        self.hosts[lookup.host].budget.request();
+        let server = self.choose_service(index, None);
+        let answered = self.call_service(lookup.host, server, lookup.work);
+        let delay = self.hosts[lookup.host].hedge.delay();
+        if let Some(delay) = delay
+            && self.policy.hedge
+        {
+            let at = self.now + delay.as_micros() as Micros;
+            if answered > at {
+                self.schedule(
+                    at,
+                    Event::Hedge {
+                        index,
+                        first: server,
+                        answered,
+                    },
+                );
+                return;
+            }
+        }
+        self.lookup_times.push(answered - self.now);
+    }
+
+    /// Sends a late lookup to another server.
+    pub(crate) fn hedge(&mut self, index: usize, first: usize, answered: Micros) {
+        let lookup = self.workload.lookups[index];
+        let mut earliest = answered;
+        if self.hosts[lookup.host].budget.retry(Reason::Hedge) {
+            let server = self.choose_service(index, Some(first));
+            earliest = earliest.min(self.call_service(lookup.host, server, lookup.work));
+        }
+        self.lookup_times.push(earliest - lookup.at);
+    }
+
+    fn choose_service(&mut self, index: usize, avoid: Option<usize>) -> usize {
+        let now = self.instant();
+        let host = &mut self.hosts[self.workload.lookups[index].host];
+        if self.policy.place == Place::RoundRobin {
+            return index % self.fleet.services;
+        }
+        if self.policy.eject
+            && avoid.is_none()
+            && let Some(server) = host.service_detector.probe(now)
+        {
+            return server;
+        }
+        let usable: Vec<usize> = (0..self.fleet.services)
+            .filter(|server| Some(*server) != avoid)
+            .filter(|server| !self.policy.eject || !host.service_detector.is_ejected(*server))
+            .collect();
+        match usable.len() {
+            0 => self.random.random_range(0..self.fleet.services),
+            count => usable[self.random.random_range(0..count)],
+        }
+    }
+
+    fn call_service(&mut self, host: usize, server: usize, work: Micros) -> Micros {
+        let delay = self.delay(host, server);
+        let answered = self.services[server].call(self.now + delay, work) + delay;
+        let asked = self.now;
+        self.schedule(
+            answered,
+            Event::LookupDone {
+                host,
+                server,
+                asked,
+            },
+        );
+        answered
+    }
+
+    pub(crate) fn lookup_done(&mut self, host: usize, server: usize, asked: Micros) {
+        let now = self.instant();
+        let time = self.now - asked;
+        let millis = time as f64 / MILLISECOND as f64;
+        let one = &mut self.hosts[host];
+        one.hedge.answered(std::time::Duration::from_micros(time));
+        one.service_detector
+            .outcome(now, server, Outcome::Answered { millis });
+    }
+}
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -2,7 +2,7 @@
 
 use berylknot_experiment::arguments::{BerylknotExperiment, BerylknotExperimentCmd};
 use berylknot_experiment::model::{ATELIER, Model, REGISTRY};
-use berylknot_experiment::policy::BASELINES;
+use berylknot_experiment::policy::all;
 use berylknot_experiment::report::{compare, table};
 use berylknot_experiment::scenario::Scenario;
 
@@ -11,15 +11,10 @@
     match arguments.subcommand {
         BerylknotExperimentCmd::Table(options) => {
             let seeds = options.seeds.unwrap_or(5);
+            let policies = all();
             for fleet in [&REGISTRY, &ATELIER] {
-                let results = compare(
-                    fleet,
-                    &Model::default(),
-                    Scenario::Steady,
-                    &BASELINES,
-                    seeds,
-                );
-                println!("## {}\n\n{}", fleet.name, table(&BASELINES, &results));
+                let results = compare(fleet, &Model::default(), Scenario::Steady, &policies, seeds);
+                println!("## {}\n\n{}", fleet.name, table(&policies, &results));
             }
         }
     }
--- a/crates/experiment/src/policy.rs
+++ b/crates/experiment/src/policy.rs
@@ -9,6 +9,8 @@
     LeastOutstanding,
     /// Less loaded of two random endpoints, by load reports.
     TwoChoices,
+    /// [`placement::Chooser`](berylknot_coordination::placement::Chooser).
+    Chooser,
 }
 
 /// When a host sends a request on.
@@ -18,6 +20,9 @@
     AtOnce,
     /// In order of arrival, while load reports and the own count show a free decode slot.
     Fifo,
+    /// In the order of [`queue::Fair`](berylknot_coordination::queue::Fair), under the same
+    /// condition or with a reservation.
+    Fair,
 }
 
 /// A policy.
@@ -29,28 +34,67 @@
     pub place: Place,
     /// Admission.
     pub admit: Admit,
+    /// Whether a request needs a reservation in a [`slot::Ledger`] before its prefill.
+    ///
+    /// [`slot::Ledger`]: berylknot_coordination::slot::Ledger
+    pub reserve: bool,
+    /// Whether failing and slow endpoints are ejected.
+    pub eject: bool,
+    /// Whether late lookups are hedged.
+    pub hedge: bool,
+}
+
+const fn baseline(name: &'static str, place: Place, admit: Admit) -> Policy {
+    Policy {
+        name,
+        place,
+        admit,
+        reserve: false,
+        eject: false,
+        hedge: false,
+    }
 }
 
 /// Baselines, from the simplest on.
 pub const BASELINES: [Policy; 4] = [
-    Policy {
-        name: "round robin",
-        place: Place::RoundRobin,
-        admit: Admit::AtOnce,
-    },
-    Policy {
-        name: "least outstanding",
-        place: Place::LeastOutstanding,
-        admit: Admit::AtOnce,
-    },
-    Policy {
-        name: "two choices",
-        place: Place::TwoChoices,
-        admit: Admit::AtOnce,
-    },
-    Policy {
-        name: "first come",
-        place: Place::TwoChoices,
-        admit: Admit::Fifo,
-    },
+    baseline("round robin", Place::RoundRobin, Admit::AtOnce),
+    baseline("least outstanding", Place::LeastOutstanding, Admit::AtOnce),
+    baseline("two choices", Place::TwoChoices, Admit::AtOnce),
+    baseline("first come", Place::LeastOutstanding, Admit::Fifo),
 ];
+
+/// Policy of the current round.
+pub const CHOSEN: Policy = Policy {
+    name: "chosen",
+    ..baseline("", Place::LeastOutstanding, Admit::Fair)
+};
+
+/// Baselines and the chosen policy, as the tables show them.
+#[must_use]
+pub fn all() -> Vec<Policy> {
+    let ledger = Policy {
+        name: "fair+ledger",
+        reserve: true,
+        ..CHOSEN
+    };
+    let chooser = Policy {
+        name: "fair+ledger+chooser",
+        place: Place::Chooser,
+        ..ledger
+    };
+    let once = Policy {
+        name: "at once+chooser",
+        place: Place::Chooser,
+        admit: Admit::AtOnce,
+        ..CHOSEN
+    };
+    let fc = Policy {
+        name: "fair+chooser",
+        place: Place::Chooser,
+        ..CHOSEN
+    };
+    BASELINES
+        .into_iter()
+        .chain([CHOSEN, ledger, chooser, once, fc])
+        .collect()
+}
--- a/crates/experiment/src/world.rs
+++ b/crates/experiment/src/world.rs
@@ -1,13 +1,23 @@
 //! A run: events in virtual time, jobs, hosts and engines.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+
+use std::time::Duration;
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::Micros;
-use crate::fakes::{Decode, Key, Link, Prefill, Service};
+use berylknot_coordination::clock::Instant;
+use berylknot_coordination::eject::Detector;
+use berylknot_coordination::placement::{self, Candidate, Choice, Chooser};
+use berylknot_coordination::queue::{Fair, Limits, Ticket, Turn};
+use berylknot_coordination::retry::{Budget, Hedge};
+use berylknot_coordination::slot::{self, Ledger};
+
+use crate::admission::QUEUE_BOUND;
+use crate::fakes::{CacheEvent, Decode, Key, Link, Prefill, Service};
 use crate::model::{FAULT_END, FAULT_START, Fleet, LOCAL_DELAY, MILLISECOND, Model, RUN, SECOND};
 use crate::policy::Policy;
 use crate::scenario::Scenario;
@@ -34,6 +44,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Stage {
     Queued,
+    Reserving,
     Sent,
     Prefilling,
     Handover,
@@ -63,6 +74,15 @@
     pub(crate) last: Micros,
     pub(crate) tokens: u32,
     pub(crate) end: Option<End>,
+    pub(crate) ticket: Option<Ticket>,
+    pub(crate) turn: Option<Turn<usize>>,
+    pub(crate) choice: Option<Choice>,
+    /// Place of the decode endpoint that was asked last among those of the choice.
+    pub(crate) asked: usize,
+    /// Whether the job holds a reservation or slot in the ledger of its decode engine.
+    pub(crate) reserved: bool,
+    /// Start of the sample of the time between tokens.
+    pub(crate) gap_from: Micros,
 }
 
 /// Load of an endpoint as its reports give it.
@@ -85,14 +105,67 @@
     pub(crate) decode_unseen: Vec<VecDeque<Micros>>,
     pub(crate) prefill_load: Vec<Load>,
     pub(crate) decode_load: Vec<Load>,
+    pub(crate) fair: Fair<usize>,
+    pub(crate) tickets: BTreeMap<Ticket, Key>,
+    /// Reservations asked for and not answered.
+    pub(crate) pending: usize,
+    pub(crate) blocked_until: Micros,
+    pub(crate) pump_at: Option<Micros>,
+    pub(crate) chooser: Chooser,
+    pub(crate) prefill_keys: Vec<placement::Key>,
+    pub(crate) decode_keys: Vec<placement::Key>,
+    pub(crate) budget: Budget,
+    pub(crate) decode_detector: Detector<usize>,
+    pub(crate) service_detector: Detector<usize>,
+    pub(crate) hedge: Hedge,
 }
 
+/// Answer of a coordinating host; `None` when it cannot be reached.
+pub(crate) type Answer = Option<slot::Result<slot::Reservation>>;
+
 #[derive(Clone, Debug)]
 pub(crate) enum Event {
     Arrive(usize),
     Lookup(usize),
     Resend(Key),
     Leave(Key),
+    Pump(usize),
+    Reserve {
+        job: Key,
+        attempt: u32,
+        server: usize,
+    },
+    Reserved {
+        job: Key,
+        attempt: u32,
+        server: usize,
+        answer: Answer,
+    },
+    SlotStarted {
+        job: Key,
+        server: usize,
+    },
+    SlotEnded {
+        job: Key,
+        server: usize,
+        end: slot::End,
+    },
+    Confirm,
+    MoveLedgers,
+    Cached {
+        server: usize,
+        events: Vec<CacheEvent>,
+    },
+    LookupDone {
+        host: usize,
+        server: usize,
+        asked: Micros,
+    },
+    Hedge {
+        index: usize,
+        first: usize,
+        answered: Micros,
+    },
     PrefillSubmit {
         job: Key,
         attempt: u32,
@@ -149,6 +222,8 @@
     /// All jobs of the run.
     pub jobs: Vec<Job>,
     pub(crate) hosts: Vec<Host>,
+    /// Ledger of each decode engine and the host that keeps it.
+    pub(crate) ledgers: Vec<(usize, Ledger<Key, usize>)>,
     pub(crate) prefills: Vec<Prefill>,
     pub(crate) decodes: Vec<Decode>,
     pub(crate) local_links: Vec<Link>,
@@ -174,7 +249,93 @@
 /// Deadline of a KV transfer.
 pub(crate) const TRANSFER_DEADLINE: Micros = 500 * MILLISECOND;
 
+/// Time after which another host keeps the ledgers of a dead one.
+const LEDGER_MOVE: Micros = 3 * SECOND;
+/// Bounds of a host's queue, the same for all policies with a queue.
+const LIMITS: Limits = Limits {
+    per_customer: 48,
+    total: QUEUE_BOUND,
+};
+
+pub(crate) fn new_ledger(model: &Model) -> Ledger<Key, usize> {
+    Ledger::new(model.slots as u32)
+}
+
+fn new_host(fleet: &Fleet, model: &Model, number: usize) -> Host {
+    let alive = Load {
+        alive: true,
+        ..Load::default()
+    };
+    let centres = fleet.data_centres;
+    let delay = |from, to| {
+        if from == to {
+            LOCAL_DELAY
+        } else {
+            fleet.cross_delay
+        }
+    };
+    let mut chooser = Chooser::new(placement::Settings {
+        data_centre: number % centres,
+        delays: (0..centres)
+            .map(|from| (0..centres).map(|to| delay(from, to)).collect())
+            .collect(),
+        hosts: fleet.hosts as u32,
+        piece_tokens: model.piece_tokens,
+        token_nanos: model.prefill_per_token_ns,
+        token_bytes: model.kv_bytes_per_token,
+        cross_link: model.cross_link * MILLISECOND,
+        local_link: model.local_link * MILLISECOND,
+    });
+    let mut keys = |role, count: usize| -> Vec<placement::Key> {
+        (0..count)
+            .map(|server| {
+                chooser.add(Candidate {
+                    role,
+                    data_centre: server % centres,
+                    slots: model.slots as u32,
+                })
+            })
+            .collect()
+    };
+    let prefill_keys = keys(placement::Role::Prefill, fleet.prefill);
+    let decode_keys = keys(placement::Role::Decode, fleet.decode);
+    let detector = |count| {
+        let mut detector = Detector::new();
+        for server in 0..count {
+            detector.add(server);
+        }
+        detector
+    };
+    Host {
+        alive: true,
+        queue: VecDeque::new(),
+        turn: number,
+        prefill_sent: vec![0; fleet.prefill],
+        decode_sent: vec![0; fleet.decode],
+        decode_unseen: vec![VecDeque::new(); fleet.decode],
+        prefill_load: vec![alive; fleet.prefill],
+        decode_load: vec![alive; fleet.decode],
+        fair: Fair::new(LIMITS),
+        tickets: BTreeMap::new(),
+        pending: 0,
+        blocked_until: 0,
+        pump_at: None,
+        chooser,
+        prefill_keys,
+        decode_keys,
+        budget: Budget::default(),
+        decode_detector: detector(fleet.decode),
+        service_detector: detector(fleet.services),
+        hedge: Hedge::default(),
+    }
+}
+
 impl<'a> World<'a> {
+    /// Time as the decision code sees it.
+    pub(crate) fn instant(&self) -> Instant {
+        Instant::from_millis(self.now / MILLISECOND)
+    }
+
     /// Runs a workload to its end.
     #[must_use]
     pub fn run(
@@ -193,6 +354,7 @@
             world.schedule(workload.lookups[index].at, Event::Lookup(index));
         }
         world.schedule(0, Event::Report);
+        world.schedule(SECOND, Event::Confirm);
         if scenario != Scenario::Steady && scenario != Scenario::OverloadPulse {
             world.schedule(FAULT_START, Event::Fault { start: true });
             world.schedule(FAULT_END, Event::Fault { start: false });
@@ -218,20 +380,7 @@
         workload: &'a Workload,
         seed: u64,
     ) -> Self {
-        let alive = Load {
-            alive: true,
-            ..Load::default()
-        };
-        let host = |turn| Host {
-            alive: true,
-            queue: VecDeque::new(),
-            turn,
-            prefill_sent: vec![0; fleet.prefill],
-            decode_sent: vec![0; fleet.decode],
-            decode_unseen: vec![VecDeque::new(); fleet.decode],
-            prefill_load: vec![alive; fleet.prefill],
-            decode_load: vec![alive; fleet.decode],
-        };
+        let host = |turn| new_host(fleet, model, turn);
         Self {
             fleet,
             model,
@@ -246,6 +395,9 @@
             free: Vec::new(),
             jobs: Vec::new(),
             hosts: (0..fleet.hosts).map(host).collect(),
+            ledgers: (0..fleet.decode)
+                .map(|server| (server % fleet.hosts, new_ledger(model)))
+                .collect(),
             prefills: (0..fleet.prefill).map(|_| Prefill::default()).collect(),
             decodes: (0..fleet.decode).map(|_| Decode::new()).collect(),
             local_links: vec![Link::default(); fleet.prefill],
@@ -278,6 +430,42 @@
             Event::Resend(job) => self.arrive(self.jobs[job].arrival, Some(job)),
             Event::Lookup(index) => self.lookup(index),
             Event::Leave(job) => self.leave(job),
+            Event::Pump(host) => {
+                self.hosts[host].pump_at = None;
+                self.pump(host);
+            }
+            Event::Reserve {
+                job,
+                attempt,
+                server,
+            } => self.reserve(job, attempt, server),
+            Event::Reserved {
+                job,
+                attempt,
+                server,
+                answer,
+            } => self.reserved(job, attempt, server, answer),
+            Event::SlotStarted { job, server } => {
+                let now = self.instant();
+                self.ledgers[server].1.start(now, job);
+            }
+            Event::SlotEnded { job, server, end } => {
+                let now = self.instant();
+                self.ledgers[server].1.end(now, job, end);
+            }
+            Event::Confirm => self.confirm(),
+            Event::MoveLedgers => self.move_ledgers(),
+            Event::Cached { server, events } => self.cached(server, &events),
+            Event::LookupDone {
+                host,
+                server,
+                asked,
+            } => self.lookup_done(host, server, asked),
+            Event::Hedge {
+                index,
+                first,
+                answered,
+            } => self.hedge(index, first, answered),
             Event::PrefillSubmit { job, attempt } => self.prefill_submit(job, attempt),
             Event::PrefillEnd { server, epoch } => self.prefill_end(server, epoch),
             Event::DecodeSubmit { job, attempt } => self.decode_submit(job, attempt),
@@ -311,8 +499,9 @@
             }
             Scenario::StalledTransfers => self.stalling = start,
             Scenario::HostCrash if start => {
+                self.hosts[0] = new_host(self.fleet, self.model, 0);
                 self.hosts[0].alive = false;
-                self.hosts[0].queue.clear();
+                self.schedule(self.now + LEDGER_MOVE, Event::MoveLedgers);
                 for job in 0..self.jobs.len() {
                     if self.jobs[job].host == 0 && self.jobs[job].end.is_none() {
                         self.jobs[job].end = Some(End::Failed);
@@ -366,7 +555,12 @@
 
     fn reported(&mut self, prefill: &[Load], decode: &[Load]) {
         let measured = self.now - self.model.report_lag;
+        let (now, age) = (self.instant(), Duration::from_micros(self.model.report_lag));
+        for (server, load) in decode.iter().enumerate() {
+            self.ledgers[server].1.report(now, load.running as u32, age);
+        }
         for host in 0..self.hosts.len() {
+            self.tell_chooser(host, prefill, decode);
             self.hosts[host].prefill_load.copy_from_slice(prefill);
             self.hosts[host].decode_load.copy_from_slice(decode);
             for sent in &mut self.hosts[host].decode_unseen {
