--- a/crates/experiment/src/policy.rs
+++ b/crates/experiment/src/policy.rs
@@ -66,6 +66,7 @@
 /// Policy of the current round.
 pub const CHOSEN: Policy = Policy {
     name: "chosen",
+    reserve: true,
     ..baseline("", Place::LeastOutstanding, Admit::Fair)
 };
 
