--- a/crates/experiment/src/policy.rs
+++ b/crates/experiment/src/policy.rs
@@ -67,7 +67,7 @@
 pub const CHOSEN: Policy = Policy {
     name: "chosen",
     reserve: true,
-    ..baseline("", Place::LeastOutstanding, Admit::Fair)
+    ..baseline("", Place::Chooser, Admit::Fair)
 };
 
 /// Baselines and the chosen policy, as the tables show them.
