--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,13 +5,19 @@
 //! log by [`replica::Replica`].
 
 pub mod append;
+pub mod balance;
 pub mod claim;
 pub mod clock;
 pub mod configuration;
 pub mod deadline;
+pub mod eject;
 pub mod lease;
+pub mod placement;
+pub mod queue;
 pub mod quota;
 pub mod record;
 pub mod replica;
 pub mod request;
+pub mod retry;
+pub mod slot;
 pub mod stream;
