Report all faults of the settings at once, with their places

Cause: the first version stopped at the first syntax fault and at the first value of a wrong type, and knew no places after the merge.

Change: a parser over jsonc-parser's tokens keeps the place of each value through the merge. Deserialization runs over that tree with typed errors; a faulty value is reported, replaced by a placeholder, and the document is read again, so one run reports all faults of form. The checks of meaning are split by section and leave out what may only follow from another fault. Keys are found through an index over the first bytes of the keyed hash. Operations match whole path segments now: "/stock" covered "/stock-orders" before, which could have repeated a non-idempotent call. A hash such as "+f…" was accepted as hexadecimal; it is refused now. The codec of log entries moves to wire::entry for all daemons. Samples of the two fleets and the JSON schema of the settings are added.

--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -1,94 +1,66 @@
-//! Reading and merging of JSON-with-comments documents.
+//! Reading and merging of JSON-with-comments documents as plain JSON values.
 
 use std::path::Path;
 
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-use crate::{Error, Finding, Result};
+use crate::{Error, Result, Source};
+
+pub use crate::source::MAX_BYTES;
+pub use crate::syntax::MAX_DEPTH;
 
 /// Parses a JSON-with-comments text.
 ///
 /// # Errors
-/// Fails with the place of the first syntax fault.
+/// Fails with the places of a syntax fault and of duplicate names.
 pub fn parse(file: &str, text: &str) -> Result<Value> {
-    match jsonc_parser::parse_to_serde_value(text, &jsonc_parser::ParseOptions::default()) {
-        Ok(Some(value)) => Ok(value),
-        Ok(None) => Ok(Value::Object(serde_json::Map::new())),
-        Err(error) => Err(Error::new(vec![Finding {
-            file: file.to_owned(),
-            line: error.line_display(),
-            column: error.column_display(),
-            path: String::new(),
-            message: error.kind().to_string(),
-            hint: String::new(),
-        }])),
-    }
+    checked(&Source::from_text(file, text))
 }
 
 /// Merges `overlay` into `base`: objects deep; `null` removes; everything else replaces.
+///
+/// A `null` that has nothing to remove leaves no trace, also within a new object.
 pub fn merge(base: &mut Value, overlay: Value) {
-    match (base, overlay) {
-        (Value::Object(base), Value::Object(overlay)) => {
-            for (name, value) in overlay {
-                if value.is_null() {
-                    base.shift_remove(&name);
+    match (&mut *base, overlay) {
+        (Value::Object(members), Value::Object(changes)) => {
+            for (name, change) in changes {
+                if change.is_null() {
+                    members.shift_remove(&name);
                     continue;
                 }
-                merge(base.entry(name).or_insert(Value::Null), value);
+                merge(members.entry(name).or_insert(Value::Null), change);
             }
         }
-        (base, overlay) => *base = overlay,
+        (_, Value::Object(changes)) => {
+            *base = Value::Object(serde_json::Map::new());
+            merge(base, Value::Object(changes));
+        }
+        (_, value) => *base = value,
     }
 }
 
 /// Reads all `.json` and `.jsonc` files of a folder and merges them in the order of their names.
 ///
 /// # Errors
-/// Fails when the folder or a file cannot be read or has a syntax fault.
+/// Fails when the folder or a file cannot be read, has a syntax fault or duplicate names.
 pub fn read_folder(folder: &Path) -> Result<Value> {
-    let mut merged = Value::Object(serde_json::Map::new());
-    for path in files(folder)? {
-        let text = std::fs::read_to_string(&path).map_err(|error| unreadable(&path, &error))?;
-        merge(&mut merged, parse(&path.display().to_string(), &text)?);
-    }
-    Ok(merged)
+    checked(&Source::read_folder(folder))
 }
 
 /// Reads one settings file into a type.
 ///
 /// # Errors
-/// Fails when the file cannot be read, has a syntax fault or does not have the type's form.
+/// Fails with all findings when the file cannot be read, has a syntax fault or does not have the
+/// type's form.
 pub fn read_file<T: DeserializeOwned>(path: &Path) -> Result<T> {
-    let text = std::fs::read_to_string(path).map_err(|error| unreadable(path, &error))?;
-    let value = parse(&path.display().to_string(), &text)?;
-    serde_json::from_value(value).map_err(|error| unreadable(path, &error))
+    Source::read_file(path).read()
 }
 
-fn files(folder: &Path) -> Result<Vec<std::path::PathBuf>> {
-    let entries = std::fs::read_dir(folder).map_err(|error| unreadable(folder, &error))?;
-    let mut paths = Vec::new();
-    for entry in entries {
-        let path = entry.map_err(|error| unreadable(folder, &error))?.path();
-        if !path
-            .extension()
-            .is_some_and(|extension| extension == "json" || extension == "jsonc")
-        {
-            continue;
-        }
-        paths.push(path);
+fn checked(source: &Source) -> Result<Value> {
+    if source.findings().is_empty() {
+        Ok(source.to_value())
+    } else {
+        Err(Error::new(source.findings().to_vec()))
     }
-    paths.sort();
-    Ok(paths)
-}
-
-fn unreadable(path: &Path, error: &dyn std::fmt::Display) -> Error {
-    Error::new(vec![Finding {
-        file: path.display().to_string(),
-        line: 0,
-        column: 0,
-        path: String::new(),
-        message: error.to_string(),
-        hint: String::new(),
-    }])
 }
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -1,104 +1,33 @@
 //! Checked settings of a fleet.
 
+mod check;
+mod customer;
+mod endpoint;
+mod key;
+mod model;
+mod quota;
+mod route;
+
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::path::Path as FilePath;
 
+use crate::issue::Issue;
 use crate::key::{Hash, Pepper};
-use crate::raw;
-use crate::{Error, Finding, Result};
-
-pub use crate::raw::Kind;
-
-/// Index of a customer in its fleet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CustomerKey(u32);
-
-/// Index of an endpoint in its fleet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct EndpointKey(u32);
-
-/// A customer.
-#[derive(Clone, Debug)]
-pub struct Customer {
-    /// Name.
-    pub name: String,
-    /// Tokens per second over all hosts.
-    pub rate: u64,
-    /// Tokens that may be used at once.
-    pub burst: u64,
-    /// Share of the fleet relative to other customers.
-    pub weight: u32,
-}
-
-/// A key of a customer.
-#[derive(Clone, Debug)]
-pub struct Key {
-    /// Public id of the key.
-    pub id: String,
-    /// Customer that the key belongs to.
-    pub customer: CustomerKey,
-    /// Keyed hash of the key.
-    pub hash: Hash,
-    /// Whether the key was withdrawn.
-    pub withdrawn: bool,
-}
+use crate::place::Place;
+use crate::{Error, Result, Source, collect, raw};
 
-/// An endpoint.
-#[derive(Clone, Debug)]
-pub struct Endpoint {
-    /// Name.
-    pub name: String,
-    /// Kind at start.
-    pub kind: Kind,
-    /// Address.
-    pub address: SocketAddr,
-    /// Data centre.
-    pub data_centre: String,
-    /// Model of an engine; empty for a service.
-    pub model: String,
-    /// Requests that an engine runs at one time.
-    pub slots: u32,
-    /// Whether the engine refuses orders with an old fencing token.
-    pub checks_fencing: bool,
-    /// Whether the endpoint takes no new work.
-    pub leaving: bool,
-}
-
-/// A route to a plain service.
-#[derive(Clone, Debug)]
-pub struct Route {
-    /// Name, which is the first path segment below `/services/`.
-    pub name: String,
-    /// Endpoints of the service.
-    pub endpoints: Vec<EndpointKey>,
-    /// Whether the route needs no key.
-    pub open: bool,
-    /// Customers that may use the route; empty for all.
-    pub customers: Vec<CustomerKey>,
-    /// Operations that are not described by their method's usual meaning.
-    pub operations: Vec<raw::Operation>,
-    /// Deadline of a call in milliseconds.
-    pub timeout_ms: u64,
-}
-
-impl Route {
-    /// Whether a call may be repeated: by a described operation, else by its method.
-    #[must_use]
-    pub fn is_idempotent(&self, method: &str, path: &str) -> bool {
-        for operation in &self.operations {
-            if operation.method.eq_ignore_ascii_case(method) && path.starts_with(&operation.path) {
-                return operation.idempotent;
-            }
-        }
-        matches!(method, "GET" | "HEAD" | "OPTIONS")
-    }
-}
+pub use crate::raw::{Kind, Model, Operation, Quota};
+pub use customer::{Customer, CustomerKey};
+pub use endpoint::{Endpoint, EndpointKey};
+pub use key::Key;
+pub use route::Route;
 
 /// Checked settings of a fleet.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     customers: Vec<Customer>,
     keys: Vec<Key>,
+    key_index: key::Index,
     models: BTreeMap<String, raw::Model>,
     endpoints: Vec<Endpoint>,
     routes: BTreeMap<String, Route>,
@@ -111,51 +40,92 @@
     /// # Errors
     /// Fails with all findings.
     pub fn from_json(text: &str) -> Result<Self> {
-        let document: raw::Document = serde_json::from_str(text)
-            .map_err(|error| Error::new(vec![finding("", &error.to_string())]))?;
-        Self::try_from(document)
+        Self::from_source(&Source::from_text("", text))
+    }
+
+    /// Reads and merges a folder of settings files.
+    ///
+    /// # Errors
+    /// Fails with all findings.
+    pub fn read_folder(folder: &FilePath) -> Result<Self> {
+        Self::from_source(&Source::read_folder(folder))
+    }
+
+    /// Checks settings that were read with their places.
+    ///
+    /// # Errors
+    /// Fails with all findings: faults of syntax, of form and of meaning. A fault that may only
+    /// follow from another one is left out.
+    pub fn from_source(source: &Source) -> Result<Self> {
+        let form = collect::read::<raw::Document>(source);
+        let mut findings = source.findings().to_vec();
+        findings.extend(form.findings);
+        let Some(document) = form.value else {
+            return Err(Error::new(findings));
+        };
+        let (fleet, issues) = build(document);
+        for issue in issues {
+            findings.extend(issue.resolve(source, &form.faulty));
+        }
+        if findings.is_empty() {
+            Ok(fleet)
+        } else {
+            Err(Error::new(findings))
+        }
     }
 
-    /// All customers.
+    /// All customers, in the order of their names.
     #[must_use]
     pub fn customers(&self) -> &[Customer] {
         &self.customers
     }
 
     /// A customer.
+    ///
+    /// # Panics
+    /// Panics when the key belongs to a fleet with more customers.
     #[must_use]
     pub fn customer(&self, key: CustomerKey) -> &Customer {
-        &self.customers[key.0 as usize]
+        &self.customers[key.index()]
     }
 
     /// Key of the customer with a name.
     #[must_use]
     pub fn customer_named(&self, name: &str) -> Option<CustomerKey> {
-        let index = self
-            .customers
-            .binary_search_by(|customer| customer.name.as_str().cmp(name))
-            .ok()?;
+        let order = |customer: &Customer| customer.name.as_str().cmp(name);
+        let index = self.customers.binary_search_by(order).ok()?;
         u32::try_from(index).ok().map(CustomerKey)
     }
 
-    /// All endpoints with their keys.
+    /// All endpoints with their keys, in the order of their names.
     pub fn endpoints(&self) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
         (0..).map(EndpointKey).zip(&self.endpoints)
     }
 
+    /// Engines of a model that start with a kind.
+    pub fn engines(
+        &self,
+        model: &str,
+        kind: Kind,
+    ) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
+        self.endpoints()
+            .filter(move |(_, endpoint)| endpoint.kind == kind && endpoint.model == model)
+    }
+
     /// An endpoint.
+    ///
+    /// # Panics
+    /// Panics when the key belongs to a fleet with more endpoints.
     #[must_use]
     pub fn endpoint(&self, key: EndpointKey) -> &Endpoint {
-        &self.endpoints[key.0 as usize]
+        &self.endpoints[key.index()]
     }
 
     /// Key of the endpoint with a name.
     #[must_use]
     pub fn endpoint_named(&self, name: &str) -> Option<EndpointKey> {
-        let index = self
-            .endpoints
-            .binary_search_by(|endpoint| endpoint.name.as_str().cmp(name))
-            .ok()?;
+        let order = |endpoint: &Endpoint| endpoint.name.as_str().cmp(name);
+        let index = self.endpoints.binary_search_by(order).ok()?;
         u32::try_from(index).ok().map(EndpointKey)
     }
 
@@ -165,12 +135,23 @@
         self.routes.get(name)
     }
 
+    /// All routes to plain services, in the order of their names.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.values()
+    }
+
     /// All models by name.
     #[must_use]
     pub const fn models(&self) -> &BTreeMap<String, raw::Model> {
         &self.models
     }
 
+    /// A model.
+    #[must_use]
+    pub fn model(&self, name: &str) -> Option<&raw::Model> {
+        self.models.get(name)
+    }
+
     /// Division of rates over hosts.
     #[must_use]
     pub const fn quota(&self) -> &raw::Quota {
@@ -178,23 +159,31 @@
     }
 
     /// Finds the key whose hash matches a presented key, withdrawn or not.
+    ///
+    /// The time depends on the number of stored hashes, not on which of them matches; see
+    /// [`Hash::matches`].
     #[must_use]
     pub fn find_key(&self, presented: &str, pepper: &Pepper) -> Option<&Key> {
-        let hash = Hash::of(presented, pepper);
-        let mut found = None;
-        // All keys are compared, so that the time does not tell which one matched.
-        for key in &self.keys {
-            if key.hash.matches(&hash) {
-                found = Some(key);
-            }
-        }
-        found
+        let index = self
+            .key_index
+            .find(&Hash::of(presented, pepper), &self.keys)?;
+        self.keys.get(index)
+    }
+
+    /// All keys, in the order of their ids, withdrawn ones included.
+    #[must_use]
+    pub fn keys(&self) -> &[Key] {
+        &self.keys
     }
 
     /// The key with a public id.
     #[must_use]
     pub fn key(&self, id: &str) -> Option<&Key> {
-        self.keys.iter().find(|key| key.id == id)
+        let index = self
+            .keys
+            .binary_search_by(|key| key.id.as_str().cmp(id))
+            .ok()?;
+        self.keys.get(index)
     }
 }
 
@@ -202,120 +191,28 @@
     type Error = Error;
 
     fn try_from(document: raw::Document) -> Result<Self> {
-        let mut findings = Vec::new();
-        let mut fleet = Self {
-            models: document.models,
-            quota: document.quota,
-            ..Self::default()
-        };
-        for (name, customer) in document.customers {
-            let raw::Customer {
-                rate,
-                burst,
-                weight,
-            } = customer;
-            fleet.customers.push(Customer {
-                name,
-                rate,
-                burst,
-                weight,
-            });
-        }
-        for (id, key) in document.keys {
-            let Some(customer) = fleet.customer_named(&key.customer) else {
-                findings.push(finding(
-                    &format!("keys.{id}.customer"),
-                    "customer does not exist",
-                ));
-                continue;
-            };
-            let Some(hash) = Hash::from_hex(&key.hash) else {
-                findings.push(finding(
-                    &format!("keys.{id}.hash"),
-                    "hash is not 64 hexadecimal digits",
-                ));
-                continue;
-            };
-            fleet.keys.push(Key {
-                id,
-                customer,
-                hash,
-                withdrawn: key.withdrawn,
-            });
-        }
-        for (name, endpoint) in document.endpoints {
-            let Ok(address) = endpoint.address.parse() else {
-                findings.push(finding(
-                    &format!("endpoints.{name}.address"),
-                    "address is not IP:port",
-                ));
-                continue;
-            };
-            fleet.endpoints.push(Endpoint {
-                name,
-                kind: endpoint.kind,
-                address,
-                data_centre: endpoint.data_centre,
-                model: endpoint.model.unwrap_or_default(),
-                slots: endpoint.slots,
-                checks_fencing: endpoint.checks_fencing,
-                leaving: endpoint.leaving,
-            });
-        }
-        for (name, route) in document.routes {
-            let mut endpoints = Vec::new();
-            for endpoint in &route.endpoints {
-                match fleet.endpoint_named(endpoint) {
-                    Some(key) => endpoints.push(key),
-                    None => findings.push(finding(
-                        &format!("routes.{name}.endpoints"),
-                        &format!("endpoint {endpoint:?} does not exist"),
-                    )),
-                }
-            }
-            let mut customers = Vec::new();
-            for customer in &route.customers {
-                match fleet.customer_named(customer) {
-                    Some(key) => customers.push(key),
-                    None => findings.push(finding(
-                        &format!("routes.{name}.customers"),
-                        &format!("customer {customer:?} does not exist"),
-                    )),
-                }
-            }
-            let raw::Route {
-                open,
-                operations,
-                timeout_ms,
-                ..
-            } = route;
-            fleet.routes.insert(
-                name.clone(),
-                Route {
-                    name,
-                    endpoints,
-                    open,
-                    customers,
-                    operations,
-                    timeout_ms,
-                },
-            );
-        }
-        if findings.is_empty() {
-            Ok(fleet)
-        } else {
-            Err(Error::new(findings))
+        let (fleet, issues) = build(document);
+        if issues.is_empty() {
+            return Ok(fleet);
         }
+        let place = Place::default();
+        let findings = issues.into_iter().map(|issue| issue.at(&place)).collect();
+        Err(Error::new(findings))
     }
 }
 
-fn finding(path: &str, message: &str) -> Finding {
-    Finding {
-        file: String::new(),
-        line: 0,
-        column: 0,
-        path: path.to_owned(),
-        message: message.to_owned(),
-        hint: String::new(),
-    }
+/// Checks a document section by section. The fleet is complete only without issues.
+fn build(document: raw::Document) -> (Fleet, Vec<Issue>) {
+    let mut issues = Vec::new();
+    let mut fleet = Fleet::default();
+    quota::check(&document.quota, &mut issues);
+    fleet.quota = document.quota;
+    fleet.customers = customer::check(document.customers, &fleet.quota, &mut issues);
+    fleet.keys = key::check(document.keys, &fleet, &mut issues);
+    fleet.key_index = key::Index::new(&fleet.keys);
+    fleet.endpoints = endpoint::check(document.endpoints, &document.models, &mut issues);
+    model::check(&document.models, &fleet, &mut issues);
+    fleet.models = document.models;
+    fleet.routes = route::check(document.routes, &fleet, &mut issues);
+    (fleet, issues)
 }
--- /dev/null
+++ b/crates/settings/src/fleet/check.rs
@@ -0,0 +1,53 @@
+//! Checks that several sections share.
+
+use std::fmt::Display;
+use std::ops::RangeInclusive;
+
+use crate::issue::Issue;
+use crate::near::did_you_mean;
+use crate::place::{Path, path_to};
+
+/// Longest name in bytes; names are labels of metrics and parts of paths.
+pub(super) const MAX_NAME_BYTES: usize = 64;
+
+/// Checks the name of an entry: letters, digits, `.`, `_`, `-` and the given other characters.
+pub(super) fn name(section: &str, name: &str, others: &str, issues: &mut Vec<Issue>) {
+    let allowed = |character: char| {
+        character.is_ascii_alphanumeric() || "._-".contains(character) || others.contains(character)
+    };
+    if !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.chars().all(allowed) {
+        return;
+    }
+    let message = format!("name must have 1 to {MAX_NAME_BYTES} letters, digits, or ._-{others}");
+    issues.push(Issue::new(path_to![section, name], message));
+}
+
+/// Checks that a number is within its bounds; the unit may be empty.
+pub(super) fn bounds<T: Copy + PartialOrd + Display>(
+    path: Path,
+    value: T,
+    bounds: RangeInclusive<T>,
+    unit: &str,
+    issues: &mut Vec<Issue>,
+) {
+    if bounds.contains(&value) {
+        return;
+    }
+    let (start, end) = (bounds.start(), bounds.end());
+    let message = format!("{value} is out of range: {start} to {end} {unit}");
+    issues.push(Issue::new(path, message.trim_end()));
+}
+
+/// An issue about a name that refers to nothing. `section` holds the names that exist.
+pub(super) fn dangling<'k>(
+    path: Path,
+    noun: &str,
+    section: &str,
+    name: &str,
+    known: impl IntoIterator<Item = &'k str>,
+) -> Issue {
+    Issue::new(path, format!("{noun} {name:?} does not exist"))
+        .hint(did_you_mean(name, known))
+        .needs(path_to![section, name])
+        .needs_name(name)
+}
--- a/crates/settings/src/key.rs
+++ b/crates/settings/src/key.rs
@@ -42,6 +42,12 @@
         self.0.ct_eq(&other.0).into()
     }
 
+    /// The first bytes as a number, for an index.
+    pub(crate) fn prefix(&self) -> u64 {
+        let (prefix, _) = self.0.split_first_chunk().expect("a hash has 32 bytes");
+        u64::from_be_bytes(*prefix)
+    }
+
     /// The hash in hexadecimal.
     #[must_use]
     pub fn to_hex(self) -> String {
@@ -51,7 +57,7 @@
     /// Reads a hexadecimal hash.
     #[must_use]
     pub fn from_hex(text: &str) -> Option<Self> {
-        if text.len() != 64 || !text.is_ascii() {
+        if text.len() != 64 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
             return None;
         }
         let mut bytes = [0; 32];
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,10 +1,21 @@
 //! Settings: JSON-with-comments documents, their merge, and the checked types made from them.
 
+mod collect;
 pub mod document;
 pub mod error;
 pub mod fleet;
+mod issue;
 pub mod key;
+mod merge;
+mod near;
+mod node;
+mod place;
 pub mod raw;
+mod reader;
+pub mod schema;
+mod source;
+mod syntax;
 
 pub use error::{Error, Finding, Result};
 pub use fleet::Fleet;
+pub use source::Source;
--- /dev/null
+++ b/crates/settings/src/raw/key.rs
@@ -0,0 +1,18 @@
+//! The section `keys`.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// A key of a customer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Key {
+    /// Name of the customer.
+    pub customer: String,
+    /// HMAC-SHA-256 of the key under the deployment's pepper, as 64 hexadecimal digits.
+    #[schemars(regex(pattern = r"^[0-9a-fA-F]{64}$"))]
+    pub hash: String,
+    /// Whether the key was withdrawn.
+    #[serde(default)]
+    pub withdrawn: bool,
+}
--- /dev/null
+++ b/crates/settings/src/raw/quota.rs
@@ -0,0 +1,41 @@
+//! The section `quota`.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// Division of rates over hosts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Quota {
+    /// Percentage of each rate and burst that is divided into floors.
+    #[schemars(range(min = 1, max = "Self::MAX_FLOOR_PERCENT"))]
+    pub floor_percent: u32,
+    /// Number of hosts that are planned.
+    #[schemars(range(min = 1, max = "Self::MAX_PLANNED_HOSTS"))]
+    pub planned_hosts: u32,
+}
+
+impl Quota {
+    /// Highest floor percentage; the pool keeps the rest and needs a share, too.
+    pub const MAX_FLOOR_PERCENT: u32 = 99;
+
+    /// Highest number of planned hosts, ten times the largest planned fleet.
+    pub const MAX_PLANNED_HOSTS: u32 = 4_000;
+
+    /// Number of seats: planned hosts × 1.25, rounded up, and at least one more than planned.
+    #[must_use]
+    pub fn seats(&self) -> u32 {
+        let hosts = u64::from(self.planned_hosts);
+        let seats = (hosts * 5).div_ceil(4).max(hosts + 1);
+        u32::try_from(seats).unwrap_or(u32::MAX)
+    }
+}
+
+impl Default for Quota {
+    fn default() -> Self {
+        Self {
+            floor_percent: 25,
+            planned_hosts: 7,
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/tests/lookup.rs
@@ -0,0 +1,166 @@
+//! Look-ups in checked settings: keys, operations, seats, and settings files of other types.
+#![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
+
+use berylknot_settings::document;
+use berylknot_settings::fleet::{Kind, Quota};
+use berylknot_settings::key::{Hash, Pepper};
+use berylknot_settings::{Fleet, schema};
+use serde::Deserialize;
+use serde_json::json;
+use yare::parameterized;
+
+fn fleet_with_keys(count: usize, pepper: &Pepper) -> Fleet {
+    let mut keys = serde_json::Map::new();
+    for index in 0..count {
+        let hash = Hash::of(&format!("secret-{index}"), pepper).to_hex();
+        let key = json!({ "customer": "acme", "hash": hash, "withdrawn": index % 3 == 0 });
+        keys.insert(format!("k{index}"), key);
+    }
+    let customers = json!({ "acme": { "rate": 100, "burst": 1000 } });
+    Fleet::from_json(&json!({ "customers": customers, "keys": keys }).to_string()).unwrap()
+}
+
+/// Guards against an index that loses keys or accepts others.
+#[parameterized(none = { 0 }, one = { 1 }, many = { 500 })]
+fn every_key_is_found_under_its_pepper_only(count: usize) {
+    let pepper = Pepper::new(*b"pepper");
+    let fleet = fleet_with_keys(count, &pepper);
+    for index in 0..count {
+        let found = fleet.find_key(&format!("secret-{index}"), &pepper).unwrap();
+        assert_eq!(
+            (&*found.id, found.withdrawn),
+            (&*format!("k{index}"), index % 3 == 0)
+        );
+        assert_eq!(fleet.key(&found.id).unwrap().hash, found.hash);
+        let other = Pepper::new(*b"other");
+        assert!(fleet.find_key(&format!("secret-{index}"), &other).is_none());
+    }
+    assert!(fleet.find_key("secret", &pepper).is_none());
+    assert!(fleet.find_key("", &pepper).is_none());
+}
+
+/// Guards against a non-idempotent call that is repeated since its path begins like another.
+#[parameterized(
+    listed = { "POST", "/stock", true },
+    below = { "POST", "/stock/7", true },
+    query = { "POST", "/stock?size=7", true },
+    lower_case = { "post", "/stock", true },
+    longer_name = { "POST", "/stock-orders", false },
+    first_match = { "GET", "/stock/claim", false },
+    get = { "GET", "/stock", true },
+    put = { "PUT", "/stock", false },
+    trailing = { "DELETE", "/drafts/9", true },
+    without_trailing = { "DELETE", "/drafts", false },
+)]
+fn operations(method: &str, path: &str, idempotent: bool) {
+    let fleet = Fleet::from_json(
+        r#"{
+        "endpoints": { "s": { "kind": "service", "address": "10.0.0.1:1", "data_centre": "a" } },
+        "routes": { "desk": { "endpoints": ["s"], "operations": [
+            { "method": "GET", "path": "/stock/claim", "idempotent": false },
+            { "method": "POST", "path": "/stock", "idempotent": true },
+            { "method": "DELETE", "path": "/drafts/", "idempotent": true }
+        ] } }
+    }"#,
+    )
+    .unwrap();
+    let route = fleet.route("desk").unwrap();
+    assert_eq!(route.is_idempotent(method, path), idempotent);
+}
+
+#[parameterized(one = { 1, 2 }, seven = { 7, 9 }, many = { 360, 450 })]
+fn seats(planned_hosts: u32, seats: u32) {
+    let quota = Quota {
+        planned_hosts,
+        ..Quota::default()
+    };
+    assert_eq!(quota.seats(), seats);
+}
+
+#[test]
+fn sample_registry_has_its_real_size() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../sample_configs/registry");
+    let fleet = Fleet::read_folder(folder.as_ref()).unwrap();
+    let prefills = fleet.engines("dossier-reader", Kind::Prefill).count();
+    assert_eq!(
+        prefills + fleet.engines("dossier-reader", Kind::Decode).count(),
+        11
+    );
+    assert_eq!(fleet.route("names").unwrap().endpoints.len(), 3);
+    assert!(
+        !fleet
+            .route("names")
+            .unwrap()
+            .is_idempotent("POST", "/reservations")
+    );
+    let pepper = Pepper::new(*b"sample-pepper-registry");
+    let key = fleet
+        .find_key("sample-key-pampeanos-2025b", &pepper)
+        .unwrap();
+    assert!(key.withdrawn);
+}
+
+/// Guards against a committed schema that no longer describes the settings.
+#[test]
+fn committed_schema_is_in_step() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../schemas/settings.json");
+    if std::env::var_os("BLESS").is_some() {
+        std::fs::write(path, schema::text()).unwrap();
+    }
+    assert_eq!(std::fs::read_to_string(path).unwrap(), schema::text());
+}
+
+#[derive(Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+struct Daemon {
+    listen: std::net::SocketAddr,
+    workers: Option<u16>,
+    mode: Mode,
+}
+
+#[derive(Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum Mode {
+    Plain,
+    Limited { bytes: u32 },
+}
+
+fn read_daemon(text: &str) -> Result<Daemon, String> {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("daemon.jsonc");
+    std::fs::write(&path, text).unwrap();
+    let prefix = format!("{}:", path.display());
+    document::read_file(&path).map_err(|error| error.to_string().replace(&prefix, ""))
+}
+
+#[test]
+fn daemon_settings_are_read() {
+    let daemon = read_daemon(
+        "{ \"listen\": \"127.0.0.1:80\", \"mode\": { \"limited\": { \"bytes\": 7 } } } // end",
+    );
+    let expected = Daemon {
+        listen: "127.0.0.1:80".parse().unwrap(),
+        workers: None,
+        mode: Mode::Limited { bytes: 7 },
+    };
+    assert_eq!(daemon.unwrap(), expected);
+    assert_eq!(
+        read_daemon("{\"listen\": \"[::1]:8\", \"mode\": \"plain\"}")
+            .unwrap()
+            .mode,
+        Mode::Plain
+    );
+}
+
+/// Guards against an operator who must run a daemon once for each fault in its file.
+#[test]
+fn all_faults_of_daemon_settings_are_reported() {
+    let text = "{\n\"listen\": \"here\",\n\"workers\": 70000,\n\"mode\": \"plan\",\n\"moode\": 1 }";
+    let findings = read_daemon(text).unwrap_err();
+    let lines = findings.lines().collect::<Vec<_>>();
+    assert_eq!(lines.len(), 4, "{findings}");
+    assert!(lines[0].starts_with("2:11: listen: invalid socket address"));
+    assert!(lines[1].starts_with("3:12: workers: expected a whole number from 0 to 65535"));
+    assert!(lines[2].contains("4:9: mode: \"plan\" is not one of plain, limited"));
+    assert!(lines[3].contains("5:1: moode: unknown name (did you mean \"mode\"?)"));
+}
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -28,4 +28,16 @@
         /// Version that the frame states.
         found: u16,
     },
+    /// The data of a log entry is not base64.
+    #[error("log entry at offset {offset} is not base64")]
+    Base64 {
+        /// Offset of the entry.
+        offset: u64,
+    },
+    /// A log entry has more records than there are positions for.
+    #[error("log entry has {count} records, more than 256")]
+    Records {
+        /// Number of records.
+        count: usize,
+    },
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Messages between the system's own processes: authenticated MessagePack frames over HTTP.
 
+pub mod entry;
 pub mod error;
 pub mod frame;
 pub mod local;
