--- a/acceptance/src/deployment.rs
+++ b/acceptance/src/deployment.rs
@@ -4,9 +4,8 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use berylknot_border::batch;
-use berylknot_border::platform::{AppendRequest, HostList, HostState, ListedHost, ReadResponse};
-use berylknot_coordination::record::{Entry, Id, Incarnation, Position, Publish, Record};
+use berylknot_border::platform::{HostList, HostState, ListedHost, ReadResponse};
+use berylknot_coordination::record::{Id, Incarnation, Position, Publish, Record};
 use berylknot_coordination::replica::Replica;
 use berylknot_settings::key::{Hash, Pepper};
 use berylknot_wire::entry;
@@ -240,13 +239,7 @@
             let read: ReadResponse =
                 serde_json::from_value(caller::get(self.platform.address, &path).await?)?;
             for raw in &read.entries {
-                let bytes = batch::decode(&raw.data).unwrap_or_default();
-                let (offset, appended_at_ms) = (raw.offset, raw.appended_at_ms);
-                replica.apply(&Entry {
-                    offset,
-                    appended_at_ms,
-                    records: entry::decode(&bytes)?,
-                });
+                replica.apply(&entry::decode(raw)?);
             }
             if read.entries.is_empty() || replica.next_offset() >= read.next {
                 return Ok(replica);
@@ -271,8 +264,7 @@
             base_version,
             document,
         });
-        let data = batch::encode(&entry::encode(&[record])?);
-        let body = serde_json::to_value(AppendRequest { data })?;
+        let body = serde_json::to_value(entry::encode(&[record])?)?;
         let platform = self.platform.address;
         let answer = caller::send(platform, "POST", "/log/append", None, &[], Some(&body)).await?;
         let offset = answer.body["offset"].as_u64().unwrap_or_default();
--- a/crates/coordination/src/claim.rs
+++ b/crates/coordination/src/claim.rs
@@ -36,7 +36,17 @@
 }
 
 /// An idempotency key of a customer.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub struct Key {
     /// Name of the customer.
     pub customer: String,
--- a/crates/coordination/src/clock.rs
+++ b/crates/coordination/src/clock.rs
@@ -9,7 +9,17 @@
 ///
 /// Instants of different hosts must not be compared.
 #[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
 )]
 pub struct Instant(u64);
 
--- a/crates/coordination/src/quota/grant.rs
+++ b/crates/coordination/src/quota/grant.rs
@@ -8,7 +8,18 @@
 use crate::record::Position;
 
 /// Name of tokens that were taken from a bucket, by which their unused part is returned.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub struct Hold {
     /// Shard or seat under whose lease the tokens were given.
     pub subject: Subject,
--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -6,7 +6,18 @@
 use crate::lease::Subject;
 
 /// Number that identifies one start of a daemon process; a later start of a host has a higher one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub struct Incarnation(pub u64);
 
 impl Incarnation {
@@ -22,7 +33,18 @@
 }
 
 /// Unique id that an appender gives to a record, to recognise it after a lost answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub struct Id {
     /// Process start that appended the record.
     pub incarnation: Incarnation,
@@ -32,7 +54,17 @@
 
 /// Place of a record in the log: the offset of its entry and its index in the entry.
 #[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
 )]
 pub struct Position(u64);
 
--- a/crates/coordinator/src/log.rs
+++ b/crates/coordinator/src/log.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use berylknot_border::batch;
-use berylknot_border::platform::{AppendRequest, AppendResponse, ReadResponse};
+use berylknot_border::platform::{AppendResponse, ReadResponse};
 use berylknot_coordination::record::{Entry, Record};
 use berylknot_wire::entry;
 
@@ -77,14 +76,12 @@
 
 impl Log for Http {
     async fn append(&self, records: &[Record]) -> Result<u64> {
-        let bytes = entry::encode(records).map_err(|error| Error::Malformed(error.to_string()))?;
+        let body = entry::encode(records).map_err(|error| Error::Malformed(error.to_string()))?;
         let request = self
             .client
             .post(format!("{}/log/append", self.url))
             .insert_header((HOST_HEADER, self.host.as_str()))
-            .send_json(&AppendRequest {
-                data: batch::encode(&bytes),
-            });
+            .send_json(&body);
         let mut response = request.await.map_err(unavailable)?;
         if !response.status().is_success() {
             return Err(Error::Unavailable(response.status().to_string()));
@@ -109,16 +106,17 @@
             .await
             .map_err(unavailable)?;
         let mut entries = Vec::with_capacity(read.entries.len());
-        for raw in read.entries {
-            let bytes = batch::decode(&raw.data)
-                .ok_or_else(|| Error::Malformed(format!("entry {} is not base64", raw.offset)))?;
-            let records =
-                entry::decode(&bytes).map_err(|error| Error::Malformed(error.to_string()))?;
-            entries.push(Entry {
-                offset: raw.offset,
-                appended_at_ms: raw.appended_at_ms,
-                records,
-            });
+        for raw in &read.entries {
+            entries.push(entry::decode(raw).unwrap_or_else(|error| {
+                // A newer release may have written it; its offset must still be passed.
+                tracing::error!(offset = raw.offset, %error, "log: entry is passed over");
+                let (offset, appended_at_ms) = (raw.offset, raw.appended_at_ms);
+                Entry {
+                    offset,
+                    appended_at_ms,
+                    records: Vec::new(),
+                }
+            }));
         }
         Ok(Segment {
             oldest: read.oldest,
