Drive leases and token buckets from the coordinator

Cause: admissions took no notice of rates. The coordinator now follows the log with the replica, renews and claims leases, and asks the floor or the owner of the customer's pool for the exact number of tokens; unused tokens go back at the end of a request.

Found on the way: a host that has just started refused requests, because buckets were made at the first request and therefore empty; they are now made as soon as the lease is usable. A host is ready only when all shards have owners and its own lease is usable. Peer addresses come from the platform's list alone, which is too slow for a new host; the next step is to carry them in records or gossip.

--- a/acceptance/src/deployment.rs
+++ b/acceptance/src/deployment.rs
@@ -144,12 +144,17 @@
         let services = several("counter", plan.services)?;
         std::fs::write(folder.path().join("pepper"), PEPPER)?;
         std::fs::write(folder.path().join("secret"), SECRET)?;
-        let mut hosts = Vec::new();
         let names: Vec<String> = (0..plan.hosts)
             .map(|index| format!("host-{index}"))
             .collect();
+        let mut places = Vec::new();
         for name in &names {
-            hosts.push(start_host(folder.path(), name, &names, platform.address)?);
+            places.push(Place::reserve(name)?);
+        }
+        list_hosts(platform.address, &places).await?;
+        let mut hosts = Vec::new();
+        for place in places {
+            hosts.push(start_host(folder.path(), place, &names, platform.address)?);
         }
         let mut deployment = Self {
             platform,
@@ -161,7 +166,6 @@
             published: 0,
             folder,
         };
-        deployment.list_hosts().await?;
         deployment.settings = deployment.initial_settings();
         deployment.publish().await?;
         deployment.wait_until_ready().await?;
@@ -174,18 +178,6 @@
         self.folder.path()
     }
 
-    async fn list_hosts(&self) -> eyre::Result<()> {
-        let mut list = HostList { hosts: Vec::new() };
-        for host in &self.hosts {
-            list.hosts.push(ListedHost {
-                name: host.name.clone(),
-                address: host.coordinator_address.to_string(),
-                state: HostState::Live,
-            });
-        }
-        caller::put(self.platform.address, "/hosts", &list).await
-    }
-
     fn initial_settings(&self) -> Value {
         let pepper = Pepper::new(PEPPER);
         let mut endpoints = serde_json::Map::new();
@@ -212,7 +204,7 @@
             .map(|standin| standin.process.name())
             .collect();
         json!({
-            "customers": { "breeder": { "rate": 200_000, "burst": 2_000_000 } },
+            "customers": { "breeder": { "rate": 20_000_000, "burst": 40_000_000 } },
             "keys": {
                 "breeder-1": { "customer": "breeder", "hash": Hash::of(KEY, &pepper).to_hex() },
                 "breeder-0": {
@@ -324,13 +316,51 @@
     Ok(())
 }
 
+/// Name and addresses of a host that is about to start.
+#[derive(Debug)]
+struct Place {
+    name: String,
+    coordinator: SocketAddr,
+    callers: SocketAddr,
+    operator: SocketAddr,
+}
+
+impl Place {
+    fn reserve(name: &str) -> eyre::Result<Self> {
+        let (coordinator, callers, operator) = (free_address()?, free_address()?, free_address()?);
+        Ok(Self {
+            name: name.to_owned(),
+            coordinator,
+            callers,
+            operator,
+        })
+    }
+}
+
+async fn list_hosts(platform: SocketAddr, places: &[Place]) -> eyre::Result<()> {
+    let mut list = HostList { hosts: Vec::new() };
+    for place in places {
+        list.hosts.push(ListedHost {
+            name: place.name.clone(),
+            address: place.coordinator.to_string(),
+            state: HostState::Live,
+        });
+    }
+    caller::put(platform, "/hosts", &list).await
+}
+
 fn start_host(
     folder: &Path,
-    name: &str,
+    place: Place,
     names: &[String],
     platform: SocketAddr,
 ) -> eyre::Result<Host> {
-    let (coordinator, address, operator) = (free_address()?, free_address()?, free_address()?);
+    let Place {
+        name,
+        coordinator,
+        callers,
+        operator,
+    } = place;
     let file = |name: &str| folder.join(name).display().to_string();
     let settings = json!({
         "host": name,
@@ -339,6 +369,8 @@
         "secret_file": file("secret"),
         "configured_hosts": names,
         "platform": { "url": format!("http://{platform}"), "poll_ms": 50 },
+        // Shorter than in production, so that a deployment is ready within seconds.
+        "lease": { "shard_ms": 3_000, "renew_ms": 700 },
     });
     std::fs::write(
         folder.join(format!("{name}-coordinator.json")),
@@ -346,7 +378,7 @@
     )?;
     let settings = json!({
         "host": name,
-        "listen": address.to_string(),
+        "listen": callers.to_string(),
         "operator_listen": operator.to_string(),
         "coordinator": coordinator.to_string(),
         "secret_file": file("secret"),
@@ -357,11 +389,11 @@
         settings.to_string(),
     )?;
     Ok(Host {
-        name: name.to_owned(),
-        coordinator: start_daemon(folder, name, "coordinator")?,
-        gateway: start_daemon(folder, name, "gateway")?,
+        coordinator: start_daemon(folder, &name, "coordinator")?,
+        gateway: start_daemon(folder, &name, "gateway")?,
+        name,
         coordinator_address: coordinator,
-        address,
+        address: callers,
         operator_address: operator,
         folder: folder.to_owned(),
     })
--- /dev/null
+++ b/crates/coordinator/src/core.rs
@@ -0,0 +1,145 @@
+//! Actor that owns the host's view of the log and everything derived from it: configuration,
+//! leases, token buckets.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use actix::{Actor, AsyncContext, Context, Supervised};
+use berylknot_coordination::append::Appender;
+use berylknot_coordination::lease::{Holder, Seat, Timing};
+use berylknot_coordination::record::Incarnation;
+use berylknot_coordination::replica::Replica;
+use berylknot_settings::Fleet;
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::peers::Client;
+use crate::platform::Platform;
+use crate::state::{Configuration, Identity};
+
+mod append;
+mod follow;
+mod hosts;
+mod leases;
+pub(crate) mod quota;
+
+/// Time between two steps of the lease holder, at most 500 ms.
+const LEASE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Owner of the host's state that is derived from the log.
+#[derive(Debug)]
+pub(crate) struct Core<P> {
+    clock: Clock,
+    identity: Identity,
+    platform: P,
+    poll: Duration,
+    ready: Arc<AtomicBool>,
+    peers: Client,
+    addresses: HashMap<String, SocketAddr>,
+    replica: Replica,
+    holder: Holder,
+    appender: Appender,
+    quota: quota::Buckets,
+    published: watch::Sender<Configuration>,
+    metrics: Arc<Metrics>,
+}
+
+/// What a core is made from.
+#[derive(Debug)]
+pub(crate) struct Parts<P> {
+    pub(crate) clock: Clock,
+    pub(crate) identity: Identity,
+    pub(crate) platform: P,
+    pub(crate) poll: Duration,
+    pub(crate) timing: Timing,
+    pub(crate) ready: Arc<AtomicBool>,
+    pub(crate) published: watch::Sender<Configuration>,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+impl<P: Platform> Core<P> {
+    /// Makes a core that has read nothing.
+    pub(crate) fn new(parts: Parts<P>) -> Self {
+        let Parts {
+            clock,
+            identity,
+            platform,
+            poll,
+            timing,
+            ready,
+            published,
+            metrics,
+        } = parts;
+        let (host, incarnation) = (identity.host.clone(), identity.incarnation);
+        // The number of seats is set when a configuration is in force.
+        let holder = Holder::new(clock.now(), incarnation, host, 0, timing);
+        Self {
+            clock,
+            peers: Client::new(identity.clone()),
+            identity,
+            platform,
+            poll,
+            ready,
+            addresses: HashMap::new(),
+            replica: Replica::default(),
+            holder,
+            appender: Appender::new(incarnation, append::limits()),
+            quota: quota::Buckets::default(),
+            published,
+            metrics,
+        }
+    }
+
+    /// Address of the host that runs an incarnation.
+    fn address_of(&self, incarnation: Incarnation) -> Option<SocketAddr> {
+        let session = self.replica.leases().session(incarnation)?;
+        self.addresses.get(&session.host).copied()
+    }
+
+    /// Puts a newly accepted configuration in force.
+    fn publish(&mut self) {
+        let Some(accepted) = self.replica.configuration().accepted() else {
+            return;
+        };
+        let version = accepted.version;
+        if version <= self.published.borrow().version {
+            return;
+        }
+        let fleet = match Fleet::from_json(&accepted.document) {
+            Ok(fleet) => Arc::new(fleet),
+            Err(error) => {
+                tracing::error!(%error, "core: accepted configuration has findings");
+                return;
+            }
+        };
+        let document: Arc<str> = accepted.document.as_str().into();
+        let now = self.clock.now();
+        self.quota.configure(now, &fleet);
+        let planned = u16::try_from(fleet.quota().planned_hosts).unwrap_or(u16::MAX);
+        self.holder.configure(Seat::count(planned), version);
+        tracing::info!(version = version.as_u64(), "core: configuration in force");
+        self.published.send_replace(Configuration {
+            version,
+            document,
+            fleet,
+        });
+    }
+}
+
+impl<P: Platform> Actor for Core<P> {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        self.follow(context, Duration::ZERO);
+        context.run_interval(append::INTERVAL, Self::append_due);
+        context.run_interval(LEASE_INTERVAL, |core, _| core.step_leases());
+        context.run_interval(hosts::INTERVAL, Self::list_hosts);
+        self.list_hosts(context);
+    }
+}
+
+impl<P: Platform> Supervised for Core<P> {}
--- /dev/null
+++ b/crates/coordinator/src/core/quota.rs
@@ -0,0 +1,408 @@
+//! Token buckets of the customers: pools of the shards and floors of the seat that this host holds.
+
+use std::collections::HashMap;
+
+use actix::{ActorFutureExt, Handler, Message, MessageResult, ResponseActFuture, WrapFuture};
+use berylknot_coordination::clock::{Drift, Instant};
+use berylknot_coordination::lease::{Holder, Seat, Shard, Subject, Table};
+use berylknot_coordination::quota::{
+    Approval, Donation, Floor, Grant, Hold, Limits, Pool, Refused, Split, Ticket,
+};
+use berylknot_coordination::record::Position;
+use berylknot_settings::Fleet;
+use berylknot_wire::peer::{Request, Response};
+
+use super::Core;
+use crate::platform::Platform;
+
+/// Milliseconds after which a caller may try again when no owner of its pool can be reached.
+const UNAVAILABLE_RETRY_MS: u64 = 2_000;
+
+/// Buckets that this host owns.
+#[derive(Debug, Default)]
+pub(super) struct Buckets {
+    limits: HashMap<String, Limits>,
+    split: Option<Split>,
+    pools: HashMap<String, (Position, Pool)>,
+    floors: HashMap<String, (Position, Floor)>,
+}
+
+impl Buckets {
+    /// Puts the limits of a configuration in force.
+    pub(super) fn configure(&mut self, now: Instant, fleet: &Fleet) {
+        let planned = u16::try_from(fleet.quota().planned_hosts).unwrap_or(u16::MAX);
+        let per_mille = u16::try_from(fleet.quota().floor_percent * 10).unwrap_or(u16::MAX);
+        let split = Split::new(per_mille, Seat::count(planned), Drift::default());
+        self.split = split
+            .inspect_err(|error| tracing::error!(%error, "quota: split"))
+            .ok();
+        self.limits.clear();
+        for customer in fleet.customers() {
+            match Limits::new(customer.rate, customer.burst) {
+                Ok(limits) => {
+                    self.limits.insert(customer.name.clone(), limits);
+                }
+                Err(error) => tracing::error!(customer = %customer.name, %error, "quota: limits"),
+            }
+        }
+        let Some(split) = self.split else {
+            return;
+        };
+        let limits = &self.limits;
+        self.pools.retain(|customer, (_, pool)| {
+            let found = limits.get(customer);
+            found
+                .inspect(|limits| pool.set_limits(now, **limits, split))
+                .is_some()
+        });
+        self.floors.retain(|customer, (_, floor)| {
+            let found = limits.get(customer);
+            found
+                .inspect(|limits| floor.set_limits(now, **limits, split))
+                .is_some()
+        });
+    }
+
+    /// Drops the buckets whose lease has another owner or was granted anew.
+    pub(super) fn drop_lost(&mut self, table: &Table) {
+        self.pools.retain(|customer, (since, _)| {
+            let subject = Subject::Shard(Shard::of(customer.as_bytes()));
+            table.holding(subject).since == *since
+        });
+        self.floors
+            .retain(|_, (since, _)| table.seats().any(|(_, holding)| holding.since == *since));
+    }
+
+    /// Makes the buckets that are missing, so that they fill from the start of their lease on.
+    pub(super) fn make(&mut self, now: Instant, holder: &Holder, table: &Table) {
+        let customers: Vec<String> = self.limits.keys().cloned().collect();
+        for customer in customers {
+            self.pool(now, &customer, holder, table);
+            self.floor(now, &customer, holder, table);
+        }
+    }
+
+    /// The customer's pool, if this host may use it now.
+    fn pool(
+        &mut self,
+        now: Instant,
+        customer: &str,
+        holder: &Holder,
+        table: &Table,
+    ) -> Option<&mut Pool> {
+        let (split, limits) = (self.split?, *self.limits.get(customer)?);
+        let shard = Shard::of(customer.as_bytes());
+        let subject = Subject::Shard(shard);
+        if !holder.usable(now, table, subject) {
+            return None;
+        }
+        let since = table.holding(subject).since;
+        let entry = self.pools.entry(customer.to_owned());
+        let (held, pool) =
+            entry.or_insert_with(|| (since, Pool::new(now, limits, split, shard, since)));
+        if *held != since {
+            (*held, *pool) = (since, Pool::new(now, limits, split, shard, since));
+        }
+        Some(pool)
+    }
+
+    /// The customer's floor, if this host holds a seat.
+    fn floor(
+        &mut self,
+        now: Instant,
+        customer: &str,
+        holder: &Holder,
+        table: &Table,
+    ) -> Option<&mut Floor> {
+        let (split, limits) = (self.split?, *self.limits.get(customer)?);
+        let (seat, since) = own_seat(now, holder, table)?;
+        let entry = self.floors.entry(customer.to_owned());
+        let (held, floor) =
+            entry.or_insert_with(|| (since, Floor::new(now, limits, split, seat, since)));
+        if *held != since {
+            (*held, *floor) = (since, Floor::new(now, limits, split, seat, since));
+        }
+        Some(floor)
+    }
+}
+
+fn own_seat(now: Instant, holder: &Holder, table: &Table) -> Option<(Seat, Position)> {
+    for (seat, holding) in table.seats() {
+        if holder.usable(now, table, Subject::Seat(seat)) {
+            return Some((seat, holding.since));
+        }
+    }
+    None
+}
+
+/// Why a customer gets no tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Denied {
+    /// The rate and burst are used up.
+    RateExceeded {
+        /// Time until the tokens are there, in milliseconds; `None` when the amount exceeds every
+        /// bucket's cap.
+        retry_after_ms: Option<u64>,
+    },
+    /// The pool has no owner that can be reached, and the floor does not have the tokens.
+    Unavailable {
+        /// Time after which a retry is worth while, in milliseconds.
+        retry_after_ms: u64,
+    },
+}
+
+/// Tokens that a request was given.
+pub(crate) type Granted = Result<Grant, Denied>;
+
+/// Asks for tokens of a customer, from the floor of this host or from the customer's pool.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "Granted")]
+pub(crate) struct Ask {
+    pub(crate) customer: String,
+    pub(crate) tokens: u64,
+}
+
+impl<P: Platform> Handler<Ask> for Core<P> {
+    type Result = ResponseActFuture<Self, Granted>;
+
+    fn handle(&mut self, Ask { customer, tokens }: Ask, _: &mut Self::Context) -> Self::Result {
+        let now = self.clock.now();
+        if let Some(approval) = self.ask_floor(now, &customer, tokens) {
+            return Box::pin(actix::fut::ready(Ok(Grant::new(now, approval))));
+        }
+        let subject = Subject::Shard(Shard::of(customer.as_bytes()));
+        let owner = self.replica.leases().holding(subject).owner;
+        if owner == Some(self.identity.incarnation) {
+            let response = self.answer_grant(&customer, tokens);
+            return Box::pin(actix::fut::ready(self.granted(now, &customer, &response)));
+        }
+        let Some(address) = owner.and_then(|owner| self.address_of(owner)) else {
+            return Box::pin(actix::fut::ready(Err(unavailable())));
+        };
+        let peers = self.peers.clone();
+        let request = Request::AskGrant {
+            customer: customer.clone(),
+            tokens,
+        };
+        let asked = async move { peers.send(address, request).await };
+        Box::pin(
+            asked
+                .into_actor(self)
+                .map(move |answer, core, _| match answer {
+                    Ok(response) => core.granted(now, &customer, &response),
+                    Err(error) => {
+                        tracing::info!(%error, "quota: owner of the pool does not answer");
+                        Err(unavailable())
+                    }
+                }),
+        )
+    }
+}
+
+const fn unavailable() -> Denied {
+    Denied::Unavailable {
+        retry_after_ms: UNAVAILABLE_RETRY_MS,
+    }
+}
+
+/// Gives back what a request did not use, or charges what it used beyond its estimate.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Settle {
+    pub(crate) customer: String,
+    pub(crate) hold: Hold,
+    pub(crate) charged: u64,
+    pub(crate) used: u64,
+}
+
+impl<P: Platform> Handler<Settle> for Core<P> {
+    type Result = ();
+
+    fn handle(&mut self, settle: Settle, _: &mut Self::Context) {
+        let Settle {
+            customer,
+            hold,
+            charged,
+            used,
+        } = settle;
+        let request = if used <= charged {
+            Request::ReturnTokens {
+                customer,
+                hold,
+                unused: charged - used,
+            }
+        } else {
+            Request::Owe {
+                customer,
+                hold,
+                extra: used - charged,
+            }
+        };
+        if matches!(hold.subject, Subject::Seat(_)) {
+            self.answer(request);
+            return;
+        }
+        let owner = self.replica.leases().holding(hold.subject).owner;
+        if owner == Some(self.identity.incarnation) {
+            self.answer(request);
+            return;
+        }
+        if let Some(address) = owner.and_then(|owner| self.address_of(owner)) {
+            self.peers.notify(address, request);
+        }
+    }
+}
+
+/// A message of another coordinator about tokens.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "Response")]
+pub(crate) struct FromPeer(pub(crate) Request);
+
+impl<P: Platform> Handler<FromPeer> for Core<P> {
+    type Result = MessageResult<FromPeer>;
+
+    fn handle(&mut self, FromPeer(request): FromPeer, _: &mut Self::Context) -> Self::Result {
+        MessageResult(self.answer(request))
+    }
+}
+
+impl<P: Platform> Core<P> {
+    fn ask_floor(&mut self, now: Instant, customer: &str, tokens: u64) -> Option<Approval> {
+        let floor = self
+            .quota
+            .floor(now, customer, &self.holder, self.replica.leases())?;
+        floor.ask(now, tokens).ok()
+    }
+
+    /// Turns the answer of a pool's owner into a grant, and donates when the pool can take some.
+    fn granted(&mut self, asked: Instant, customer: &str, response: &Response) -> Granted {
+        let (granted, ticket) = match *response {
+            Response::Granted { approval, ticket } => (Ok(Grant::new(asked, approval)), ticket),
+            Response::RateExceeded {
+                retry_after_ms,
+                ticket,
+            } => (Err(Denied::RateExceeded { retry_after_ms }), ticket),
+            _ => (Err(unavailable()), None),
+        };
+        if let Some(ticket) = ticket {
+            self.donate(customer, ticket);
+        }
+        granted
+    }
+
+    fn donate(&mut self, customer: &str, ticket: Ticket) {
+        let now = self.clock.now();
+        let floor = self
+            .quota
+            .floor(now, customer, &self.holder, self.replica.leases());
+        let Some(donation) = floor.and_then(|floor| floor.donate(now, ticket, now)) else {
+            return;
+        };
+        let owner = self.replica.leases().holding(ticket.subject).owner;
+        let request = Request::Donate {
+            customer: customer.to_owned(),
+            donation,
+        };
+        if owner == Some(self.identity.incarnation) {
+            self.answer(request);
+        } else if let Some(address) = owner.and_then(|owner| self.address_of(owner)) {
+            self.peers.notify(address, request);
+        }
+    }
+
+    fn answer(&mut self, request: Request) -> Response {
+        match request {
+            Request::AskGrant { customer, tokens } => return self.answer_grant(&customer, tokens),
+            Request::ReturnTokens {
+                customer,
+                hold,
+                unused,
+            } => {
+                self.give_back(&customer, hold, unused);
+            }
+            Request::Owe {
+                customer,
+                hold,
+                extra,
+            } => self.owe(&customer, hold, extra),
+            Request::Donate { customer, donation } => self.accept(&customer, donation),
+            Request::Handover { customer, handover } => {
+                let now = self.clock.now();
+                let table = self.replica.leases();
+                let predecessor = table.holding(handover.subject).predecessor;
+                if let Some(pool) = self.quota.pool(now, &customer, &self.holder, table) {
+                    pool.take_over(now, handover, predecessor);
+                }
+            }
+            _ => {}
+        }
+        Response::Done
+    }
+
+    fn answer_grant(&mut self, customer: &str, tokens: u64) -> Response {
+        let now = self.clock.now();
+        let table = self.replica.leases();
+        let Some(pool) = self.quota.pool(now, customer, &self.holder, table) else {
+            return Response::NotOwner;
+        };
+        let asked: Result<Approval, Refused> = pool.ask(now, tokens);
+        let ticket = pool.ticket(now);
+        match asked {
+            Ok(approval) => Response::Granted { approval, ticket },
+            Err(refused) => {
+                let wait = refused.retry_after();
+                let retry_after_ms =
+                    wait.map(|wait| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
+                Response::RateExceeded {
+                    retry_after_ms,
+                    ticket,
+                }
+            }
+        }
+    }
+
+    fn give_back(&mut self, customer: &str, hold: Hold, unused: u64) {
+        let now = self.clock.now();
+        let table = self.replica.leases();
+        match hold.subject {
+            Subject::Seat(_) => {
+                if let Some(floor) = self.quota.floor(now, customer, &self.holder, table) {
+                    floor.give_back(now, hold, unused);
+                }
+            }
+            Subject::Shard(_) => {
+                if let Some(pool) = self.quota.pool(now, customer, &self.holder, table) {
+                    pool.give_back(now, hold, unused);
+                }
+            }
+        }
+    }
+
+    fn owe(&mut self, customer: &str, hold: Hold, extra: u64) {
+        let now = self.clock.now();
+        let table = self.replica.leases();
+        match hold.subject {
+            Subject::Seat(_) => {
+                if let Some(floor) = self.quota.floor(now, customer, &self.holder, table) {
+                    floor.owe(now, hold, extra);
+                }
+            }
+            Subject::Shard(_) => {
+                if let Some(pool) = self.quota.pool(now, customer, &self.holder, table) {
+                    pool.owe(now, hold, extra);
+                }
+            }
+        }
+    }
+
+    fn accept(&mut self, customer: &str, donation: Donation) {
+        let now = self.clock.now();
+        let table = self.replica.leases();
+        if let Some(pool) = self.quota.pool(now, customer, &self.holder, table) {
+            pool.accept(now, donation);
+        }
+    }
+}
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -9,10 +9,11 @@
 
 pub(crate) mod admission;
 pub(crate) mod clock;
+pub(crate) mod core;
 pub(crate) mod local;
-pub(crate) mod log;
 pub(crate) mod metrics;
 pub(crate) mod peer;
-pub(crate) mod replica;
+pub(crate) mod peers;
+pub(crate) mod platform;
 pub(crate) mod server;
 pub(crate) mod state;
--- a/crates/coordinator/src/local.rs
+++ b/crates/coordinator/src/local.rs
@@ -6,7 +6,7 @@
 use berylknot_wire::Frame;
 use berylknot_wire::local::{Configuration, Request, Response};
 
-use crate::admission::{Ask, End};
+use crate::admission::{Ask, End, Prefilled};
 use crate::metrics::Reason;
 use crate::state::State;
 
@@ -51,6 +51,10 @@
             state.admission.do_send(End(settle));
             Response::Done
         }
+        Request::Prefilled(prefilled) => {
+            state.admission.do_send(Prefilled(prefilled));
+            Response::Done
+        }
         Request::Watch { after } => watch(state, after).await,
         _ => Response::Done,
     }
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -3,6 +3,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
 /// Label with the reason of a refusal or retry.
@@ -18,6 +19,10 @@
     pub(crate) registry: Registry,
     pub(crate) admissions: Counter,
     pub(crate) refusals: Family<Reason, Counter>,
+    pub(crate) log_appends: Counter,
+    pub(crate) log_append_failures: Counter,
+    pub(crate) log_read_failures: Counter,
+    pub(crate) leases: Gauge,
 }
 
 impl Metrics {
@@ -32,10 +37,35 @@
             "Model requests refused, by reason",
             refusals.clone(),
         );
+        let log_appends = Counter::default();
+        registry.register(
+            "log_appends",
+            "Batches sent to the log",
+            log_appends.clone(),
+        );
+        let log_append_failures = Counter::default();
+        let help = "Appends whose answer was an error or did not come";
+        registry.register("log_append_failures", help, log_append_failures.clone());
+        let log_read_failures = Counter::default();
+        registry.register(
+            "log_read_failures",
+            "Failed reads of the log",
+            log_read_failures.clone(),
+        );
+        let leases = Gauge::default();
+        registry.register(
+            "leases",
+            "Shards and seats that this host may use",
+            leases.clone(),
+        );
         Self {
             registry,
             admissions,
             refusals,
+            log_appends,
+            log_append_failures,
+            log_read_failures,
+            leases,
         }
     }
 }
--- a/crates/coordinator/src/options.rs
+++ b/crates/coordinator/src/options.rs
@@ -5,9 +5,11 @@
 
 use serde::Deserialize;
 
+mod lease;
 mod log;
 mod platform;
 
+pub use lease::Lease;
 pub use log::Log;
 pub use platform::Platform;
 
@@ -28,6 +30,9 @@
     pub configured_hosts: Vec<String>,
     /// The platform's interfaces.
     pub platform: Platform,
+    /// Durations of leases, equal on all hosts.
+    #[serde(default)]
+    pub lease: Lease,
     /// Logging.
     #[serde(default)]
     pub log: Log,
--- a/crates/coordinator/src/peer.rs
+++ b/crates/coordinator/src/peer.rs
@@ -4,6 +4,7 @@
 use berylknot_wire::Frame;
 use berylknot_wire::peer::{Request, Response};
 
+use crate::core::quota::FromPeer;
 use crate::state::State;
 
 /// Handles a message of another coordinator.
@@ -12,12 +13,13 @@
     let Ok(frame) = Frame::<Request>::open(&body, &identity.secret) else {
         return HttpResponse::Forbidden().finish();
     };
-    let reply = Frame::new(
-        &identity.host,
-        identity.incarnation.0,
-        frame.sequence,
-        Response::Done,
-    );
+    let sequence = frame.sequence;
+    let response = state
+        .core
+        .send(FromPeer(frame.body))
+        .await
+        .unwrap_or(Response::NotOwner);
+    let reply = Frame::new(&identity.host, identity.incarnation.0, sequence, response);
     match reply.seal(&identity.secret) {
         Ok(sealed) => HttpResponse::Ok().body(sealed),
         Err(error) => {
--- a/crates/coordinator/src/log.rs
+++ b/crates/coordinator/src/platform.rs
@@ -1,8 +1,8 @@
-//! Client of the platform's log.
+//! Client of the platform: log and host list.
 
 use std::time::Duration;
 
-use berylknot_border::platform::{AppendResponse, ReadResponse};
+use berylknot_border::platform::{AppendResponse, HostList, ReadResponse};
 use berylknot_coordination::record::{Entry, Record};
 use berylknot_wire::entry;
 
@@ -12,14 +12,14 @@
 /// Header that names the client's host to the platform.
 const HOST_HEADER: &str = "x-platform-client";
 
-/// Result of log operations.
+/// Result of platform operations.
 pub(crate) type Result<T> = std::result::Result<T, Error>;
 
-/// Failures of the log.
+/// Failures of the platform.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Error {
     /// The call failed; an append may still have taken effect.
-    #[error("log does not answer: {0}")]
+    #[error("platform does not answer: {0}")]
     Unavailable(String),
     /// An entry or record cannot be encoded or decoded.
     #[error("log entry is malformed: {0}")]
@@ -37,15 +37,17 @@
     pub(crate) entries: Vec<Entry>,
 }
 
-/// An append-only log.
-pub(crate) trait Log {
+/// What the platform gives to a coordinator.
+pub(crate) trait Platform: Clone + Unpin + 'static {
     /// Appends records as one entry and returns its offset.
     async fn append(&self, records: &[Record]) -> Result<u64>;
     /// Reads entries from an offset on.
     async fn read(&self, from: u64) -> Result<Segment>;
+    /// Reads the list of hosts, which lags behind the truth.
+    async fn hosts(&self) -> Result<HostList>;
 }
 
-/// The platform's log over HTTP.
+/// The platform over HTTP.
 #[derive(Clone)]
 pub(crate) struct Http {
     client: awc::Client,
@@ -63,7 +65,7 @@
 }
 
 impl Http {
-    /// Makes a client of the log at a base URL.
+    /// Makes a client of the platform at a base URL.
     pub(crate) fn new(url: &str, host: &str, timeout: Duration) -> Self {
         let client = awc::Client::builder().timeout(timeout).finish();
         Self {
@@ -74,7 +76,7 @@
     }
 }
 
-impl Log for Http {
+impl Platform for Http {
     async fn append(&self, records: &[Record]) -> Result<u64> {
         let body = entry::encode(records).map_err(|error| Error::Malformed(error.to_string()))?;
         let request = self
@@ -124,6 +126,22 @@
             entries,
         })
     }
+
+    async fn hosts(&self) -> Result<HostList> {
+        let request = self.client.get(format!("{}/hosts", self.url));
+        let request = request
+            .insert_header((HOST_HEADER, self.host.as_str()))
+            .send();
+        let mut response = request.await.map_err(unavailable)?;
+        if !response.status().is_success() {
+            return Err(Error::Unavailable(response.status().to_string()));
+        }
+        response
+            .json()
+            .limit(ANSWER_LIMIT_BYTES)
+            .await
+            .map_err(unavailable)
+    }
 }
 
 fn unavailable(error: impl std::fmt::Display) -> Error {
--- a/crates/coordinator/src/run.rs
+++ b/crates/coordinator/src/run.rs
@@ -1,6 +1,7 @@
 //! Start of the coordinator.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use actix::Supervisor;
@@ -11,10 +12,11 @@
 use tokio::sync::watch;
 
 use crate::admission::Admission;
-use crate::log::Http;
+use crate::clock::Clock;
+use crate::core::{Core, Parts};
 use crate::metrics::Metrics;
 use crate::options::Options;
-use crate::replica::Replica;
+use crate::platform::Http;
 use crate::state::{Configuration, Identity, State};
 
 /// Runs the coordinator until it is told to stop.
@@ -54,16 +56,32 @@
     let timeout = Duration::from_millis(options.platform.timeout_ms);
     let poll = Duration::from_millis(options.platform.poll_ms);
     let (url, host) = (options.platform.url.clone(), options.host.clone());
-    let log = Http::new(&url, &host, timeout);
-    Supervisor::start(move |_| Replica::new(log, poll, sender));
-    let decisions = configuration.clone();
-    let admission = Supervisor::start(move |_| Admission::new(decisions));
+    let platform = Http::new(&url, &host, timeout);
     let metrics = Arc::new(Metrics::new());
+    let (clock, counters, owner) = (Clock::start(), metrics.clone(), identity.clone());
+    let (ready, timing) = (Arc::new(AtomicBool::new(false)), options.lease.timing());
+    let flag = ready.clone();
+    let core = Supervisor::start(move |_| {
+        Core::new(Parts {
+            clock,
+            identity: owner,
+            platform,
+            poll,
+            timing,
+            ready: flag,
+            published: sender,
+            metrics: counters,
+        })
+    });
+    let (decisions, tokens) = (configuration.clone(), core.clone());
+    let admission = Supervisor::start(move |_| Admission::new(clock, decisions, tokens));
     crate::server::serve(
         listener,
         State {
             identity,
             configuration,
+            ready,
+            core,
             admission,
             metrics,
         },
--- a/crates/coordinator/src/server.rs
+++ b/crates/coordinator/src/server.rs
@@ -30,7 +30,7 @@
 }
 
 fn is_ready(state: &State) -> bool {
-    state.configuration.borrow().version.as_u64() > 0
+    state.ready.load(std::sync::atomic::Ordering::Relaxed)
 }
 
 async fn ready(state: web::Data<State>) -> HttpResponse {
--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -1,6 +1,7 @@
 //! State that the coordinator's actors and HTTP handlers share.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use actix::Addr;
 use berylknot_coordination::record::{Incarnation, Position};
@@ -9,7 +10,9 @@
 use tokio::sync::watch;
 
 use crate::admission::Admission;
+use crate::core::Core;
 use crate::metrics::Metrics;
+use crate::platform::Http;
 
 /// The accepted configuration in checked form.
 #[derive(Clone, Debug, Default)]
@@ -38,6 +41,9 @@
 pub(crate) struct State {
     pub(crate) identity: Identity,
     pub(crate) configuration: watch::Receiver<Configuration>,
+    /// Whether the host has had its first lease while all shards had owners.
+    pub(crate) ready: Arc<AtomicBool>,
+    pub(crate) core: Addr<Core<Http>>,
     pub(crate) admission: Addr<Admission>,
     pub(crate) metrics: Arc<Metrics>,
 }
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -303,17 +303,37 @@
 }
 
 fn refusal_of(code: &str) -> Refusal {
-    const CODES: [(&str, StatusCode, &str); 2] = [
+    const CODES: [(&str, StatusCode, &str); 6] = [
         (
             "rate_exceeded",
             StatusCode::TOO_MANY_REQUESTS,
             "the customer's rate is used up",
         ),
+        (
+            "request_too_large",
+            StatusCode::BAD_REQUEST,
+            "the request exceeds the customer's burst",
+        ),
+        (
+            "quota_unavailable",
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the customer's quota has no owner",
+        ),
+        (
+            "grant_expired",
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the customer's quota answered too late",
+        ),
         (
             "no_capacity",
             StatusCode::SERVICE_UNAVAILABLE,
             "no endpoint has capacity",
         ),
+        (
+            "too_many_requests",
+            StatusCode::SERVICE_UNAVAILABLE,
+            "this host has too many requests",
+        ),
     ];
     for (known, status, message) in CODES {
         if known == code {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,22 +1,80 @@
 //! Messages between coordinators of different hosts.
 
+use berylknot_coordination::quota::{Approval, Donation, Handover, Hold, Ticket};
 use serde::{Deserialize, Serialize};
 
 /// Path of the coordinator's interface for other coordinators.
 pub const PATH: &str = "/v1/peer";
 
 /// Message of another coordinator.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[non_exhaustive]
 pub enum Request {
     /// Tells that the sender lives.
     Heartbeat,
+    /// Asks the owner of a customer's pool for tokens.
+    AskGrant {
+        /// Name of the customer.
+        customer: String,
+        /// Number of tokens.
+        tokens: u64,
+    },
+    /// Returns unused tokens of a hold to the owner of a customer's pool.
+    ReturnTokens {
+        /// Name of the customer.
+        customer: String,
+        /// The hold.
+        hold: Hold,
+        /// Number of unused tokens, as a total for the hold.
+        unused: u64,
+    },
+    /// Charges tokens that a prompt used beyond its estimate.
+    Owe {
+        /// Name of the customer.
+        customer: String,
+        /// The hold.
+        hold: Hold,
+        /// Number of tokens, as a total for the hold.
+        extra: u64,
+    },
+    /// Gives floor tokens to a customer's pool.
+    Donate {
+        /// Name of the customer.
+        customer: String,
+        /// The debited tokens.
+        donation: Donation,
+    },
+    /// Hands a customer's pool to the successor of its owner.
+    Handover {
+        /// Name of the customer.
+        customer: String,
+        /// Level of the pool.
+        handover: Handover,
+    },
 }
 
 /// Answer to another coordinator.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[non_exhaustive]
 pub enum Response {
     /// The message was received.
     Done,
+    /// The tokens are debited.
+    Granted {
+        /// Name and amount of the debited tokens.
+        approval: Approval,
+        /// Invitation to donate floor tokens, if the pool can take some.
+        ticket: Option<Ticket>,
+    },
+    /// The pool does not have the tokens.
+    RateExceeded {
+        /// Time until it has them, in milliseconds; `None` when the amount exceeds its cap.
+        retry_after_ms: Option<u64>,
+        /// Invitation to donate floor tokens, if the pool can take some.
+        ticket: Option<Ticket>,
+    },
+    /// The receiver does not hold the customer's shard.
+    NotOwner,
 }
