Run calls with an idempotency key at most once over all hosts

Cause: a repeated booking ran as often as it was sent. A gateway now claims the key through its coordinator and the log; only the winner sends, within 5 s of before its claim; the end of the call is recorded and replayed to later callers.

Found by the tests: answers to a repeated key are "in progress" until the end has been read back from the log (100 to 150 ms here), which is truthful, so the tests ask again. A permitted call of which no byte was sent had no way to free its key; the claimant now has one.

--- a/acceptance/src/deployment.rs
+++ b/acceptance/src/deployment.rs
@@ -280,6 +280,22 @@
         Ok(())
     }
 
+    /// Waits until all hosts have a version of the settings in force.
+    ///
+    /// # Errors
+    /// Fails when a host does not get there.
+    pub async fn wait_for_version(&self, version: u64) -> eyre::Result<()> {
+        for host in &self.hosts {
+            wait_for("the version is in force", || async {
+                let name = "berylknot_gateway_configuration_version";
+                let found = caller::metric(host.operator_address, name, "").await;
+                found.is_ok_and(|found| found as u64 >= version)
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
     /// Requests that run at all engines.
     ///
     /// # Errors
--- a/crates/coordination/src/claim.rs
+++ b/crates/coordination/src/claim.rs
@@ -104,7 +104,7 @@
 }
 
 /// Answer to a call with a key that was claimed before.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
     /// The call ran, with this outcome.
     Stored(Outcome),
@@ -468,6 +468,18 @@
         self.close(now, Event::Finish { id, key, outcome })
     }
 
+    /// Abandons a claim whose call was permitted, when the sender knows that no byte of it reached
+    /// an endpoint.
+    pub fn not_sent(&mut self, now: Instant, id: Id) -> Vec<Action> {
+        match self.open.get(&id.sequence) {
+            Some((key, Progress::Sent)) => {
+                let key = key.clone();
+                self.close_abandoned(now, id, key)
+            }
+            _ => Vec::new(),
+        }
+    }
+
     /// Abandons a claim whose call was not sent, for instance because the caller has left.
     pub fn abandon(&mut self, now: Instant, id: Id) -> Vec<Action> {
         match self.open.get(&id.sequence) {
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -9,6 +9,7 @@
 
 use actix::{Actor, AsyncContext, Context, Supervised};
 use berylknot_coordination::append::Appender;
+use berylknot_coordination::clock::Instant;
 use berylknot_coordination::lease::{Holder, Seat, Timing};
 use berylknot_coordination::record::Incarnation;
 use berylknot_coordination::replica::Replica;
@@ -22,6 +23,7 @@
 use crate::state::{Configuration, Identity};
 
 mod append;
+pub(crate) mod claims;
 mod follow;
 mod hosts;
 mod leases;
@@ -44,6 +46,9 @@
     holder: Holder,
     appender: Appender,
     quota: quota::Buckets,
+    claims: claims::Claims,
+    /// Time at which the last successful read of the log was sent.
+    last_read: Instant,
     published: watch::Sender<Configuration>,
     metrics: Arc<Metrics>,
 }
@@ -89,6 +94,8 @@
             holder,
             appender: Appender::new(incarnation, append::limits()),
             quota: quota::Buckets::default(),
+            claims: claims::Claims::new(incarnation),
+            last_read: clock.now(),
             published,
             metrics,
         }
@@ -137,6 +144,7 @@
         self.follow(context, Duration::ZERO);
         context.run_interval(append::INTERVAL, Self::append_due);
         context.run_interval(LEASE_INTERVAL, |core, _| core.step_leases());
+        context.run_interval(claims::INTERVAL, Self::step_claims);
         context.run_interval(hosts::INTERVAL, Self::list_hosts);
         self.list_hosts(context);
     }
--- a/crates/coordinator/src/core/follow.rs
+++ b/crates/coordinator/src/core/follow.rs
@@ -36,6 +36,7 @@
 
     /// Applies a part of the log; true when more is waiting.
     fn apply(&mut self, segment: &Segment, sent: Instant, context: &mut Context<Self>) -> bool {
+        self.last_read = sent;
         for entry in &segment.entries {
             let changes = self.replica.apply(entry);
             self.observe(&changes);
@@ -58,6 +59,7 @@
                 Change::Lease(change) => {
                     self.holder.observe(now, change);
                 }
+                Change::Key { id, verdict } => self.claim_changed(*id, verdict),
                 Change::Gap { expected, found } => {
                     tracing::error!(expected, found, "follow: entries are missing");
                 }
--- a/crates/coordinator/src/local.rs
+++ b/crates/coordinator/src/local.rs
@@ -7,6 +7,7 @@
 use berylknot_wire::local::{Configuration, Request, Response};
 
 use crate::admission::{Ask, End, Prefilled};
+use crate::core::claims::{Abandon, Claim, Finish};
 use crate::metrics::Reason;
 use crate::state::State;
 
@@ -55,6 +56,19 @@
             state.admission.do_send(Prefilled(prefilled));
             Response::Done
         }
+        Request::ClaimKey(claim) => state
+            .core
+            .send(Claim(claim))
+            .await
+            .unwrap_or_else(|_| unavailable()),
+        Request::FinishKey { id, outcome } => {
+            state.core.do_send(Finish { id, outcome });
+            Response::Done
+        }
+        Request::AbandonKey { id } => {
+            state.core.do_send(Abandon(id));
+            Response::Done
+        }
         Request::Watch { after } => watch(state, after).await,
         _ => Response::Done,
     }
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -4,7 +4,6 @@
 use actix_web::{HttpRequest, HttpResponse, web};
 use berylknot_border::caller::{ChatRequest, CompletionRequest};
 use bytes::Bytes;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use tokio::sync::mpsc;
 
 use crate::caller::{authenticate, presented_key};
@@ -167,8 +166,8 @@
     let customer = configuration.fleet.customer(caller.customer).name.clone();
     let default = std::num::NonZeroU32::new(model.max_tokens).unwrap_or(std::num::NonZeroU32::MIN);
     let bytes = u32::try_from(question.prompt.len()).unwrap_or(u32::MAX);
-    let mut hasher = DefaultHasher::new();
-    (&customer, &question.model, &body).hash(&mut hasher);
+    let fingerprint =
+        crate::fingerprint::of(&[customer.as_bytes(), question.model.as_bytes(), &body]);
     let job = Job {
         request_id: request_id.to_owned(),
         customer,
@@ -177,7 +176,7 @@
         prompt: question.prompt.clone(),
         prompt_tokens: bytes.div_ceil(model.bytes_per_token.max(1)).max(1),
         max_tokens: question.max_tokens.unwrap_or(default),
-        fingerprint: hasher.finish(),
+        fingerprint,
     };
     Ok((job, question))
 }
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -8,6 +8,7 @@
 use tokio::sync::watch;
 
 use crate::control::Control;
+use crate::metrics::Metrics;
 
 /// Pause after a failed watch.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -22,12 +23,20 @@
 }
 
 /// Follows the coordinator's configuration for as long as the process runs.
-pub(crate) async fn follow(control: Control, published: watch::Sender<Configuration>) {
+pub(crate) async fn follow(
+    control: Control,
+    published: watch::Sender<Configuration>,
+    metrics: Arc<Metrics>,
+) {
     loop {
         let after = published.borrow().version;
         match control.send(Request::Watch { after }).await {
             Ok(Response::Configuration(newer)) if newer.version > after => {
                 install(&published, newer.version, &newer.document);
+                let version = published.borrow().version;
+                metrics
+                    .configuration_version
+                    .set(i64::try_from(version).unwrap_or(i64::MAX));
             }
             Ok(_) => {}
             Err(error) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub(crate) mod connection;
 pub(crate) mod control;
 pub(crate) mod engine;
+pub(crate) mod fingerprint;
 pub(crate) mod flow;
 pub(crate) mod metrics;
 pub(crate) mod refusal;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,6 +31,7 @@
     pub(crate) service_calls: Counter,
     pub(crate) tokens: Counter,
     pub(crate) open_requests: Gauge,
+    pub(crate) configuration_version: Gauge,
     pub(crate) ttft: Histogram,
     pub(crate) tpot: Histogram,
 }
@@ -47,6 +48,7 @@
             service_calls: Counter::default(),
             tokens: Counter::default(),
             open_requests: Gauge::default(),
+            configuration_version: Gauge::default(),
             ttft: Histogram::new(TTFT_BUCKETS_S),
             tpot: Histogram::new(TPOT_BUCKETS_S),
         };
@@ -86,6 +88,12 @@
             "Requests that run now",
             self.open_requests.clone(),
         );
+        let version = self.configuration_version.clone();
+        registry.register(
+            "configuration_version",
+            "Version of the settings in force",
+            version,
+        );
         registry.register("ttft_seconds", "Time to first token", self.ttft.clone());
         registry.register("tpot_seconds", "Time between tokens", self.tpot.clone());
         self.registry = registry;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -53,16 +53,15 @@
     let operator = bind(options.operator_listen)?;
     tracing::info!(host = %identity.host, address = %options.listen, "server: listening");
     let (sender, receiver) = watch::channel(Configuration::default());
-    actix_rt::spawn(configuration::follow(
-        Control::new(options.coordinator, identity.clone()),
-        sender,
-    ));
+    let metrics = Arc::new(Metrics::new());
+    let control = Control::new(options.coordinator, identity.clone());
+    actix_rt::spawn(configuration::follow(control, sender, metrics.clone()));
     let shared = Shared {
         options: Arc::new(options),
         identity,
         pepper: Pepper::new(pepper),
         configuration: receiver,
-        metrics: Arc::new(Metrics::new()),
+        metrics,
         draining: Arc::default(),
     };
     let callers = server::callers(callers, &shared)?;
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -3,12 +3,14 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use actix_web::http::StatusCode;
 use actix_web::http::header::{HeaderName, HeaderValue};
+use actix_web::http::{Method, StatusCode};
 use actix_web::{HttpRequest, HttpResponse, web};
 use awc::error::{ConnectError, SendRequestError};
 use berylknot_settings::fleet::{Endpoint, Fleet, Route};
 
+mod keyed;
+
 use crate::caller::authenticate;
 use crate::completion::refuse_key_in_body;
 use crate::metrics::Reason;
@@ -92,32 +94,95 @@
             "the route does not exist",
         )
     })?;
-    authorize(state, request, &fleet, route)?;
+    let customer = authorize(state, request, &fleet, route)?;
     let body = crate::body::read(payload, &state.shared.options.limits).await?;
     refuse_key_in_body(request, &body)?;
-    let path = format!("/{path}");
-    let idempotent = route.is_idempotent(request.method().as_str(), &path);
+    let call = Call::new(request, request_id, route, path, body);
+    if call.idempotent {
+        return attempt(state, &fleet, route, &call)
+            .await
+            .map_err(Failure::refusal);
+    }
+    let Some(key) = keyed::key(request, &customer)? else {
+        return attempt(state, &fleet, route, &call)
+            .await
+            .map_err(Failure::refusal);
+    };
+    // A task of its own, so that the end is recorded also when the caller leaves.
+    let run = keyed::run(state.clone(), fleet.clone(), route.clone(), call, key);
+    actix_rt::spawn(run).await.unwrap_or_else(|_| {
+        let status = StatusCode::INTERNAL_SERVER_ERROR;
+        Err(Refusal::may_have_run(
+            "interrupted",
+            status,
+            "the call was interrupted",
+        ))
+    })
+}
+
+/// A call as it is sent to an endpoint.
+#[derive(Clone, Debug)]
+struct Call {
+    request_id: String,
+    method: Method,
+    target: String,
+    headers: Vec<(HeaderName, HeaderValue)>,
+    body: web::Bytes,
+    idempotent: bool,
+}
+
+impl Call {
+    fn new(
+        request: &HttpRequest,
+        request_id: &str,
+        route: &Route,
+        path: &str,
+        body: web::Bytes,
+    ) -> Self {
+        let path = format!("/{path}");
+        let query = request
+            .uri()
+            .query()
+            .map(|query| format!("?{query}"))
+            .unwrap_or_default();
+        let mut headers = Vec::new();
+        for (name, value) in request.headers() {
+            if is_passed_on(name) {
+                headers.push((name.clone(), value.clone()));
+            }
+        }
+        Self {
+            request_id: request_id.to_owned(),
+            method: request.method().clone(),
+            idempotent: route.is_idempotent(request.method().as_str(), &path),
+            target: format!("{path}{query}"),
+            headers,
+            body,
+        }
+    }
+}
+
+/// Sends a call, to another endpoint when it may be repeated.
+async fn attempt(
+    state: &State,
+    fleet: &Fleet,
+    route: &Route,
+    call: &Call,
+) -> Result<HttpResponse, Failure> {
     let mut tried = 0;
     loop {
-        let endpoint = choose(&fleet, route, tried).ok_or_else(|| {
-            Refusal::not_run(
-                "no_endpoint",
-                StatusCode::SERVICE_UNAVAILABLE,
-                "no endpoint is left",
-            )
-        })?;
+        let endpoint = choose(fleet, route, tried).ok_or(Failure::NoEndpoint)?;
         tried += 1;
-        let failure = match forward(state, request, request_id, endpoint, route, &path, &body).await
-        {
+        let failure = match forward(state, endpoint, route, call).await {
             Ok(response) => return Ok(response),
             Err(failure) => failure,
         };
-        let may_repeat = idempotent || failure == Failure::NotSent;
-        tracing::info!(request = %request_id, endpoint = %endpoint.name, reason = failure.reason(), "service: attempt failed");
+        let reason = failure.reason();
+        tracing::info!(request = %call.request_id, endpoint = %endpoint.name, reason, "service: attempt failed");
+        let may_repeat = call.idempotent || failure == Failure::NotSent;
         if !may_repeat || tried >= route.endpoints.len() {
-            return Err(failure.refusal());
+            return Err(failure);
         }
-        let reason = failure.reason();
         state
             .shared
             .metrics
@@ -132,9 +197,9 @@
     request: &HttpRequest,
     fleet: &Fleet,
     route: &Route,
-) -> Result<(), Refusal> {
+) -> Result<String, Refusal> {
     if route.open {
-        return Ok(());
+        return Ok(String::new());
     }
     let caller = authenticate(request, fleet, &state.shared.pepper)?;
     if !route.customers.is_empty() && !route.customers.contains(&caller.customer) {
@@ -145,7 +210,7 @@
             message,
         ));
     }
-    Ok(())
+    Ok(fleet.customer(caller.customer).name.clone())
 }
 
 /// Endpoints in rotation, so that successive calls and attempts go to different ones.
@@ -169,6 +234,8 @@
 /// Ways in which a call fails.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Failure {
+    /// No endpoint takes calls.
+    NoEndpoint,
     /// No byte reached the endpoint.
     NotSent,
     /// The endpoint may have run the call.
@@ -180,6 +247,7 @@
 impl Failure {
     const fn reason(self) -> &'static str {
         match self {
+            Self::NoEndpoint => "no_endpoint",
             Self::NotSent => "endpoint_unreachable",
             Self::Broken => "endpoint_broken",
             Self::Timeout => "endpoint_silent",
@@ -188,6 +256,11 @@
 
     fn refusal(self) -> Refusal {
         match self {
+            Self::NoEndpoint => Refusal::not_run(
+                "no_endpoint",
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no endpoint takes calls",
+            ),
             Self::NotSent => Refusal::not_run(
                 "endpoint_unreachable",
                 StatusCode::SERVICE_UNAVAILABLE,
@@ -209,39 +282,28 @@
 
 async fn forward(
     state: &State,
-    request: &HttpRequest,
-    request_id: &str,
     endpoint: &Endpoint,
     route: &Route,
-    path: &str,
-    body: &web::Bytes,
+    call: &Call,
 ) -> Result<HttpResponse, Failure> {
-    let query = request
-        .uri()
-        .query()
-        .map(|query| format!("?{query}"))
-        .unwrap_or_default();
-    let url = format!("http://{}{path}{query}", endpoint.address);
-    let mut call = state.client.0.request(request.method().clone(), url);
-    for (name, value) in request.headers() {
-        if is_passed_on(name) {
-            call = call.append_header((name.clone(), value.clone()));
-        }
+    let url = format!("http://{}{}", endpoint.address, call.target);
+    let mut request = state.client.0.request(call.method.clone(), url);
+    for (name, value) in &call.headers {
+        request = request.append_header((name.clone(), value.clone()));
     }
-    call = call.insert_header((REQUEST_ID_HEADER, request_id));
+    request = request.insert_header((REQUEST_ID_HEADER, call.request_id.as_str()));
     let timeout = Duration::from_millis(route.timeout_ms);
-    let sent = actix_rt::time::timeout(timeout, call.send_body(body.clone())).await;
-    let response = sent
-        .map_err(|_| Failure::Timeout)?
-        .map_err(|error| failure_of(&error))?;
+    let sent = actix_rt::time::timeout(timeout, request.send_body(call.body.clone())).await;
+    let sent = sent.map_err(|_| Failure::Timeout)?;
+    let response = sent.map_err(|error| failure_of(&error))?;
     state.shared.metrics.service_calls.inc();
     let mut answer = HttpResponse::build(response.status());
     for (name, value) in response.headers() {
         if is_passed_on(name) {
-            answer.append_header((name.clone(), HeaderValue::clone(value)));
+            answer.append_header((name.clone(), value.clone()));
         }
     }
-    answer.insert_header((REQUEST_ID_HEADER, request_id));
+    answer.insert_header((REQUEST_ID_HEADER, call.request_id.as_str()));
     Ok(answer.streaming(response))
 }
 
--- a/crates/wire/src/local.rs
+++ b/crates/wire/src/local.rs
@@ -1,5 +1,7 @@
 //! Messages from a gateway to the coordinator of its host.
 
+use berylknot_coordination::claim;
+use berylknot_coordination::record::Id;
 use serde::{Deserialize, Serialize};
 
 /// Path of the coordinator's interface for its gateway.
@@ -15,6 +17,20 @@
     Prefilled(Prefilled),
     /// Reports the end of an admitted request.
     Settle(Settle),
+    /// Claims an idempotency key for one run of a call.
+    ClaimKey(ClaimKey),
+    /// Reports the end of a call that ran under a claim.
+    FinishKey {
+        /// Id of the claim.
+        id: Id,
+        /// Answer of the endpoint; none when it is unknown whether the call ran.
+        outcome: Option<claim::Outcome>,
+    },
+    /// Gives up a claim whose call was not sent.
+    AbandonKey {
+        /// Id of the claim.
+        id: Id,
+    },
     /// Waits for a configuration newer than `after`.
     Watch {
         /// Version in force at the gateway; zero for none.
@@ -30,6 +46,14 @@
     Admitted(Admitted),
     /// The request must not run.
     Refused(Refused),
+    /// The claim was won: the call may be sent once, within [`claim::SEND_WITHIN`] from before
+    /// the claim was asked for.
+    KeyWon {
+        /// Id of the claim.
+        id: Id,
+    },
+    /// The key was used before.
+    KeyTaken(claim::Answer),
     /// A configuration newer than the one asked about.
     Configuration(Configuration),
     /// Nothing to report.
@@ -57,6 +81,18 @@
     pub avoid: Vec<String>,
 }
 
+/// Claim of an idempotency key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ClaimKey {
+    /// The key.
+    pub key: claim::Key,
+    /// Hash of route, method, path and body of the call.
+    pub fingerprint: u64,
+    /// Time after which a call that was sent counts as one with an unknown end, in milliseconds.
+    pub timeout_ms: u64,
+}
+
 /// Permission to run a model request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Admitted {
