Prove leases and rates by fuzzing, and delay raised rates

Cause: the arithmetic of leases and rates had no proof. While writing it, a further gap appeared: when a rate is raised from r1 to r2, grants debited under the cap burst - r1 x lifetime meet a refill of r2 x lifetime, so an interval that starts right after the change exceeds its bound.

Change: a raised rate refills only after the longest lifetime of a grant. tests/rates.rs drives one customer's pool and floors at microsecond times (2,000 cases with fixed and with changed rates), and a fleet of four hosts with a log and a network that lose, double, delay and reorder (60 cases of 180 s). The oracle checks the window bound on all admissions in true time, exclusive leases after every read, an owner for every shard 55 s after the last fault, and that then all requests within the rate are admitted. Each of 12 faults is reported by the oracle.

Ruled out: checking exclusive leases at every step; a lease becomes usable only when its holder reads the log, so checks after reads miss nothing.

--- a/crates/coordination/src/quota/bucket.rs
+++ b/crates/coordination/src/quota/bucket.rs
@@ -37,6 +37,8 @@
 #[derive(Clone, Debug)]
 pub struct Bucket {
     share: Share,
+    /// Higher rate of changed limits and the time from which it refills.
+    faster: Option<(Instant, i64)>,
     /// Nanotokens, negative for a debt.
     level: i64,
     /// Nanotokens in flight to another bucket, which count against the cap.
@@ -62,6 +64,7 @@
     pub fn new(now: Instant, share: Share) -> Self {
         Self {
             share,
+            faster: None,
             level: 0,
             in_flight: 0,
             // Instants are rounded down; counting from the next one, the refill since the start
@@ -131,13 +134,18 @@
     }
 
     /// Changes rate and cap from `now` on. The level is cut to the new cap and does not grow.
+    ///
+    /// A higher rate refills only after the longest lifetime of a grant: grants from before the
+    /// change were given under a cap that sets less aside for late use.
     pub fn resize(&mut self, now: Instant, share: Share) {
         self.refill(now);
+        let rate = share.rate.min(self.share.rate);
+        self.faster = (rate < share.rate).then_some((now + share.late, share.rate));
         // Returns of earlier holds stay limited by the gap to the former cap.
         for peak in &mut self.peaks {
             peak.nanotokens += share.cap - self.share.cap;
         }
-        self.share = share;
+        self.share = Share { rate, ..share };
         self.level = self.level.min(self.room());
         self.note_peak();
     }
@@ -227,6 +235,7 @@
         self.share.cap - self.in_flight
     }
 
+    /// Level at `now` with a refill at the present rate.
     fn refilled_level(&self, now: Instant) -> i64 {
         let elapsed = i128::try_from(now.since(self.refilled).as_millis()).unwrap_or(i128::MAX);
         let refilled = elapsed
@@ -236,9 +245,20 @@
         i64::try_from(level).unwrap_or(self.level)
     }
 
-    fn refill(&mut self, now: Instant) {
+    fn refill_until(&mut self, now: Instant) {
         self.level = self.refilled_level(now);
         self.refilled = self.refilled.max(now);
+    }
+
+    fn refill(&mut self, now: Instant) {
+        if let Some((from, rate)) = self.faster
+            && now >= from
+        {
+            self.refill_until(from);
+            self.share.rate = rate;
+            self.faster = None;
+        }
+        self.refill_until(now);
         self.note_peak();
         self.forget(now);
     }
--- a/crates/coordination/src/quota/limits.rs
+++ b/crates/coordination/src/quota/limits.rs
@@ -1,5 +1,7 @@
 //! Checked rates and their division into pool and floors.
 
+use std::time::Duration;
+
 use crate::clock::Drift;
 use crate::quota::GRANT_LIFETIME;
 
@@ -89,6 +91,11 @@
 }
 
 /// Division of every customer's limits into one pool and equal floors.
+///
+/// While a configuration changes the number of seats, a host divides by the larger number and
+/// claims only seats below the smaller one ([`crate::lease::Holder::configure`]), until
+/// [`crate::lease::Table::lowest_seat_version`] has reached the changing version. Otherwise hosts
+/// that divide by different numbers could together exceed the floors' part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Split {
     floor_per_mille: u16,
@@ -141,12 +148,12 @@
     }
 
     fn share(&self, limits: Limits, per_mille: u16, parts: u16) -> Share {
-        // The longest a grant lives in true time, plus one millisecond of refill by which an
-        // interval between instants, which are rounded down, may exceed the true one.
-        let late = self.drift.surely_passed(GRANT_LIFETIME).as_millis() + 1;
+        // One millisecond more, since an interval between instants, which are rounded down, may
+        // exceed the true one by as much.
+        let late = self.drift.surely_passed(GRANT_LIFETIME) + Duration::from_millis(1);
         let (rate, burst) = (u128::from(limits.rate), u128::from(limits.burst));
         let per_milli = NANOS as u128 / 1_000;
-        let cap = burst * NANOS as u128 - rate * per_milli * late;
+        let cap = burst * NANOS as u128 - rate * per_milli * late.as_millis();
         // A fast clock counts up to 1 + drift times the true time.
         let rate =
             rate * per_milli * 1_000_000 / (1_000_000 + u128::from(self.drift.parts_per_million()));
@@ -157,6 +164,7 @@
         Share {
             rate: part(rate),
             cap: part(cap),
+            late,
         }
     }
 }
@@ -168,6 +176,8 @@
     pub(super) rate: i64,
     /// Nanotokens.
     pub(super) cap: i64,
+    /// Longest time from a debit to the use of its grant, by any clock.
+    pub(super) late: Duration,
 }
 
 impl Share {
--- /dev/null
+++ b/crates/coordination/tests/rates/host.rs
@@ -0,0 +1,463 @@
+//! One host of the simulated fleet: the real state machines, driven as a daemon drives them.
+
+use std::collections::BTreeMap;
+
+use berylknot_coordination::clock::{Drift, Instant};
+use berylknot_coordination::lease::{Holder, Seat, Shard, Subject, Timing};
+use berylknot_coordination::quota::{
+    Approval, Donation, Floor, Grant, Handover, Hold, Limits, Pool, Split, Ticket,
+};
+use berylknot_coordination::record::{Claim, Entry, Id, Incarnation, Position, Record};
+use berylknot_coordination::replica::{Change, Replica};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::world::Fault;
+
+pub(crate) const CUSTOMERS: [&str; 2] = ["registry", "atelier"];
+
+/// Message between hosts. A request's answer carries what its asker sent along.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Message {
+    Ask {
+        customer: usize,
+        tokens: u64,
+        asked: Instant,
+        asker: Incarnation,
+    },
+    Granted {
+        customer: usize,
+        asked: Instant,
+        asker: Incarnation,
+        approval: Approval,
+    },
+    Invite {
+        customer: usize,
+        ticket: Ticket,
+    },
+    Donate {
+        customer: usize,
+        donation: Donation,
+    },
+    GiveBack {
+        customer: usize,
+        hold: Hold,
+        unused: u64,
+    },
+    Owe {
+        customer: usize,
+        hold: Hold,
+        extra: u64,
+    },
+    Handover {
+        customer: usize,
+        handover: Handover,
+    },
+}
+
+/// What a host wants done.
+#[derive(Debug)]
+pub(crate) enum Effect {
+    Append(Vec<Record>),
+    /// To a host by incarnation; a message to the own incarnation is from coordinator to gateway.
+    Send(Incarnation, Message),
+    Admitted {
+        customer: usize,
+        tokens: u64,
+        hold: Hold,
+        from: Incarnation,
+    },
+}
+
+pub(crate) struct Host {
+    fault: Fault,
+    index: u64,
+    pub(crate) replica: Replica,
+    pub(crate) holder: Holder,
+    pools: BTreeMap<usize, (Position, Pool)>,
+    floors: BTreeMap<usize, (Subject, Position, Floor)>,
+    handovers: Vec<(Instant, usize, Handover)>,
+    limits: Limits,
+    split: Split,
+    /// For the fault that counts leases from the read-back: time of the last renewal's sending, and
+    /// the time from there until it was read.
+    last_sent: Vec<(u64, Instant)>,
+    read_back: std::time::Duration,
+}
+
+impl Host {
+    pub(crate) fn new(now: u64, index: u64, start: u64, limits: Limits, fault: Fault) -> Self {
+        let incarnation = Incarnation(start << 20 | index);
+        let timing = Timing {
+            seat_lease: std::time::Duration::from_secs(40),
+            ..Timing::default()
+        };
+        let seats = Seat::count(crate::world::HOSTS as u16);
+        let split = Split::new(Split::FLOOR_PER_MILLE, seats, Drift::default());
+        Self {
+            fault,
+            index,
+            replica: Replica::default(),
+            holder: Holder::new(
+                local(now, index),
+                incarnation,
+                format!("host-{index}"),
+                seats,
+                timing,
+            ),
+            pools: BTreeMap::new(),
+            floors: BTreeMap::new(),
+            handovers: Vec::new(),
+            limits,
+            split: split.expect("a valid split"),
+            last_sent: Vec::new(),
+            read_back: std::time::Duration::ZERO,
+        }
+    }
+
+    pub(crate) const fn incarnation(&self) -> Incarnation {
+        self.holder.incarnation()
+    }
+
+    /// Subjects with a usable lease.
+    pub(crate) fn held(&self, now: u64) -> Vec<Subject> {
+        let held = self.holder.held(
+            self.lease_time(local(now, self.index)),
+            self.replica.leases(),
+        );
+        held.into_iter().map(|(subject, _)| subject).collect()
+    }
+
+    pub(crate) fn step(&mut self, now: u64) -> Vec<Effect> {
+        let careless =
+            self.fault == Fault::ClaimWithoutWait && self.index == 1 && now < crate::world::QUIET;
+        let now = local(now, self.index);
+        self.follow_leases(now);
+        let mut records = self.holder.tick(now, self.replica.leases());
+        if careless && !records.is_empty() {
+            records.push(self.claim_of_owned_shards(now));
+        }
+        let mut effects = Vec::new();
+        for record in &records {
+            match record {
+                Record::Renew(renew) => self.last_sent.push((renew.id.sequence, now)),
+                Record::Release(release) => {
+                    let Some(successor) = release.successor else {
+                        continue;
+                    };
+                    for &(subject, since) in &release.subjects {
+                        effects.extend(self.hand_over(now, subject, since, successor));
+                    }
+                }
+                _ => {}
+            }
+        }
+        if !records.is_empty() {
+            effects.push(Effect::Append(records));
+        }
+        effects
+    }
+
+    /// Claims shards whatever the age of their leases.
+    fn claim_of_owned_shards(&self, now: Instant) -> Record {
+        let leases = self.replica.leases();
+        let subjects = Shard::all().take(8).map(Subject::Shard);
+        Record::Claim(Claim {
+            id: Id {
+                incarnation: self.incarnation(),
+                sequence: u64::MAX - now.as_millis(),
+            },
+            subjects: subjects
+                .map(|subject| (subject, leases.last_owning(subject)))
+                .collect(),
+        })
+    }
+
+    pub(crate) fn read(&mut self, now: u64, entries: &[Entry]) {
+        let now = local(now, self.index);
+        for entry in entries {
+            for change in self.replica.apply(entry) {
+                let Change::Lease(change) = change else {
+                    continue;
+                };
+                self.note_read_back(now, &change);
+                self.holder.observe(now, &change);
+            }
+        }
+        self.follow_leases(now);
+    }
+
+    pub(crate) fn set_limits(&mut self, now: u64, limits: Limits) {
+        let now = local(now, self.index);
+        self.limits = limits;
+        for (_, pool) in self.pools.values_mut() {
+            pool.set_limits(now, limits, self.split);
+        }
+        for (_, _, floor) in self.floors.values_mut() {
+            floor.set_limits(now, limits, self.split);
+        }
+    }
+
+    /// A caller's request. It tries the pool or the floor first; when the pool's owner is not
+    /// known, or by chance, the floor.
+    pub(crate) fn request(
+        &mut self,
+        now: u64,
+        customer: usize,
+        tokens: u64,
+        random: &mut ChaCha8Rng,
+    ) -> Vec<Effect> {
+        let now = local(now, self.index);
+        self.follow_leases(now);
+        let own = self.incarnation();
+        if random.random_bool(0.3)
+            && let Some((subject, _, floor)) = self.floors.get_mut(&customer)
+            && self.holder.usable(now, self.replica.leases(), *subject)
+            && let Ok(approval) = floor.ask(now, tokens)
+        {
+            let granted = Message::Granted {
+                customer,
+                asked: now,
+                asker: own,
+                approval,
+            };
+            return vec![Effect::Send(own, granted)];
+        }
+        let shard = Shard::of(CUSTOMERS[customer].as_bytes());
+        let Some(owner) = self.replica.leases().holding(Subject::Shard(shard)).owner else {
+            return Vec::new();
+        };
+        vec![Effect::Send(
+            owner,
+            Message::Ask {
+                customer,
+                tokens,
+                asked: now,
+                asker: own,
+            },
+        )]
+    }
+
+    pub(crate) fn receive(&mut self, now: u64, from: Incarnation, message: Message) -> Vec<Effect> {
+        let now = local(now, self.index);
+        self.follow_leases(now);
+        let leases = self.replica.leases();
+        let mut effects = Vec::new();
+        match message {
+            Message::Ask {
+                customer,
+                tokens,
+                asked,
+                asker,
+            } => {
+                let Some(pool) = self.usable_pool(now, customer) else {
+                    return effects;
+                };
+                if let Ok(approval) = pool.ask(now, tokens) {
+                    let granted = Message::Granted {
+                        customer,
+                        asked,
+                        asker,
+                        approval,
+                    };
+                    effects.push(Effect::Send(from, granted));
+                }
+                if let Some(ticket) = pool.ticket(now) {
+                    effects.push(Effect::Send(from, Message::Invite { customer, ticket }));
+                }
+            }
+            Message::Granted {
+                customer,
+                asked,
+                asker,
+                approval,
+            } => {
+                if asker != self.incarnation() {
+                    return effects;
+                }
+                let (hold, tokens) = (approval.hold, approval.tokens);
+                let admitted = Grant::new(asked, approval).admit(now);
+                if admitted.is_ok() || self.fault == Fault::GrantWithoutLifetime {
+                    effects.push(Effect::Admitted {
+                        customer,
+                        tokens,
+                        hold,
+                        from,
+                    });
+                } else {
+                    let unused = tokens;
+                    effects.push(Effect::Send(
+                        from,
+                        Message::GiveBack {
+                            customer,
+                            hold,
+                            unused,
+                        },
+                    ));
+                }
+            }
+            Message::Invite { customer, ticket } => {
+                if let Some((subject, _, floor)) = self.floors.get_mut(&customer)
+                    && self.holder.usable(now, leases, *subject)
+                    && let Some(donation) = floor.donate(now, ticket, now)
+                {
+                    effects.push(Effect::Send(from, Message::Donate { customer, donation }));
+                }
+            }
+            Message::Donate { customer, donation } => {
+                if let Some(pool) = self.usable_pool(now, customer) {
+                    pool.accept(now, donation);
+                }
+            }
+            Message::GiveBack {
+                customer,
+                hold,
+                unused,
+            } => {
+                if let Some((_, pool)) = self.pools.get_mut(&customer) {
+                    pool.give_back(now, hold, unused);
+                }
+                if let Some((_, _, floor)) = self.floors.get_mut(&customer) {
+                    floor.give_back(now, hold, unused);
+                }
+            }
+            Message::Owe {
+                customer,
+                hold,
+                extra,
+            } => {
+                if let Some((_, pool)) = self.pools.get_mut(&customer) {
+                    pool.owe(now, hold, extra);
+                }
+            }
+            Message::Handover { customer, handover } => {
+                self.handovers.push((now, customer, handover));
+                self.follow_leases(now);
+            }
+        }
+        effects
+    }
+
+    fn usable_pool(&mut self, now: Instant, customer: usize) -> Option<&mut Pool> {
+        let shard = Subject::Shard(Shard::of(CUSTOMERS[customer].as_bytes()));
+        if !self.usable(now, shard) {
+            return None;
+        }
+        self.pools.get_mut(&customer).map(|(_, pool)| pool)
+    }
+
+    fn usable(&self, now: Instant, subject: Subject) -> bool {
+        self.holder
+            .usable(self.lease_time(now), self.replica.leases(), subject)
+    }
+
+    /// Starts and drops buckets as leases come and go, and takes handovers that wait for a lease.
+    fn follow_leases(&mut self, now: Instant) {
+        let leases = self.replica.leases();
+        let seat = leases
+            .seats()
+            .find(|(_, holding)| holding.owner == Some(self.holder.incarnation()));
+        for (customer, name) in CUSTOMERS.iter().enumerate() {
+            let shard = Shard::of(name.as_bytes());
+            let holding = leases.holding(Subject::Shard(shard));
+            let since = holding.since;
+            if self
+                .pools
+                .get(&customer)
+                .is_some_and(|(pool_since, _)| *pool_since != since)
+            {
+                self.pools.remove(&customer);
+            }
+            if self.usable(now, Subject::Shard(shard)) && !self.pools.contains_key(&customer) {
+                let mut pool = Pool::new(now, self.limits, self.split, shard, since);
+                if self.fault == Fault::NewOwnerFull {
+                    let ticket = pool.ticket(now).expect("an empty pool invites");
+                    pool.accept(
+                        now,
+                        Donation {
+                            ticket,
+                            nanotokens: u64::MAX,
+                        },
+                    );
+                }
+                self.pools.insert(customer, (since, pool));
+            }
+            if let Some((_, pool)) = self.pools.get_mut(&customer) {
+                self.handovers.retain(|(_, of, handover)| {
+                    *of != customer || !pool.take_over(now, *handover, holding.predecessor)
+                });
+            }
+            let Some((seat, holding)) = seat else {
+                self.floors.remove(&customer);
+                continue;
+            };
+            let (subject, since) = (Subject::Seat(seat), holding.since);
+            if self
+                .floors
+                .get(&customer)
+                .is_some_and(|floor| (floor.0, floor.1) != (subject, since))
+            {
+                self.floors.remove(&customer);
+            }
+            if self.usable(now, subject) && !self.floors.contains_key(&customer) {
+                let floor = Floor::new(now, self.limits, self.split, seat, since);
+                self.floors.insert(customer, (subject, since, floor));
+            }
+        }
+        self.handovers
+            .retain(|(received, _, _)| now.since(*received).as_secs() < 10);
+    }
+
+    fn hand_over(
+        &mut self,
+        now: Instant,
+        subject: Subject,
+        since: Position,
+        successor: Incarnation,
+    ) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for (customer, name) in CUSTOMERS.iter().enumerate() {
+            if Subject::Shard(Shard::of(name.as_bytes())) != subject {
+                continue;
+            }
+            let Some((pool_since, pool)) = self.pools.remove(&customer) else {
+                continue;
+            };
+            if pool_since == since {
+                let handover = pool.hand_over(now);
+                effects.push(Effect::Send(
+                    successor,
+                    Message::Handover { customer, handover },
+                ));
+            }
+        }
+        effects
+    }
+
+    fn note_read_back(&mut self, now: Instant, change: &berylknot_coordination::lease::Change) {
+        let berylknot_coordination::lease::Change::Renewed { id, .. } = change else {
+            return;
+        };
+        if id.incarnation != self.incarnation() {
+            return;
+        }
+        if let Some((_, sent)) = self.last_sent.iter().find(|(sent, _)| *sent == id.sequence) {
+            self.read_back = now.since(*sent);
+        }
+    }
+
+    /// Time at which leases are checked: `now`, or earlier by the delay of the last read-back for
+    /// the fault that counts a lease from there.
+    fn lease_time(&self, now: Instant) -> Instant {
+        match self.fault {
+            Fault::LeaseFromReadBack => now - self.read_back,
+            _ => now,
+        }
+    }
+}
+
+/// The host's clock at a true time in microseconds: fast and slow by the full bound.
+pub(crate) fn local(micros: u64, host: u64) -> Instant {
+    let rate = [1_001_000, 999_000, 1_000_300, 999_500][(host % 4) as usize];
+    Instant::from_millis((micros * rate / 1_000_000 + host * 777_777_333) / 1_000)
+}
