--- /dev/null
+++ b/crates/coordination/examples/quota.rs
@@ -0,0 +1,48 @@
+//! A request takes tokens from a pool and returns what it did not use; a floor donates.
+
+use std::error::Error;
+
+use berylknot_coordination::clock::{Drift, Instant};
+use berylknot_coordination::lease::{Seat, Shard};
+use berylknot_coordination::quota::{Floor, Grant, Limits, Pool, Split};
+use berylknot_coordination::record::Position;
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let limits = Limits::new(2_000, 10_000)?;
+    let split = Split::new(Split::FLOOR_PER_MILLE, Seat::count(7), Drift::default())?;
+    let start = Instant::from_millis(0);
+    let since = Position::new(1, 0);
+    let mut pool = Pool::new(start, limits, split, Shard::of(b"registry"), since);
+    let mut floor = Floor::new(start, limits, split, Seat(0), since);
+
+    // The buckets of a new owner are empty and fill up.
+    let asked = Instant::from_millis(4_000);
+    println!(
+        "level after 4 s: pool {}, floor {}",
+        pool.bucket().level(asked),
+        floor.bucket().level(asked)
+    );
+    let approval = pool.ask(asked, 3_000)?;
+    let admitted_at = Instant::from_millis(4_010);
+    let hold = Grant::new(asked, approval).admit(admitted_at)?;
+
+    // The prompt had 200 tokens more than estimated; then the caller cancels.
+    pool.owe(Instant::from_millis(4_200), hold, 200);
+    let credited = pool.give_back(Instant::from_millis(4_500), hold, 2_500);
+    println!("credited {} tokens", credited / 1_000_000_000);
+
+    // A long prompt leaves the pool short of tokens, and it invites a donation.
+    let now = Instant::from_millis(6_000);
+    let long = pool.ask(now, 6_000)?;
+    println!("granted {} tokens", long.tokens);
+    if let Some(ticket) = pool.ticket(now)
+        && let Some(donation) = floor.donate(now, ticket, now)
+    {
+        let credited = pool.accept(Instant::from_millis(6_002), donation);
+        println!("donated {} tokens", credited / 1_000_000_000);
+    }
+    let refused = pool.ask(now, 1_000_000);
+    println!("too large a request: {refused:?}");
+    println!("too small a burst: {:?}", Limits::new(2_000, 1_000));
+    Ok(())
+}
--- /dev/null
+++ b/crates/coordination/tests/leases.rs
@@ -0,0 +1,288 @@
+//! Rules of the lease table, and how fleets spread shards when nothing fails.
+
+use std::time::Duration;
+
+use berylknot_coordination::clock::{Drift, Instant};
+use berylknot_coordination::lease::{Holder, Seat, Shard, Subject, Timing};
+use berylknot_coordination::record::{
+    Claim, Entry, Id, Incarnation, Position, Record, Release, Renew,
+};
+use berylknot_coordination::replica::{Change, Replica};
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use yare::parameterized;
+
+const SUBJECT: Subject = Subject::Shard(Shard::CONTROLLER);
+
+fn renew(host: u64, sequence: u64) -> Record {
+    let id = Id {
+        incarnation: Incarnation(host),
+        sequence,
+    };
+    let configuration_version = Position::default();
+    Record::Renew(Renew {
+        id,
+        host: format!("host-{host}"),
+        configuration_version,
+    })
+}
+
+fn claim(host: u64, expected: Position) -> Record {
+    let id = Id {
+        incarnation: Incarnation(host),
+        sequence: 100,
+    };
+    Record::Claim(Claim {
+        id,
+        subjects: vec![(SUBJECT, expected)],
+    })
+}
+
+fn release(host: u64, since: Position, successor: Option<u64>) -> Record {
+    let id = Id {
+        incarnation: Incarnation(host),
+        sequence: 200,
+    };
+    let successor = successor.map(Incarnation);
+    Record::Release(Release {
+        id,
+        subjects: vec![(SUBJECT, since)],
+        successor,
+        leaving: false,
+    })
+}
+
+/// Position of the record at `index` of the only entry.
+fn at(index: u8) -> Position {
+    Position::new(1, index)
+}
+
+/// Guards against replicas that accept a claim or a release out of turn.
+#[parameterized(
+    first_claim_wins = { vec![claim(1, at(0)), claim(2, Position::default()), claim(1, Position::default())], Some(2) },
+    claim_that_misses_a_renewal_is_void = {
+        vec![claim(1, Position::default()), renew(1, 2), claim(2, at(2))], Some(1)
+    },
+    claim_that_read_the_renewal_is_valid = {
+        vec![claim(1, Position::default()), renew(1, 2), claim(2, at(3))], Some(2)
+    },
+    repeated_renewal_is_ignored = {
+        vec![claim(1, Position::default()), renew(1, 2), renew(1, 2), claim(2, at(3))], Some(2)
+    },
+    late_copy_of_a_release_is_void = {
+        vec![
+            claim(1, Position::default()), release(1, at(2), None),
+            claim(1, at(3)), release(1, at(2), None),
+        ], Some(1)
+    },
+    release_of_another_owner_is_void = {
+        vec![claim(1, Position::default()), release(2, at(2), None)], Some(1)
+    },
+    release_names_a_successor = {
+        vec![claim(1, Position::default()), release(1, at(2), Some(2))], Some(2)
+    },
+    unknown_successor_is_ignored = {
+        vec![claim(1, Position::default()), release(1, at(2), Some(9))], None
+    },
+    claim_without_a_renewal_is_void = { vec![claim(9, Position::default())], None },
+)]
+fn table_follows_the_rules(records: Vec<Record>, owner: Option<u64>) {
+    let mut replica = Replica::default();
+    let mut all = vec![renew(1, 1), renew(2, 1)];
+    all.extend(records);
+    replica.apply(&Entry {
+        offset: 1,
+        appended_at_ms: 0,
+        records: all,
+    });
+    assert_eq!(
+        replica.leases().holding(SUBJECT).owner,
+        owner.map(Incarnation)
+    );
+}
+
+/// Guards against a damaged record that names a shard or seat which does not exist.
+#[test]
+fn claims_of_subjects_that_do_not_exist_are_ignored() {
+    let mut replica = Replica::default();
+    let id = Id {
+        incarnation: Incarnation(1),
+        sequence: 2,
+    };
+    let subjects = vec![(Subject::Seat(Seat(Seat::LIMIT)), Position::default())];
+    let records = vec![renew(1, 1), Record::Claim(Claim { id, subjects })];
+    let changes = replica.apply(&Entry {
+        offset: 1,
+        appended_at_ms: 0,
+        records,
+    });
+    assert_eq!(changes.len(), 1);
+}
+
+/// Guards against a waiting time that is shorter than another host's lease at the drift bound.
+///
+/// Clocks are in microseconds here; 1 + 2 x drift in place of the exact factor fails.
+#[test]
+fn waiting_time_covers_the_drift_of_both_clocks() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let config = Config {
+        cases: 20_000,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let strategy = (
+        1..4_000_000_u64,
+        0..100_000_u64,
+        0..1_000_u128,
+        0..1_000_u128,
+    );
+    let result = runner.run(&strategy, |(millis, drift, holder_phase, waiter_phase)| {
+        let lease = Duration::from_millis(millis);
+        let bound = Drift::from_parts_per_million(u32::try_from(drift).expect("small"));
+        let waited = bound.surely_passed(lease).as_millis();
+        // Both start at true time zero; clocks are rounded down to milliseconds.
+        let (slow, fast) = (1_000_000 - u128::from(drift), 1_000_000 + u128::from(drift));
+        let waiter_true = (waited * 1_000 - waiter_phase) * 1_000_000 / fast;
+        let holder = (waiter_true * slow / 1_000_000 + holder_phase) / 1_000;
+        assert!(
+            holder >= u128::from(millis),
+            "{holder} ms of {millis} ms passed"
+        );
+        Ok(())
+    });
+    assert!(result.is_ok(), "{result:?}");
+}
+
+struct Fleet {
+    now: u64,
+    log: Vec<Entry>,
+    hosts: Vec<(u64, Replica, Holder)>,
+    claims: usize,
+}
+
+impl Fleet {
+    /// Time between turns in milliseconds.
+    const TURN: u64 = 250;
+
+    /// Hosts that start evenly over `spread` milliseconds.
+    fn new(hosts: u64, spread: u64) -> Self {
+        let seats = Seat::count(u16::try_from(hosts).expect("a small fleet"));
+        let host = |number: u64| {
+            let start = spread * number / hosts;
+            let name = format!("host-{number}");
+            let timing = Timing::default();
+            let incarnation = Incarnation(start << 20 | number);
+            let holder = Holder::new(
+                Instant::from_millis(start),
+                incarnation,
+                name,
+                seats,
+                timing,
+            );
+            (start, Replica::default(), holder)
+        };
+        Self {
+            now: 0,
+            log: Vec::new(),
+            hosts: (0..hosts).map(host).collect(),
+            claims: 0,
+        }
+    }
+
+    fn run(&mut self, until: u64) {
+        while self.now < until {
+            self.now += Self::TURN;
+            let now = Instant::from_millis(self.now);
+            for (start, replica, holder) in &mut self.hosts {
+                if *start > self.now {
+                    continue;
+                }
+                let from = usize::try_from(replica.next_offset().max(1) - 1).expect("a small log");
+                for entry in &self.log[from..] {
+                    for change in replica.apply(entry) {
+                        if let Change::Lease(change) = change {
+                            holder.observe(now, &change);
+                        }
+                    }
+                }
+                let records = holder.tick(now, replica.leases());
+                self.claims += records
+                    .iter()
+                    .filter(|record| matches!(record, Record::Claim(_)))
+                    .count();
+                if !records.is_empty() {
+                    let offset = self.log.len() as u64 + 1;
+                    self.log.push(Entry {
+                        offset,
+                        appended_at_ms: self.now,
+                        records,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Number of usable shards and seats of each host.
+    fn held(&self) -> Vec<(usize, usize)> {
+        let now = Instant::from_millis(self.now);
+        let held = self
+            .hosts
+            .iter()
+            .map(|(_, replica, holder)| holder.held(now, replica.leases()));
+        held.map(|held| {
+            let seats = held
+                .iter()
+                .filter(|(s, _)| matches!(s, Subject::Seat(_)))
+                .count();
+            (held.len() - seats, seats)
+        })
+        .collect()
+    }
+}
+
+/// Guards against slow starts, uneven shares and competing claims in a fleet without faults.
+///
+/// The bounds are the listening time and two renewals when hosts start together, and the time to
+/// see a stable fleet and one round of releases more when they start over some time.
+#[parameterized(
+    seven_at_once = { 7, 0, 15_000 },
+    seven_over_time = { 7, 20_000, 55_000 },
+    sixty_over_time = { 60, 30_000, 65_000 },
+    all_at_once = { 360, 0, 15_000 },
+)]
+fn fleet_spreads_shards_evenly(hosts: u64, spread: u64, bound: u64) {
+    let mut fleet = Fleet::new(hosts, spread);
+    fleet.run(bound);
+    let held = fleet.held();
+    let shards = || held.iter().map(|(shards, _)| *shards);
+    assert_eq!(
+        shards().sum::<usize>(),
+        Shard::COUNT,
+        "each shard has one owner"
+    );
+    let (least, most) = (shards().min().unwrap(), shards().max().unwrap());
+    assert!(most - least <= 1, "between {least} and {most} shards");
+    assert!(
+        held.iter().all(|(_, seats)| *seats == 1),
+        "each host has one seat"
+    );
+    let hosts = usize::try_from(hosts).expect("a small fleet");
+    assert!(fleet.claims <= 2 * hosts, "{} claims", fleet.claims);
+}
+
+/// Guards against a graceful shutdown whose shards wait for the lease to expire.
+#[test]
+fn leaving_host_hands_its_shards_over_at_once() {
+    let mut fleet = Fleet::new(7, 0);
+    fleet.run(20_000);
+    fleet.hosts[3].2.leave();
+    fleet.run(22_000);
+    let held = fleet.held();
+    assert_eq!(held[3], (0, 0));
+    assert_eq!(
+        held.iter().map(|(shards, _)| shards).sum::<usize>(),
+        Shard::COUNT
+    );
+    let (_, replica, holder) = &fleet.hosts[3];
+    assert!(holder.released(replica.leases()));
+}
