--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod configuration;
 pub mod record;
 pub mod replica;
+pub mod snapshot;
--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::claim;
+use crate::{claim, snapshot};
 
 /// Random number that identifies one start of a coordinator process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -76,6 +76,8 @@
     Batch(Id),
     /// Claims, finishes or abandons an idempotency key.
     Key(claim::Event),
+    /// Part of a snapshot of the replicated state.
+    Snapshot(snapshot::Chunk),
 }
 
 /// Proposal of a configuration by an operator.
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -4,6 +4,7 @@
 
 use crate::configuration::{Register, Verdict};
 use crate::record::{Entry, Id, Position, Record};
+use crate::snapshot::{self, Snapshot};
 use crate::{append, claim};
 
 /// Effect of a record on the derived state.
@@ -45,6 +46,7 @@
     configuration: Register,
     batches: append::Table,
     claims: claim::Table,
+    snapshots: snapshot::Table,
 }
 
 impl Default for Replica {
@@ -55,6 +57,7 @@
             configuration: Register::default(),
             batches: append::Table::default(),
             claims: claim::Table::default(),
+            snapshots: snapshot::Table::default(),
         }
     }
 }
@@ -86,6 +89,7 @@
         // The log's clock may be corrected backwards; periods are measured on its highest reading.
         self.log_time_ms = self.log_time_ms.max(entry.appended_at_ms);
         let time_ms = self.log_time_ms;
+        self.snapshots.entry(time_ms);
         self.batches.forget(time_ms);
         self.claims.forget(time_ms);
         let mut changes = Vec::new();
@@ -107,11 +111,60 @@
                     id: event.id(),
                     verdict: self.claims.apply(position, time_ms, event),
                 }),
+                Record::Snapshot(chunk) => self.snapshots.apply(time_ms, chunk),
             }
         }
         changes
     }
 
+    /// Whether entries that this replica needs have expired, given the oldest offset of the log.
+    ///
+    /// It must then restore a snapshot of the log or of a peer before it goes on.
+    #[must_use]
+    pub const fn is_behind(&self, oldest: u64) -> bool {
+        self.next_offset < oldest
+    }
+
+    /// Encodes the whole replicated state.
+    ///
+    /// # Errors
+    /// Fails when the state cannot be represented in MessagePack.
+    pub fn snapshot(&self) -> snapshot::Result<Snapshot> {
+        Ok(Snapshot {
+            next_offset: self.next_offset,
+            bytes: rmp_serde::to_vec_named(self)?,
+        })
+    }
+
+    /// Replaces the state by that of a snapshot; false when the own state is at least as new, in
+    /// which case nothing changes.
+    ///
+    /// # Errors
+    /// Fails, without a change, when the bytes are no state for the snapshot's offset.
+    pub fn restore(&mut self, snapshot: &Snapshot) -> snapshot::Result<bool> {
+        if snapshot.next_offset <= self.next_offset {
+            return Ok(false);
+        }
+        let state: Self = rmp_serde::from_slice(&snapshot.bytes)?;
+        if state.next_offset != snapshot.next_offset {
+            return Err(snapshot::Error::Offset {
+                claimed: snapshot.next_offset,
+                found: state.next_offset,
+            });
+        }
+        *self = state;
+        Ok(true)
+    }
+
+    /// Approximate memory in bytes.
+    #[must_use]
+    pub fn size_bytes(&self) -> usize {
+        self.configuration.size_bytes()
+            + self.batches.size_bytes()
+            + self.claims.size_bytes()
+            + self.snapshots.size_bytes()
+    }
+
     /// Offset of the first entry that was not applied.
     #[must_use]
     pub const fn next_offset(&self) -> u64 {
@@ -136,6 +189,12 @@
         &self.batches
     }
 
+    /// Snapshots in the log.
+    #[must_use]
+    pub const fn snapshots(&self) -> &snapshot::Table {
+        &self.snapshots
+    }
+
     /// Idempotency keys.
     #[must_use]
     pub const fn claims(&self) -> &claim::Table {
--- /dev/null
+++ b/crates/coordination/src/snapshot.rs
@@ -0,0 +1,365 @@
+//! Snapshots of the replicated state in the log, and recovery of a host that misses entries.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::clock::Instant;
+use crate::record::{Entry, Id, Record};
+
+/// Largest chunk in bytes; a batch of 1 MiB holds it in any encoding of its bytes.
+pub const CHUNK_BYTES: usize = 256 << 10;
+
+/// Largest snapshot in bytes: 16 MiB of keys, 4 MiB of configuration and the small tables fit.
+pub const MAX_BYTES: usize = 32 << 20;
+
+/// Snapshots that are written at the same time; chunks of more are not put together.
+pub const MAX_OPEN: usize = 2;
+
+/// Time for which the next host in turn waits for the one before it to write.
+pub const TURN: Duration = Duration::from_secs(10);
+
+/// Part of the log's retention after which a new snapshot is due.
+pub const RETENTION_PARTS: u64 = 4;
+
+/// Result of snapshot operations.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Reasons for which a snapshot cannot be written or restored.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum Error {
+    /// The state cannot be encoded.
+    #[error("snapshot cannot be encoded: {0}")]
+    Encode(#[from] rmp_serde::encode::Error),
+    /// The bytes are no state of this or an adjacent release.
+    #[error("snapshot cannot be decoded: {0}")]
+    Decode(#[from] rmp_serde::decode::Error),
+    /// The state is too large for the log.
+    #[error("snapshot of {bytes} bytes is too large")]
+    Large {
+        /// Size of the encoded state in bytes.
+        bytes: usize,
+    },
+    /// The bytes hold the state at another offset than the snapshot claims.
+    #[error("snapshot for offset {claimed} holds the state for offset {found}")]
+    Offset {
+        /// Offset that the snapshot names.
+        claimed: u64,
+        /// Offset of the state.
+        found: u64,
+    },
+}
+
+/// Replicated state before an offset, in encoded form.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Offset of the first entry that the state does not contain.
+    pub next_offset: u64,
+    /// State in MessagePack.
+    pub bytes: Vec<u8>,
+}
+
+/// Part of a snapshot in the log. Chunks of a snapshot appear in order of their index.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Chunk {
+    /// Id of the snapshot.
+    pub id: Id,
+    /// Offset of the first entry that the snapshot does not contain.
+    pub next_offset: u64,
+    /// Number of the chunk, from zero.
+    pub index: u16,
+    /// Number of chunks.
+    pub count: u16,
+    /// SHA-256 of the whole snapshot.
+    pub digest: [u8; 32],
+    /// Bytes of this chunk, at most [`CHUNK_BYTES`].
+    pub bytes: Vec<u8>,
+}
+
+/// Cuts a snapshot into chunks for the log, of at most `chunk_bytes` and [`CHUNK_BYTES`] bytes.
+///
+/// # Errors
+/// Fails when the snapshot exceeds [`MAX_BYTES`] or would need more than [`u16::MAX`] chunks.
+pub fn split(id: Id, snapshot: &Snapshot, chunk_bytes: usize) -> Result<VecDeque<Chunk>> {
+    let bytes = snapshot.bytes.len();
+    let chunk_bytes = chunk_bytes.clamp(1, CHUNK_BYTES);
+    let count = u16::try_from(bytes.div_ceil(chunk_bytes)).ok();
+    let Some(count) = count.filter(|_| bytes <= MAX_BYTES) else {
+        return Err(Error::Large { bytes });
+    };
+    let digest = Sha256::digest(&snapshot.bytes).into();
+    let chunks = (0..count).zip(snapshot.bytes.chunks(chunk_bytes));
+    let chunks = chunks
+        .map(|(index, bytes)| Chunk {
+            id,
+            next_offset: snapshot.next_offset,
+            index,
+            count,
+            digest,
+            bytes: bytes.to_vec(),
+        })
+        .collect();
+    Ok(chunks)
+}
+
+/// Replicated table of the snapshots in the log; it lets hosts agree when the next one is due.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Table {
+    open: VecDeque<Progress>,
+    chunks: u64,
+    latest: Latest,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Progress {
+    id: Id,
+    next_index: u16,
+}
+
+/// Latest complete snapshot in the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Latest {
+    /// Offset of the first entry that it does not contain; zero when there is none.
+    pub next_offset: u64,
+    /// Append time of its last chunk, or of the first entry when there is no snapshot.
+    pub time_ms: u64,
+}
+
+impl Table {
+    /// Takes note of an entry's time.
+    pub fn entry(&mut self, time_ms: u64) {
+        if self.latest == Latest::default() {
+            self.latest.time_ms = time_ms;
+        }
+    }
+
+    /// Takes note of a chunk.
+    pub fn apply(&mut self, time_ms: u64, chunk: &Chunk) {
+        self.chunks += 1;
+        if chunk.index == 0 {
+            self.open.retain(|open| open.id != chunk.id);
+            self.open.push_back(Progress {
+                id: chunk.id,
+                next_index: 0,
+            });
+            if self.open.len() > MAX_OPEN {
+                self.open.pop_front();
+            }
+        }
+        let Some(at) = self.open.iter().position(|open| open.id == chunk.id) else {
+            return;
+        };
+        if self.open[at].next_index != chunk.index {
+            return;
+        }
+        self.open[at].next_index += 1;
+        if self.open[at].next_index < chunk.count {
+            return;
+        }
+        self.open.remove(at);
+        if chunk.next_offset > self.latest.next_offset {
+            self.latest = Latest {
+                next_offset: chunk.next_offset,
+                time_ms,
+            };
+        }
+    }
+
+    /// Latest complete snapshot.
+    #[must_use]
+    pub const fn latest(&self) -> Latest {
+        self.latest
+    }
+
+    /// Approximate memory in bytes.
+    #[must_use]
+    pub fn size_bytes(&self) -> usize {
+        size_of::<Self>() + self.open.len() * size_of::<Progress>()
+    }
+}
+
+/// Decides when this host writes a snapshot.
+///
+/// A snapshot is due when a quarter of the retention has passed since the latest one by the log's
+/// clock. Hosts then take turns in an order that a hash of host name and latest snapshot gives;
+/// each waits [`TURN`] by its own clock for every host before it, and while chunks of another host
+/// appear.
+#[derive(Clone, Debug)]
+pub struct Schedule {
+    retention: Duration,
+    seen: Option<(Latest, u64, Instant)>,
+    not_before: Instant,
+}
+
+impl Schedule {
+    /// Makes the schedule for a log with this retention.
+    #[must_use]
+    pub const fn new(retention: Duration) -> Self {
+        Self {
+            retention,
+            seen: None,
+            not_before: Instant::from_millis(0),
+        }
+    }
+
+    /// Whether this host must write a snapshot now. `hosts` are the configured or live hosts.
+    ///
+    /// The caller asks only while it writes no snapshot. After a true answer the next one follows
+    /// [`TURN`] later at the earliest, so that the host can read its own chunks back.
+    pub fn due<'a>(
+        &mut self,
+        now: Instant,
+        host: &str,
+        hosts: impl IntoIterator<Item = &'a str>,
+        table: &Table,
+        log_time_ms: u64,
+    ) -> bool {
+        let age_ms = u128::from(log_time_ms.saturating_sub(table.latest.time_ms));
+        if age_ms * u128::from(RETENTION_PARTS) < self.retention.as_millis() {
+            self.seen = None;
+            return false;
+        }
+        let since = match self.seen {
+            Some((latest, chunks, since)) if (latest, chunks) == (table.latest, table.chunks) => {
+                since
+            }
+            _ => {
+                self.seen = Some((table.latest, table.chunks, now));
+                now
+            }
+        };
+        let own = rank(host, table.latest);
+        let before = hosts
+            .into_iter()
+            .filter(|other| rank(other, table.latest) < own)
+            .count();
+        // Chunks of another host may still follow.
+        let turns = before + usize::from(!table.open.is_empty());
+        let turns = u32::try_from(turns).unwrap_or(u32::MAX);
+        let due = now >= self.not_before && now.since(since) >= TURN.saturating_mul(turns);
+        if due {
+            self.not_before = now + TURN;
+        }
+        due
+    }
+}
+
+fn rank(host: &str, latest: Latest) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    hash.update(latest.next_offset.to_be_bytes());
+    hash.update(host.as_bytes());
+    hash.finalize().into()
+}
+
+/// Puts snapshots of the log together for a host that misses entries.
+///
+/// The host feeds all entries from the oldest one to the tail, restores the best snapshot and reads
+/// again from its `next_offset`.
+#[derive(Clone, Debug, Default)]
+pub struct Search {
+    open: BTreeMap<Id, (u64, Vec<u8>, u16)>,
+    best: Option<Snapshot>,
+}
+
+impl Search {
+    /// Takes the next entry.
+    pub fn read(&mut self, entry: &Entry) {
+        for record in &entry.records {
+            if let Record::Snapshot(chunk) = record {
+                self.chunk(entry.offset, chunk);
+            }
+        }
+    }
+
+    /// Snapshot that holds up to the highest offset and after which no entry has expired.
+    #[must_use]
+    pub fn best(self, oldest: u64) -> Option<Snapshot> {
+        self.best.filter(|best| best.next_offset >= oldest)
+    }
+
+    fn chunk(&mut self, offset: u64, chunk: &Chunk) {
+        let known = self.best.as_ref().map_or(0, |best| best.next_offset);
+        if chunk.next_offset <= known {
+            return;
+        }
+        if chunk.index == 0 {
+            if !self.open.contains_key(&chunk.id) && self.open.len() >= MAX_OPEN {
+                let first = self.open.iter().min_by_key(|(_, open)| open.0);
+                if let Some(id) = first.map(|(id, _)| *id) {
+                    self.open.remove(&id);
+                }
+            }
+            self.open.insert(chunk.id, (offset, Vec::new(), 0));
+        }
+        let Some((_, bytes, next_index)) = self.open.get_mut(&chunk.id) else {
+            return;
+        };
+        if *next_index != chunk.index || bytes.len() + chunk.bytes.len() > MAX_BYTES {
+            return;
+        }
+        bytes.extend_from_slice(&chunk.bytes);
+        *next_index += 1;
+        if *next_index < chunk.count {
+            return;
+        }
+        let Some((_, bytes, _)) = self.open.remove(&chunk.id) else {
+            return;
+        };
+        if <[u8; 32]>::from(Sha256::digest(&bytes)) == chunk.digest {
+            self.best = Some(Snapshot {
+                next_offset: chunk.next_offset,
+                bytes,
+            });
+        }
+    }
+}
+
+/// Last applied entries, for peers that a slow log keeps behind.
+#[derive(Clone, Debug)]
+pub struct Recent {
+    entries: VecDeque<(Entry, usize)>,
+    bytes: usize,
+    max_bytes: usize,
+}
+
+impl Recent {
+    /// Keeps entries of at most `max_bytes` in total.
+    #[must_use]
+    pub const fn new(max_bytes: usize) -> Self {
+        Self {
+            entries: VecDeque::new(),
+            bytes: 0,
+            max_bytes,
+        }
+    }
+
+    /// Takes an entry of `bytes` encoded bytes that the own replica has just applied.
+    pub fn push(&mut self, entry: Entry, bytes: usize) {
+        self.bytes += bytes;
+        self.entries.push_back((entry, bytes));
+        while self.bytes > self.max_bytes {
+            let Some((_, bytes)) = self.entries.pop_front() else {
+                return;
+            };
+            self.bytes -= bytes;
+        }
+    }
+
+    /// Entries from an offset on, or none when the peer needs a snapshot of the replica instead.
+    pub fn from(&self, offset: u64) -> Option<impl Iterator<Item = &Entry>> {
+        let first = self.entries.front()?.0.offset;
+        (first <= offset).then(|| {
+            let entries = self.entries.iter().map(|(entry, _)| entry);
+            entries.filter(move |entry| entry.offset >= offset)
+        })
+    }
+
+    /// Drops all entries, after the own replica has restored a snapshot.
+    pub fn clear(&mut self) {
+        self.entries.clear();
+        self.bytes = 0;
+    }
+}
