Add the freshness rule and prove that withdrawn keys are refused in time

Cause: a withdrawn key must stop everywhere within 10 s, and keys must go on working when the log is down for all hosts (design 5.7).

Change: knowledge of the tail counts from the sending of the read that showed it, and only once the own replica has reached that tail. A peer's word counts from the sending of the question it answers, minus its age with the drift margin. A host reaches the log while its last read was sent within 3 s; in an outage the answers of a majority count for 6 s, and only from ready peers that reach no log and know no more than the host itself.

Ruled out: counting pushed messages (their time under way is unknown) and restarted peers (they no longer know what they had read); both are faults of the proof and let a withdrawn key work. Reaching the log for 10 s instead of 3 s would leave a gap in which knowledge has run out and no majority agrees yet.

The seven faults are each reported.

Conclusion: refusal 10 s after the append, or 6 s after a majority has read the withdrawal, whichever is later, plus 250 ms for ticks and drift. Uncovered, as stated in the design: a majority that can neither read the log nor hear a host that has.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod claim;
 pub mod clock;
 pub mod configuration;
+pub mod freshness;
 pub mod record;
 pub mod replica;
 pub mod snapshot;
--- /dev/null
+++ b/crates/coordination/tests/freshness.rs
@@ -0,0 +1,492 @@
+//! Proof of freshness: a withdrawn key is refused everywhere in time, and keys work in a general
+//! outage.
+
+mod support;
+
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet};
+
+use berylknot_coordination::clock::{Drift, Instant};
+use berylknot_coordination::configuration::{Readiness, Report};
+use berylknot_coordination::freshness::{HEARD, LIMIT, Line, Verdict, Word};
+use berylknot_coordination::record::{Entry, Id, Incarnation, Position, Publish, Record};
+use berylknot_coordination::replica::Replica;
+use berylknot_coordination::snapshot::Recent;
+use proptest::prelude::*;
+use support::log::Log;
+use support::network::Network;
+use support::run::{Agreement, Result, catches, holds};
+
+const HOSTS: usize = 5;
+const MAJORITY: usize = HOSTS / 2 + 1;
+const TICK_MS: u64 = 100;
+/// Two ticks and the drift of 10 s.
+const SLACK_MS: u64 = 250;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    None,
+    /// Keys are honoured whatever the verdict is.
+    VerdictIgnored,
+    /// The age that a peer states is taken as zero.
+    AgeIgnored,
+    /// Knowledge of the tail counts although the replica has not reached it.
+    TailIgnored,
+    /// A host alone takes itself for a majority.
+    MinorityIsEnough,
+    /// A peer's answer counts from its arrival.
+    CountedOnArrival,
+    /// Restarted hosts that know nothing count towards the majority.
+    UnreadyCount,
+    /// There is no rule for a general outage.
+    NoOutageRule,
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Withdraw,
+    Crash {
+        host: usize,
+        count: usize,
+    },
+    Pause {
+        host: usize,
+        millis: u64,
+    },
+    ToggleLog,
+    /// Connects or cuts a host's link to the log.
+    ToggleLink {
+        host: usize,
+    },
+    /// Cuts the hosts whose bit is set from the others; zero heals.
+    Split(u8),
+    Wait(u64),
+}
+
+#[derive(Clone, Debug)]
+struct Plan {
+    seed: u64,
+    trouble_percent: u32,
+    rates: [u64; HOSTS],
+    steps: Vec<Step>,
+}
+
+fn plans() -> impl Strategy<Value = Plan> {
+    let step = prop_oneof![
+        4 => Just(Step::Withdraw),
+        1 => (0..HOSTS, 1..HOSTS).prop_map(|(host, count)| Step::Crash { host, count }),
+        1 => (0..HOSTS, 1_000_u64..15_000).prop_map(|(host, millis)| Step::Pause { host, millis }),
+        2 => Just(Step::ToggleLog),
+        3 => (0..HOSTS).prop_map(|host| Step::ToggleLink { host }),
+        3 => prop_oneof![Just(0_u8), 0_u8..32].prop_map(Step::Split),
+        6 => (0_u64..25_000).prop_map(Step::Wait),
+    ];
+    let trouble = prop_oneof![Just(0_u32), 0_u32..40];
+    let rates = proptest::array::uniform5(999_000_u64..=1_001_000);
+    let steps = proptest::collection::vec(step, 5..30);
+    (any::<u64>(), trouble, rates, steps).prop_map(|(seed, trouble_percent, rates, steps)| Plan {
+        seed,
+        trouble_percent,
+        rates,
+        steps,
+    })
+}
+
+#[derive(Clone)]
+enum Message {
+    Entries(usize, Incarnation, Instant, Vec<Entry>, u64),
+    Ask(usize, Incarnation, usize, Instant, u64),
+    Word(usize, Incarnation, usize, Instant, Word, Vec<Entry>),
+}
+
+struct Host {
+    incarnation: Incarnation,
+    replica: Replica,
+    recent: Recent,
+    line: Line<usize>,
+    readiness: Readiness<usize>,
+    ready: bool,
+    linked: bool,
+    paused_until: u64,
+}
+
+struct Withdrawal {
+    position: Position,
+    appended_ms: u64,
+    known_by: BTreeSet<usize>,
+    majority_ms: Option<u64>,
+}
+
+struct World {
+    fault: Fault,
+    rates: [u64; HOSTS],
+    now_ms: u64,
+    starts: u64,
+    log: Log,
+    log_up: bool,
+    split: u8,
+    changed_ms: u64,
+    network: Network<Message>,
+    hosts: Vec<Host>,
+    withdrawals: BTreeMap<Position, Withdrawal>,
+    fresh: usize,
+    outage: usize,
+    stale: usize,
+    calm_outage: usize,
+    agreement: Agreement,
+}
+
+impl World {
+    fn new(plan: &Plan, fault: Fault) -> Self {
+        let mut world = Self {
+            fault,
+            rates: plan.rates,
+            now_ms: 1_000_000,
+            starts: 0,
+            log: Log::new(u64::MAX / 2),
+            log_up: true,
+            split: 0,
+            changed_ms: 0,
+            network: Network::new(plan.seed, plan.trouble_percent),
+            hosts: Vec::new(),
+            withdrawals: BTreeMap::new(),
+            fresh: 0,
+            outage: 0,
+            stale: 0,
+            calm_outage: 0,
+            agreement: Agreement::default(),
+        };
+        for _ in 0..HOSTS {
+            let host = world.start();
+            world.hosts.push(host);
+        }
+        world
+    }
+
+    fn start(&mut self) -> Host {
+        self.starts += 1;
+        let configured = match self.fault {
+            Fault::MinorityIsEnough => 1,
+            Fault::NoOutageRule => 100,
+            _ => HOSTS,
+        };
+        Host {
+            incarnation: Incarnation(self.starts),
+            replica: Replica::default(),
+            recent: Recent::new(10_000),
+            line: Line::new(configured, Drift::default()),
+            readiness: Readiness::new(HOSTS),
+            ready: false,
+            linked: true,
+            paused_until: 0,
+        }
+    }
+
+    fn clock(&self, host: usize) -> Instant {
+        Instant::from_millis(self.now_ms * self.rates[host] / 1_000_000)
+    }
+
+    fn withdraw(&mut self) {
+        if !self.log_up {
+            return;
+        }
+        let base_version = self
+            .withdrawals
+            .keys()
+            .next_back()
+            .copied()
+            .unwrap_or_default();
+        let id = Id {
+            incarnation: Incarnation(0),
+            sequence: self.now_ms,
+        };
+        let publish = Publish {
+            id,
+            base_version,
+            document: String::new(),
+        };
+        let offset = self.log.append(self.now_ms, vec![Record::Publish(publish)]);
+        let position = Position::new(offset, 0);
+        self.withdrawals.insert(
+            position,
+            Withdrawal {
+                position,
+                appended_ms: self.now_ms,
+                known_by: BTreeSet::new(),
+                majority_ms: None,
+            },
+        );
+        self.now_ms += 1;
+    }
+
+    fn connected(&self, left: usize, right: usize) -> bool {
+        self.split >> left & 1 == self.split >> right & 1
+    }
+
+    fn apply(&mut self, host: usize, entries: &[Entry]) -> Result {
+        for entry in entries {
+            let one = &mut self.hosts[host];
+            if entry.offset != one.replica.next_offset() {
+                continue;
+            }
+            one.replica.apply(entry);
+            one.recent.push(entry.clone(), 1);
+            self.agreement.check(&one.replica)?;
+            let known = self.withdrawals.get_mut(&Position::new(entry.offset, 0));
+            if let Some(withdrawal) = known {
+                withdrawal.known_by.insert(host);
+                // From here on no majority can be ignorant.
+                if HOSTS - withdrawal.known_by.len() < MAJORITY {
+                    withdrawal.majority_ms.get_or_insert(self.now_ms);
+                }
+            }
+        }
+        let one = &mut self.hosts[host];
+        one.line.applied(one.replica.next_offset());
+        Ok(())
+    }
+
+    fn deliver(&mut self, message: Message) -> Result {
+        match message {
+            Message::Entries(host, incarnation, sent, entries, tail) => {
+                if self.hosts[host].incarnation == incarnation && self.hosts[host].linked {
+                    self.apply(host, &entries)?;
+                    let one = &mut self.hosts[host];
+                    let applied = one.replica.next_offset();
+                    one.line.read_tail(sent, tail, applied);
+                    one.readiness.tail(tail);
+                }
+            }
+            Message::Ask(from, incarnation, to, asked, offset) => {
+                if !self.connected(from, to) {
+                    return Ok(());
+                }
+                let now = self.clock(to);
+                let lossy = self.network.trouble();
+                let peer = &self.hosts[to];
+                let ready = peer.ready || self.fault == Fault::UnreadyCount;
+                let word = peer.line.word(now, ready, peer.replica.next_offset());
+                let entries = peer.recent.from(offset).filter(|_| !lossy);
+                let entries = entries.map(|entries| entries.cloned().collect());
+                let entries = entries.unwrap_or_default();
+                let message = Message::Word(from, incarnation, to, asked, word, entries);
+                self.network.send(self.now_ms, 8_000, &message);
+            }
+            Message::Word(host, incarnation, from, asked, word, entries) => {
+                if self.hosts[host].incarnation == incarnation && self.connected(from, host) {
+                    self.heard(host, from, asked, word, &entries)?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn heard(
+        &mut self,
+        host: usize,
+        from: usize,
+        mut asked: Instant,
+        mut word: Word,
+        entries: &[Entry],
+    ) -> Result {
+        self.apply(host, entries)?;
+        if self.fault == Fault::CountedOnArrival {
+            asked = self.clock(host);
+        }
+        if let Some(tail) = &mut word.tail {
+            match self.fault {
+                Fault::AgeIgnored => tail.age_ms = 0,
+                Fault::TailIgnored => tail.next_offset = 0,
+                _ => {}
+            }
+        }
+        let one = &mut self.hosts[host];
+        one.line.heard(from, asked, word, one.replica.next_offset());
+        let report = Report {
+            ready: word.ready,
+            next_offset: word.next_offset,
+        };
+        one.readiness.heard(from, asked, report);
+        Ok(())
+    }
+
+    fn poll(&mut self, host: usize) -> Result {
+        let now = self.clock(host);
+        let one = &mut self.hosts[host];
+        let applied = one.replica.next_offset();
+        one.ready = one.readiness.poll(now, applied);
+        let incarnation = one.incarnation;
+        if self.log_up && one.linked && self.now_ms.is_multiple_of(500) {
+            let entries = self.log.read(applied);
+            assert!(entries.oldest <= applied);
+            let tail = entries
+                .entries
+                .last()
+                .map_or(applied, |entry| entry.offset + 1);
+            let message = Message::Entries(host, incarnation, now, entries.entries, tail);
+            self.network.send(self.now_ms, 5_000, &message);
+        }
+        if self.now_ms.is_multiple_of(1_000) {
+            let round = (self.now_ms / 1_000) as usize % (HOSTS - 1);
+            for turn in 0..HOSTS - 1 {
+                if turn == round || self.hosts[host].line.needs_majority(now) {
+                    let peer = (host + 1 + turn) % HOSTS;
+                    let ask = Message::Ask(host, incarnation, peer, now, applied);
+                    self.network.send(self.now_ms, 8_000, &ask);
+                }
+            }
+        }
+        self.oracle(host)
+    }
+
+    fn oracle(&mut self, host: usize) -> Result {
+        let one = &self.hosts[host];
+        let verdict = one
+            .line
+            .verdict(self.clock(host), one.replica.next_offset());
+        match verdict {
+            Verdict::Fresh { .. } => self.fresh += 1,
+            Verdict::Outage { .. } => self.outage += 1,
+            Verdict::Stale => self.stale += 1,
+        }
+        let honours = one.ready && verdict != Verdict::Stale;
+        if honours || self.fault == Fault::VerdictIgnored {
+            self.refused_in_time(host, verdict)?;
+        }
+        let ready = one.ready;
+        if ready && self.calm_majority(host) && !honours {
+            return Err(format!(
+                "host {host} refuses in a general outage at {}",
+                self.now_ms
+            ));
+        }
+        Ok(())
+    }
+
+    /// Oracle: a host honours a withdrawn key for 10 s, or while no majority can know of it.
+    fn refused_in_time(&self, host: usize, verdict: Verdict) -> Result {
+        let version = self.hosts[host].replica.configuration().version();
+        let mut later = self
+            .withdrawals
+            .values()
+            .filter(|one| one.position > version);
+        let Some(withdrawal) = later.next() else {
+            return Ok(());
+        };
+        let Some(majority_ms) = withdrawal.majority_ms else {
+            return Ok(());
+        };
+        let limit = withdrawal.appended_ms + LIMIT.as_millis() as u64;
+        let limit = limit.max(majority_ms + HEARD.as_millis() as u64) + SLACK_MS;
+        if self.now_ms > limit {
+            return Err(format!(
+                "host {host} honours a withdrawn key: {verdict:?} after {limit}"
+            ));
+        }
+        Ok(())
+    }
+
+    /// Whether the log is down for all and the host has been in contact with a majority for 20 s.
+    fn calm_majority(&mut self, host: usize) -> bool {
+        let peers = (0..HOSTS).filter(|peer| self.hosts[*peer].ready);
+        let group = peers.filter(|peer| self.connected(host, *peer)).count();
+        let calm = !self.log_up
+            && self.network.trouble_percent == 0
+            && group >= MAJORITY
+            && self.now_ms > self.changed_ms + 20_000;
+        self.calm_outage += usize::from(calm);
+        calm
+    }
+
+    fn advance(&mut self, millis: u64) -> Result {
+        for _ in 0..millis / TICK_MS {
+            self.now_ms += TICK_MS - self.now_ms % TICK_MS;
+            while let Some(message) = self.network.receive(self.now_ms) {
+                let target = match &message {
+                    Message::Entries(host, ..) | Message::Word(host, ..) => *host,
+                    Message::Ask(_, _, to, ..) => *to,
+                };
+                let paused = self.hosts[target].paused_until;
+                if paused > self.now_ms {
+                    self.network.send(paused, 20, &message);
+                } else {
+                    self.deliver(message)?;
+                }
+            }
+            for host in 0..HOSTS {
+                if self.hosts[host].paused_until <= self.now_ms {
+                    self.poll(host)?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn step(&mut self, step: &Step) -> Result {
+        match *step {
+            Step::Withdraw => self.withdraw(),
+            Step::Crash { host, count } => {
+                for host in host..host + count {
+                    self.hosts[host % HOSTS] = self.start();
+                }
+            }
+            Step::Pause { host, millis } => self.hosts[host].paused_until = self.now_ms + millis,
+            Step::ToggleLog => self.log_up = !self.log_up,
+            Step::ToggleLink { host } => self.hosts[host].linked = !self.hosts[host].linked,
+            Step::Split(split) => self.split = split,
+            Step::Wait(millis) => return self.advance(millis),
+        }
+        // A change of the log alone is the outage in which keys must go on working.
+        let paused = self.hosts.iter().map(|host| host.paused_until).max();
+        match step {
+            Step::ToggleLog | Step::Withdraw if self.hosts.iter().all(|host| host.linked) => {}
+            _ => self.changed_ms = self.now_ms,
+        }
+        self.changed_ms = self.changed_ms.max(paused.unwrap_or(0));
+        Ok(())
+    }
+}
+
+fn run(plan: &Plan, fault: Fault) -> std::result::Result<World, String> {
+    let mut world = World::new(plan, fault);
+    world.advance(5_000)?;
+    for step in &plan.steps {
+        world.step(step)?;
+    }
+    world.advance(15_000)?;
+    Ok(world)
+}
+
+/// Guards against withdrawn keys that go on working, and against keys that stop in an outage.
+#[test]
+fn withdrawn_keys_are_refused_in_time() {
+    let seen = Cell::new((0, 0, 0, 0));
+    holds(1_000, plans(), |plan| {
+        let world = run(&plan, Fault::None)?;
+        let sum = seen.get();
+        seen.set((
+            sum.0 + world.fresh,
+            sum.1 + world.outage,
+            sum.2 + world.stale,
+            sum.3 + world.calm_outage,
+        ));
+        Ok(())
+    });
+    let seen = seen.get();
+    let least = [seen.0, seen.1, seen.2, seen.3].into_iter().min();
+    assert!(least > Some(10_000), "the cases show too little: {seen:?}");
+}
+
+/// Guards against an oracle that cannot fail.
+#[yare::parameterized(
+    verdict_ignored = { Fault::VerdictIgnored, "honours a withdrawn key" },
+    age_ignored = { Fault::AgeIgnored, "honours a withdrawn key" },
+    tail_ignored = { Fault::TailIgnored, "honours a withdrawn key" },
+    minority_is_enough = { Fault::MinorityIsEnough, "honours a withdrawn key" },
+    counted_on_arrival = { Fault::CountedOnArrival, "honours a withdrawn key" },
+    unready_count = { Fault::UnreadyCount, "honours a withdrawn key" },
+    no_outage_rule = { Fault::NoOutageRule, "refuses in a general outage" },
+)]
+fn oracle_reports_fault(fault: Fault, violation: &str) {
+    catches(&plans(), violation, |plan| run(&plan, fault).map(|_| ()));
+}
