--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::claim;
 use crate::lease::Subject;
+use crate::{claim, snapshot};
 
 /// Number that identifies one start of a daemon process; a later start of a host has a higher one.
 #[derive(
@@ -127,6 +127,8 @@
     Batch(Id),
     /// Claims, finishes or abandons an idempotency key.
     Key(claim::Event),
+    /// Part of a snapshot of the replicated state.
+    Snapshot(snapshot::Chunk),
 }
 
 /// Proposal of a configuration by an operator.
