--- a/crates/coordination/src/reap/gateways.rs
+++ b/crates/coordination/src/reap/gateways.rs
@@ -1,7 +1,6 @@
 //! The gateways of one host, as its coordinator sees them.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use crate::clock::Instant;
 use crate::reap::{Limits, MAX_ENDED, Report};
@@ -10,17 +9,11 @@
 /// Highest number of gateways that live at once on a host; an upgrade needs two.
 const MAX_LIVE: usize = 4;
 
-/// Longest pause between two ticks that does not count as a pause of the process; ticks are due
-/// each second.
-const PAUSE: Duration = Duration::from_secs(3);
-
 /// Gateways that report to a coordinator with `Streams` once a second.
 #[derive(Clone, Debug)]
 pub struct Gateways {
     limits: Limits,
-    /// Time since which this process has run without a pause.
-    running_since: Instant,
-    ticked: Instant,
+    started: Instant,
     live: BTreeMap<Incarnation, Instant>,
     ended: Vec<Incarnation>,
     coordinator: Incarnation,
@@ -33,8 +26,7 @@
     pub const fn new(now: Instant, coordinator: Incarnation, limits: Limits) -> Self {
         Self {
             limits,
-            running_since: now,
-            ticked: now,
+            started: now,
             live: BTreeMap::new(),
             ended: Vec::new(),
             coordinator,
@@ -68,14 +60,9 @@
 
     /// Ends the gateways that were silent for too long; due each second.
     ///
-    /// Messages that arrived during a pause of this process may be unread, so a pause restarts all
-    /// deadlines.
+    /// A pause of this process needs no care: a gateway whose messages wait unanswered gives up its
+    /// incarnation before this process may state its end.
     pub fn tick(&mut self, now: Instant) {
-        if now.since(self.ticked) > PAUSE {
-            self.running_since = now;
-            self.live.values_mut().for_each(|heard| *heard = now);
-        }
-        self.ticked = now;
         let silence = self.limits.drift.surely_passed(self.limits.silence);
         let silent = |heard: &Instant| now.since(*heard) >= silence;
         let ended = self.live.extract_if(.., |_, heard| silent(heard));
@@ -83,7 +70,7 @@
             self.end(gateway);
         }
         // By now every gateway that started before this process and lives has been heard.
-        if now.since(self.running_since) >= silence {
+        if now.since(self.started) >= silence {
             self.complete_below = self.complete_below.max(self.coordinator);
         }
     }
