--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod placement;
 pub mod queue;
 pub mod quota;
+pub mod reap;
 pub mod record;
 pub mod replica;
 pub mod request;
