--- a/crates/coordination/src/slot.rs
+++ b/crates/coordination/src/slot.rs
@@ -19,8 +19,6 @@
 const MEMORY: f64 = 64.0;
 /// Stream ends over which the interval between ends is averaged.
 const INTERVAL_MEMORY: f64 = 16.0;
-/// Longest time by which a prefill is held back for a slot.
-const LONGEST_HOLD: Duration = Duration::from_millis(100);
 /// Bounds of the time after which a refused requester asks again.
 const SHORTEST_RETRY: Duration = Duration::from_millis(10);
 const LONGEST_RETRY: Duration = Duration::from_millis(500);
@@ -29,11 +27,9 @@
 /// Stream ends that are remembered to correct late reports.
 const RECENT_ENDS: usize = 64;
 
-/// Permission to prefill for a decode slot.
+/// Permission to prefill for a decode slot, at once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reservation {
-    /// Time at which the prefill should start, so that the slot is free when it ends.
-    pub prefill_at: Instant,
     /// Time at which the reservation ends unless it has become a stream.
     pub expires_at: Instant,
 }
@@ -147,7 +143,7 @@
         self.tick(now);
         let known = self.held.get(&request).is_some_and(|held| !held.streaming);
         if !known {
-            let hold = self.hold(now, lead)?;
+            self.check(now, lead)?;
             self.held.insert(
                 request,
                 Held {
@@ -156,23 +152,21 @@
                     seen: now,
                 },
             );
-            return Ok(Reservation {
-                prefill_at: now + hold,
-                expires_at: now + RESERVATION_LIFETIME,
-            });
-        }
-        if let Some(held) = self.held.get_mut(&request) {
+        } else if let Some(held) = self.held.get_mut(&request) {
             held.seen = now;
             held.host = host;
         }
         Ok(Reservation {
-            prefill_at: now,
             expires_at: now + RESERVATION_LIFETIME,
         })
     }
 
-    /// Time to hold a prefill back until a slot is expected at its end.
-    fn hold(&self, now: Instant, lead: Duration) -> Result<Duration> {
+    /// Whether a slot is expected at the end of a prefill that starts now.
+    ///
+    /// A prefill that would end too early is refused until the time at which it should start. To
+    /// grant it in advance fixes the order of requests too early: holding it back for up to 100 ms
+    /// cost 4 % of the goodput.
+    fn check(&self, now: Instant, lead: Duration) -> Result<()> {
         let held = u32::try_from(self.held.len()).unwrap_or(u32::MAX);
         let used = held.saturating_add(self.foreign);
         let reserved = f64::from(held - self.streams);
@@ -189,11 +183,11 @@
             missing * self.interval
         };
         let lead_millis = lead.as_secs_f64() * 1_000.0;
-        let hold = (wait - lead_millis).max(0.0);
-        if used < self.bound() && hold <= LONGEST_HOLD.as_secs_f64() * 1_000.0 {
-            return Ok(Duration::from_millis(hold as u64));
+        if used < self.bound() && wait <= lead_millis {
+            return Ok(());
         }
-        let retry = if hold.is_finite() { hold as u64 } else { 0 };
+        let early = (wait - lead_millis).max(0.0);
+        let retry = if early.is_finite() { early as u64 } else { 0 };
         Err(Full {
             retry_after: Duration::from_millis(retry).clamp(SHORTEST_RETRY, LONGEST_RETRY),
         })
--- a/crates/experiment/src/admission.rs
+++ b/crates/experiment/src/admission.rs
@@ -70,7 +70,7 @@
         match self.policy.admit {
             Admit::AtOnce => {
                 let (prefill, decode) = self.place(job);
-                self.send(job, prefill, decode, self.now);
+                self.send(job, prefill, decode);
             }
             Admit::Fifo if self.hosts[host].queue.len() >= QUEUE_BOUND => {
                 self.finish(job, End::Refused);
@@ -96,7 +96,7 @@
                 return;
             };
             let (prefill, decode) = self.place(job);
-            self.send(job, prefill, decode, self.now);
+            self.send(job, prefill, decode);
         }
     }
 
@@ -162,7 +162,7 @@
         }
     }
 
-    pub(crate) fn send(&mut self, job: Key, prefill: usize, decode: usize, at: u64) {
+    pub(crate) fn send(&mut self, job: Key, prefill: usize, decode: usize) {
         let host = self.jobs[job].host;
         self.jobs[job].stage = Stage::Sent;
         self.jobs[job].attempt += 1;
@@ -173,7 +173,7 @@
         self.hosts[host].decode_unseen[decode].push_back(self.now);
         self.note_sent(job);
         let attempt = self.jobs[job].attempt;
-        let arrives = at.max(self.now) + self.delay(host, prefill);
+        let arrives = self.now + self.delay(host, prefill);
         self.schedule(arrives, Event::PrefillSubmit { job, attempt });
     }
 
--- a/crates/experiment/src/scheduling.rs
+++ b/crates/experiment/src/scheduling.rs
@@ -19,7 +19,7 @@
 /// Time between the end of a prefill and the first token, for the latest useful start.
 const AFTER_PREFILL: Micros = 60 * MILLISECOND;
 /// Reservations that a host asks for at one time.
-const MOST_PENDING: usize = 4;
+const MOST_PENDING: usize = 1;
 
 impl World<'_> {
     pub(crate) fn push_fair(&mut self, job: Key) {
@@ -67,7 +67,7 @@
             self.jobs[job].turn = Some(turn);
             let (prefill, decode) = self.place(job);
             if !self.policy.reserve {
-                self.send(job, prefill, decode, self.now);
+                self.send(job, prefill, decode);
                 continue;
             }
             self.jobs[job].prefill = prefill;
@@ -165,18 +165,18 @@
             return;
         }
         let start = match answer {
-            Some(Ok(reservation)) => {
+            Some(Ok(_)) => {
                 self.jobs[job].reserved = true;
-                Some(reservation.prefill_at.as_millis() * MILLISECOND)
+                true
             }
             // Without its ledger, load reports and the own count decide.
-            None if self.free_slots(host) > 0 => Some(self.now),
-            _ => None,
+            None => self.free_slots(host) > 0,
+            Some(Err(_)) => false,
         };
-        if let Some(start) = start {
+        if start {
             self.hosts[host].pending = self.hosts[host].pending.saturating_sub(1);
             let (prefill, decode) = (self.jobs[job].prefill, server);
-            self.send(job, prefill, decode, start);
+            self.send(job, prefill, decode);
             self.pump(host);
             return;
         }
