--- a/crates/coordination/src/slot.rs
+++ b/crates/coordination/src/slot.rs
@@ -19,6 +19,9 @@
 const MEMORY: f64 = 64.0;
 /// Stream ends over which the interval between ends is averaged.
 const INTERVAL_MEMORY: f64 = 16.0;
+/// Factor on the expected time until a slot is free. With 1.0 a third more prefill was wasted, at the
+/// same goodput.
+const INTERVAL_MARGIN: f64 = 1.5;
 /// Bounds of the time after which a refused requester asks again.
 const SHORTEST_RETRY: Duration = Duration::from_millis(10);
 const LONGEST_RETRY: Duration = Duration::from_millis(500);
@@ -180,7 +183,7 @@
         } else if self.interval == 0.0 || cautious {
             f64::INFINITY
         } else {
-            missing * self.interval
+            missing * self.interval * INTERVAL_MARGIN
         };
         let lead_millis = lead.as_secs_f64() * 1_000.0;
         if used < self.bound() && wait <= lead_millis {
--- a/crates/experiment/src/scheduling.rs
+++ b/crates/experiment/src/scheduling.rs
@@ -17,7 +17,7 @@
 /// Longest time that a request waits at a host before it is refused.
 const LONGEST_WAIT: Micros = 7_500 * MILLISECOND;
 /// Time between the end of a prefill and the first token, for the latest useful start.
-const AFTER_PREFILL: Micros = 60 * MILLISECOND;
+const AFTER_PREFILL: Micros = 120 * MILLISECOND;
 /// Reservations that a host asks for at one time.
 const MOST_PENDING: usize = 1;
 
