Add the operator's command with check, publish, status, keys and drain

Change: the binary berylknot. publish needs the version that the folder is based on unless nothing is in force, appends the proposal, reads the log for the record's id whatever the answer was, repeats the append once when the log does not hold it, and then asks each coordinator's /status for up to 14 s. drain applies its one change to the newest version again when another publish wins. key withdraw writes an overlay that sorts last and reports when a later file overrides it. Exit codes tell findings, usage, conflict, unknown outcome and unconfirmed hosts apart. Errors of form never contain the value, which may be a secret.

Ruled out: the version read at the start as the default base (a second operator with an old copy of the folder would overwrite the first one without having seen the change); a file in the folder that remembers the version (it would make committed folders depend on one deployment).

One check of the faulty folder reports all eight planted faults.

--- /dev/null
+++ b/crates/command/src/commands.rs
@@ -0,0 +1,10 @@
+//! The commands, one module each.
+
+pub(crate) mod check;
+pub(crate) mod diff;
+pub(crate) mod drain;
+pub(crate) mod key;
+pub(crate) mod publish;
+pub(crate) mod schema;
+pub(crate) mod show;
+pub(crate) mod status;
--- /dev/null
+++ b/crates/command/tests/command/online.rs
@@ -0,0 +1,164 @@
+//! Commands against a stand-in of the platform, run with the real binary.
+
+use super::platform::{Fault, Platform, sample, stdout};
+use yare::parameterized;
+
+/// Version of the record in the log's first and second entry.
+const FIRST: u64 = 1 << 8;
+const SECOND: u64 = 2 << 8;
+
+#[test]
+fn publish_then_change_then_show() {
+    let platform = Platform::start();
+    let (_guard, folder) = sample();
+    let path = folder.to_str().unwrap();
+    let host = format!("{}/host-1", platform.address);
+    let (code, published) = platform.json(&["publish", path, "--coordinator", &host]);
+    assert_eq!(
+        (code, &published["version"]),
+        (0, &FIRST.into()),
+        "{published}"
+    );
+    assert_eq!(published["hosts"][0]["version"], FIRST);
+
+    std::fs::write(
+        folder.join("70-new.json"),
+        "{ \"quota\": { \"planned_hosts\": 8 } }",
+    )
+    .unwrap();
+    let (code, diff) = platform.json(&["diff", path]);
+    assert_eq!((code, &diff["version"]), (0, &FIRST.into()));
+    assert_eq!(diff["changes"][0]["path"], "quota.planned_hosts");
+    assert_eq!(diff["changes"].as_array().unwrap().len(), 1);
+
+    let (code, published) = platform.json(&["publish", path, "--base", "256"]);
+    assert_eq!((code, &published["version"]), (0, &SECOND.into()));
+    let (code, again) = platform.json(&["publish", path, "--base", "256"]);
+    assert_eq!((code, &again["outcome"]), (0, &"unchanged".into()));
+    assert_eq!(platform.appends(), 2);
+    let (code, shown) = platform.json(&["show"]);
+    assert_eq!((code, &shown["quota"]["planned_hosts"]), (0, &8.into()));
+}
+
+/// Guards against operators who overwrite each other: an old base, none, or a lost race.
+#[parameterized(
+    no_base = { &[], Fault::None, 1 },
+    old_base = { &["--base", "7"], Fault::None, 1 },
+    race_on_current = { &["--base", "256"], Fault::RacedOnce, 3 },
+    race_on_any = { &["--base", "current"], Fault::RacedOnce, 3 },
+)]
+fn conflicts(base: &[&str], fault: Fault, entries: usize) {
+    let platform = Platform::start();
+    let (_guard, folder) = sample();
+    let path = folder.to_str().unwrap();
+    assert_eq!(platform.json(&["publish", path]).0, 0);
+    std::fs::write(
+        folder.join("70-new.json"),
+        "{ \"quota\": { \"planned_hosts\": 8 } }",
+    )
+    .unwrap();
+    platform.set(fault);
+    let (code, report) = platform.json(&[&["publish", path], base].concat());
+    assert_eq!(
+        (code, &report["outcome"]),
+        (3, &"conflict".into()),
+        "{report}"
+    );
+    assert_eq!(platform.entries(), entries);
+    let shown = platform.json(&["show"]).1;
+    assert_ne!(
+        shown["quota"]["planned_hosts"], 8,
+        "the losing publish must not be in force"
+    );
+}
+
+/// Guards against a guessed outcome: the log alone decides, and the append is repeated once.
+#[parameterized(
+    answer_lost = { Fault::AnswerLost, 0, "accepted", 1, 1 },
+    append_lost_once = { Fault::AppendLostOnce, 0, "accepted", 2, 1 },
+    append_lost = { Fault::AppendLost, 4, "unknown", 2, 0 },
+    refused = { Fault::Refused, 4, "refused", 1, 0 },
+)]
+fn lost_answers(fault: Fault, code: i32, outcome: &str, appends: usize, entries: usize) {
+    let platform = Platform::start();
+    let (_guard, folder) = sample();
+    platform.set(fault);
+    let (found, report) = platform.json(&["publish", folder.to_str().unwrap()]);
+    assert_eq!(
+        (found, &report["outcome"]),
+        (code, &outcome.into()),
+        "{report}"
+    );
+    assert_eq!((platform.appends(), platform.entries()), (appends, entries));
+}
+
+#[test]
+fn unconfirmed_hosts_are_named() {
+    let platform = Platform::start();
+    let (_guard, folder) = sample();
+    let hosts = ["host-1", "late"].map(|host| format!("{}/{host}", platform.address));
+    let arguments = ["publish", folder.to_str().unwrap(), "--wait", "0"];
+    let coordinators = ["--coordinator", &hosts[0], "--coordinator", &hosts[1]];
+    let output = platform.run(&[&arguments[..], &coordinators].concat());
+    assert_eq!(output.status.code(), Some(5));
+    let text = stdout(&output);
+    assert!(text.contains("in force on 1 of 2 hosts"), "{text}");
+    assert!(text.contains("late"), "{text}");
+    let (code, status) = platform.json(&[&["status"], &coordinators[..]].concat());
+    assert_eq!((code, &status["version"]), (5, &FIRST.into()));
+    let (code, status) = platform.json(&[&["status"], &coordinators[..2]].concat());
+    assert_eq!((code, &status["hosts"][0]["age_ms"]), (0, &5.into()));
+}
+
+/// Guards against settings with findings that reach the hosts.
+#[test]
+fn findings_are_not_published() {
+    let platform = Platform::start();
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/faulty");
+    let (code, report) = platform.json(&["publish", folder]);
+    assert_eq!((code, report["findings"].as_array().unwrap().len()), (1, 8));
+    assert_eq!(platform.appends(), 0);
+}
+
+#[test]
+fn drain_sets_and_clears_leaving() {
+    let platform = Platform::start();
+    let (_guard, folder) = sample();
+    let path = folder.to_str().unwrap();
+    assert_eq!(platform.json(&["drain", "draft-decode-1"]).0, 1);
+    assert_eq!(platform.json(&["publish", path]).0, 0);
+    let leaving = |platform: &Platform| {
+        platform.json(&["show"]).1["endpoints"]["draft-decode-1"]["leaving"].clone()
+    };
+    let (code, report) = platform.json(&["drain", "draft-decode-1", "--folder", path]);
+    assert_eq!((code, &report["outcome"]), (0, &"accepted".into()));
+    assert_eq!(leaving(&platform), true);
+    // The folder has the change as well, hence a publish of it changes nothing.
+    assert_eq!(platform.json(&["publish", path]).1["outcome"], "unchanged");
+    assert_eq!(
+        platform.json(&["drain", "draft-decode-1"]).1["outcome"],
+        "unchanged"
+    );
+    assert_eq!(
+        platform
+            .json(&["drain", "draft-decode-1", "--undo", "--folder", path])
+            .0,
+        0
+    );
+    assert_eq!(leaving(&platform), false);
+    assert_eq!(platform.json(&["drain", "draft-decode-9"]).0, 1);
+}
+
+/// Guards against a drain that gives up, or undoes others' changes, when another publish wins.
+#[test]
+fn drain_follows_a_racing_publish() {
+    let platform = Platform::start();
+    let (_guard, folder) = sample();
+    assert_eq!(platform.json(&["publish", folder.to_str().unwrap()]).0, 0);
+    platform.set(Fault::RacedOnce);
+    let (code, report) = platform.json(&["drain", "draft-decode-1"]);
+    assert_eq!((code, platform.entries()), (0, 4), "{report}");
+    let shown = platform.json(&["show"]).1;
+    assert_eq!(shown["endpoints"]["draft-decode-1"]["leaving"], true);
+    assert_eq!(shown["customers"]["rival"]["rate"], 90);
+}
--- /dev/null
+++ b/crates/command/tests/command/platform.rs
@@ -0,0 +1,237 @@
+//! A small stand-in for the platform's log and for coordinators, and a runner of the real binary.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::sync::{Arc, Mutex};
+
+use actix_web::{App, HttpResponse, HttpServer, web};
+use berylknot_border::platform::{AppendRequest, AppendResponse, LogEntry, ReadResponse};
+use berylknot_coordination::record::{Id, Incarnation, Publish, Record};
+use berylknot_coordination::replica::Replica;
+use berylknot_wire::entry;
+use serde_json::{Value, json};
+
+/// How the stand-in treats the next appends.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) enum Fault {
+    #[default]
+    None,
+    /// Stores the entry and cuts the connection within the answer.
+    AnswerLost,
+    /// Cuts the connection without storing the entry, once.
+    AppendLostOnce,
+    /// Cuts the connection without storing the entry, always.
+    AppendLost,
+    /// Refuses with a client error.
+    Refused,
+    /// Another operator's publish on the same base is stored first, once.
+    RacedOnce,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    entries: Vec<LogEntry>,
+    fault: Fault,
+    appends: usize,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Platform {
+    state: Arc<Mutex<State>>,
+    pub(crate) address: String,
+}
+
+impl Platform {
+    /// Starts on a free port, in a thread that ends with the test process.
+    pub(crate) fn start() -> Self {
+        let state = Arc::new(Mutex::new(State::default()));
+        let shared = state.clone();
+        let (sender, receiver) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            actix_web::rt::System::new().block_on(async move {
+                let server = HttpServer::new(move || {
+                    App::new()
+                        .app_data(web::Data::new(shared.clone()))
+                        .app_data(web::JsonConfig::default().limit(16 << 20))
+                        .route("/log/read", web::get().to(read))
+                        .route("/log/append", web::post().to(append))
+                        .route("/{host}/status", web::get().to(status))
+                })
+                .workers(1)
+                .disable_signals()
+                .bind("127.0.0.1:0")
+                .unwrap();
+                sender.send(server.addrs()[0].to_string()).unwrap();
+                server.run().await.unwrap();
+            });
+        });
+        let address = receiver.recv().unwrap();
+        Self { state, address }
+    }
+
+    pub(crate) fn set(&self, fault: Fault) {
+        self.state.lock().unwrap().fault = fault;
+    }
+
+    pub(crate) fn appends(&self) -> usize {
+        self.state.lock().unwrap().appends
+    }
+
+    pub(crate) fn entries(&self) -> usize {
+        self.state.lock().unwrap().entries.len()
+    }
+
+    /// Runs the real binary against this platform.
+    pub(crate) fn run(&self, arguments: &[&str]) -> Output {
+        let mut all = vec!["--platform", &self.address];
+        all.extend(arguments);
+        run(&all)
+    }
+
+    /// Runs the real binary with `--json` and returns its exit code and output.
+    pub(crate) fn json(&self, arguments: &[&str]) -> (i32, Value) {
+        let mut all = vec!["--json"];
+        all.extend(arguments);
+        let output = self.run(&all);
+        let value = serde_json::from_slice(&output.stdout)
+            .unwrap_or_else(|error| panic!("{error}: {output:?}"));
+        (output.status.code().unwrap(), value)
+    }
+}
+
+impl State {
+    fn store(&mut self, data: String) -> u64 {
+        let offset = self.entries.len() as u64 + 1;
+        self.entries.push(LogEntry {
+            offset,
+            appended_at_ms: 1_000 * offset,
+            data,
+        });
+        offset
+    }
+
+    /// State that coordinators would derive.
+    fn replica(&self) -> Replica {
+        let mut replica = Replica::default();
+        for entry in &self.entries {
+            replica.apply(&entry::decode(entry).unwrap());
+        }
+        replica
+    }
+
+    /// Stores another operator's change of the configuration in force.
+    fn publish_rival(&mut self) {
+        let replica = self.replica();
+        let in_force = replica.configuration().accepted().unwrap();
+        let mut document: Value = serde_json::from_str(&in_force.document).unwrap();
+        document["customers"]["rival"] = json!({ "rate": 90, "burst": 900 });
+        let id = Id {
+            incarnation: Incarnation(1),
+            sequence: 1,
+        };
+        let publish = Publish {
+            id,
+            base_version: in_force.version,
+            document: document.to_string(),
+        };
+        let request = entry::encode(&[Record::Publish(publish)]).unwrap();
+        self.store(request.data);
+    }
+}
+
+#[derive(serde::Deserialize)]
+struct Range {
+    from: u64,
+    limit: usize,
+}
+
+async fn read(state: web::Data<Arc<Mutex<State>>>, range: web::Query<Range>) -> HttpResponse {
+    let state = state.lock().unwrap();
+    let wanted = state
+        .entries
+        .iter()
+        .filter(|entry| entry.offset >= range.from);
+    HttpResponse::Ok().json(ReadResponse {
+        entries: wanted.take(range.limit.min(3)).cloned().collect(),
+        next: state.entries.len() as u64 + 1,
+        oldest: 1,
+    })
+}
+
+async fn append(
+    state: web::Data<Arc<Mutex<State>>>,
+    request: web::Json<AppendRequest>,
+) -> HttpResponse {
+    let mut state = state.lock().unwrap();
+    state.appends += 1;
+    let fault = state.fault;
+    if fault == Fault::Refused {
+        return HttpResponse::TooManyRequests().finish();
+    }
+    if fault == Fault::AppendLostOnce {
+        state.fault = Fault::None;
+    }
+    if matches!(fault, Fault::AppendLostOnce | Fault::AppendLost) {
+        return cut();
+    }
+    if fault == Fault::RacedOnce {
+        state.fault = Fault::None;
+        state.publish_rival();
+    }
+    let offset = state.store(request.into_inner().data);
+    if fault == Fault::AnswerLost {
+        return cut();
+    }
+    HttpResponse::Ok().json(AppendResponse { offset })
+}
+
+/// An answer that breaks off, after which the client finds the connection closed.
+fn cut() -> HttpResponse {
+    let parts = vec![
+        Ok(bytes::Bytes::from_static(b"{")),
+        Err(std::io::Error::other("cut")),
+    ];
+    HttpResponse::Ok().streaming(futures_util::stream::iter(parts))
+}
+
+/// A coordinator that is up to date, or with the name `late` still has no version.
+async fn status(state: web::Data<Arc<Mutex<State>>>, host: web::Path<String>) -> HttpResponse {
+    let host = host.into_inner();
+    let version = match host.as_str() {
+        "late" => 0,
+        _ => state
+            .lock()
+            .unwrap()
+            .replica()
+            .configuration()
+            .version()
+            .as_u64(),
+    };
+    HttpResponse::Ok().json(json!({ "host": host, "version": version, "age_ms": 5, "ready": true }))
+}
+
+/// Runs the real binary in an empty folder, so that no settings file is found by chance.
+pub(crate) fn run(arguments: &[&str]) -> Output {
+    let folder = tempfile::tempdir().unwrap();
+    Command::new(env!("CARGO_BIN_EXE_berylknot"))
+        .args(arguments)
+        .current_dir(folder.path())
+        .output()
+        .unwrap()
+}
+
+pub(crate) fn stdout(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).unwrap()
+}
+
+/// A copy of the sample of the atelier, which a test may change.
+pub(crate) fn sample() -> (tempfile::TempDir, PathBuf) {
+    let guard = tempfile::tempdir().unwrap();
+    let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../sample_configs/atelier");
+    for file in std::fs::read_dir(source).unwrap() {
+        let file = file.unwrap();
+        std::fs::copy(file.path(), guard.path().join(file.file_name())).unwrap();
+    }
+    let path = guard.path().to_path_buf();
+    (guard, path)
+}
--- a/crates/settings/src/key.rs
+++ b/crates/settings/src/key.rs
@@ -1,9 +1,14 @@
 //! Keys of customers, which settings hold as keyed hashes only.
 
+use std::path::Path;
+
 use hmac::{Hmac, Mac};
 use sha2::Sha256;
 use subtle::ConstantTimeEq;
 
+/// Shortest pepper in a file: 128 bits, too many to guess from known keys and hashes.
+const MIN_PEPPER_BYTES: usize = 16;
+
 /// Secret of a deployment that is mixed into the hashes of its keys.
 #[derive(Clone)]
 pub struct Pepper(Vec<u8>);
@@ -14,6 +19,23 @@
     pub fn new(bytes: impl Into<Vec<u8>>) -> Self {
         Self(bytes.into())
     }
+
+    /// Reads the secret from a file; blanks and line breaks at its end do not count.
+    ///
+    /// # Errors
+    /// Fails when the file cannot be read or its secret is shorter than 16 bytes.
+    pub fn read_file(path: &Path) -> std::io::Result<Self> {
+        let bytes = std::fs::read(path)?;
+        let secret = bytes.trim_ascii_end();
+        if secret.len() < MIN_PEPPER_BYTES {
+            let message = format!("the pepper has fewer than {MIN_PEPPER_BYTES} bytes");
+            return Err(std::io::Error::new(
+                std::io::ErrorKind::InvalidData,
+                message,
+            ));
+        }
+        Ok(Self::new(secret))
+    }
 }
 
 impl std::fmt::Debug for Pepper {
