Document the configuration and bound the work of its checks

Cause: docs/CONFIG.md was missing. A trial with a document of the planned size also showed work without a bound: suggestions compare each unknown name with a whole section, and each operation of a route is compared with all earlier ones. drain reported a failure without the published version when the folder could not be written.

Change: the page states every setting with unit, default and bounds, the merge rule, the workflow and the exit codes; a test compares it with the schema. Suggestions stop after 100 issues, a route has at most 256 operations, and documents without faults are read without a copy. drain writes the folder before it publishes.

A daemon should check a new configuration outside its request threads.

--- a/crates/command/src/commands/drain.rs
+++ b/crates/command/src/commands/drain.rs
@@ -16,6 +16,11 @@
 
 pub(crate) async fn run(config: &Config, arguments: &Drain) -> eyre::Result<Report> {
     let mut log = Log::open(config.platform()?).await?;
+    if let Some(report) = change(&mut log.document()?, arguments) {
+        return Ok(report);
+    }
+    // The folder comes first, so that a fault there is reported before anything is published.
+    let kept = keep(arguments)?;
     for _ in 0..MAX_ATTEMPTS {
         let before = log.document()?;
         let mut document = before.clone();
@@ -27,8 +32,7 @@
         let changes = difference::between(&before, &document);
         let state = if arguments.undo { "serving" } else { "leaving" };
         if changes.is_empty() {
-            let text = format!("endpoint {:?} is {state} already", arguments.endpoint);
-            let text = text + &keep(arguments)?;
+            let text = format!("endpoint {:?} is {state} already{kept}", arguments.endpoint);
             return Ok(
                 publish::confirm(config, arguments.wait, base, "unchanged", text, &changes).await,
             );
@@ -40,11 +44,10 @@
             other => return Ok(publish::unresolved(&other)),
         };
         let text = format!(
-            "endpoint {:?} is {state} as of version {}",
+            "endpoint {:?} is {state} as of version {}{kept}",
             arguments.endpoint,
             accepted.as_u64()
         );
-        let text = text + &keep(arguments)?;
         return Ok(
             publish::confirm(config, arguments.wait, accepted, "accepted", text, &changes).await,
         );
--- a/crates/settings/src/collect.rs
+++ b/crates/settings/src/collect.rs
@@ -38,6 +38,14 @@
 
 /// Reads a document into a type.
 pub(crate) fn read<T: DeserializeOwned>(source: &Source) -> Form<T> {
+    // Documents in force have no faults, and every host reads them: no copy is made for them.
+    if let Ok(value) = T::deserialize(Reader(&source.root)) {
+        return Form {
+            value: Some(value),
+            faulty: Vec::new(),
+            findings: Vec::new(),
+        };
+    }
     let mut repair = Repair {
         source,
         tree: source.root.clone(),
--- a/crates/settings/src/fleet/check.rs
+++ b/crates/settings/src/fleet/check.rs
@@ -38,16 +38,27 @@
     issues.push(Issue::new(path, message.trim_end()));
 }
 
-/// An issue about a name that refers to nothing. `section` holds the names that exist.
+/// Number of issues after which suggestions are left out. Each compares a name with a whole
+/// section, which would take minutes for a long document full of faults.
+const MAX_SUGGESTIONS: usize = 100;
+
+/// Reports a name that refers to nothing. `section` holds the names that exist.
 pub(super) fn dangling<'k>(
     path: Path,
-    noun: &str,
-    section: &str,
+    (noun, section): (&str, &str),
     name: &str,
     known: impl IntoIterator<Item = &'k str>,
-) -> Issue {
-    Issue::new(path, format!("{noun} {name:?} does not exist"))
-        .hint(did_you_mean(name, known))
-        .needs(path_to![section, name])
-        .needs_name(name)
+    issues: &mut Vec<Issue>,
+) {
+    let hint = if issues.len() < MAX_SUGGESTIONS {
+        did_you_mean(name, known)
+    } else {
+        String::new()
+    };
+    issues.push(
+        Issue::new(path, format!("{noun} {name:?} does not exist"))
+            .hint(hint)
+            .needs(path_to![section, name])
+            .needs_name(name),
+    );
 }
--- a/crates/settings/src/fleet/endpoint.rs
+++ b/crates/settings/src/fleet/endpoint.rs
@@ -110,13 +110,10 @@
             format!("a {} endpoint needs a model", kind.as_str()),
         ),
         (Some(model), _) if models.contains_key(model) => return,
-        (Some(model), _) => check::dangling(
-            model_path,
-            "model",
-            "models",
-            model,
-            models.keys().map(String::as_str),
-        ),
+        (Some(model), _) => {
+            let known = models.keys().map(String::as_str);
+            return check::dangling(model_path, ("model", "models"), model, known, issues);
+        }
     };
     issues.push(issue.needs(path.join("kind")));
 }
--- a/crates/settings/src/fleet/key.rs
+++ b/crates/settings/src/fleet/key.rs
@@ -67,13 +67,13 @@
         let path = path_to!["keys", id.as_str()];
         let customer = fleet.customer_named(&key.customer);
         if customer.is_none() {
-            issues.push(check::dangling(
+            check::dangling(
                 path.join("customer"),
-                "customer",
-                "customers",
+                ("customer", "customers"),
                 &key.customer,
                 fleet.customers.iter().map(|customer| &*customer.name),
-            ));
+                issues,
+            );
         }
         let Some(hash) = Hash::from_hex(&key.hash) else {
             // The text is left out: it may be the key itself, pasted in the wrong place.
--- a/crates/settings/src/fleet/route.rs
+++ b/crates/settings/src/fleet/route.rs
@@ -140,6 +140,11 @@
 }
 
 fn check_operations(route: &Path, operations: &[Operation], issues: &mut Vec<Issue>) {
+    if operations.len() > raw::Route::MAX_OPERATIONS {
+        let message = format!("more than {} operations", raw::Route::MAX_OPERATIONS);
+        issues.push(Issue::new(route.join("operations"), message));
+        return;
+    }
     for (index, operation) in operations.iter().enumerate() {
         let path = route.join("operations").join(index);
         let method = &operation.method;
@@ -197,13 +202,8 @@
                 .endpoints
                 .iter()
                 .filter(|endpoint| endpoint.kind == Kind::Service);
-            issues.push(check::dangling(
-                path,
-                "endpoint",
-                "endpoints",
-                name,
-                services.map(|endpoint| &*endpoint.name),
-            ));
+            let known = services.map(|endpoint| &*endpoint.name);
+            check::dangling(path, ("endpoint", "endpoints"), name, known, issues);
             continue;
         };
         let kind = fleet.endpoint(key).kind;
@@ -234,13 +234,10 @@
                 issues.push(Issue::new(path, format!("customer {name:?} occurs twice")));
             }
             Some(key) => keys.push(key),
-            None => issues.push(check::dangling(
-                path,
-                "customer",
-                "customers",
-                name,
-                fleet.customers.iter().map(|customer| &*customer.name),
-            )),
+            None => {
+                let known = fleet.customers.iter().map(|customer| &*customer.name);
+                check::dangling(path, ("customer", "customers"), name, known, issues);
+            }
         }
     }
     keys
--- a/crates/settings/src/raw/route.rs
+++ b/crates/settings/src/raw/route.rs
@@ -18,6 +18,7 @@
     /// Operations that are not described by their method's usual meaning; the first that matches
     /// a call counts. Without a match, GET, HEAD and OPTIONS are idempotent.
     #[serde(default)]
+    #[schemars(length(max = "Self::MAX_OPERATIONS"))]
     pub operations: Vec<Operation>,
     /// Deadline of a call in milliseconds.
     #[serde(default = "default_timeout_ms")]
@@ -31,6 +32,9 @@
 
     /// Longest deadline: 10 min.
     pub const MAX_TIMEOUT_MS: u64 = 600_000;
+
+    /// Most operations of a route; each call is compared with all of them.
+    pub const MAX_OPERATIONS: usize = 256;
 }
 
 /// An operation of a plain service.
--- a/crates/settings/src/source.rs
+++ b/crates/settings/src/source.rs
@@ -13,12 +13,17 @@
 /// file, too, before it is parsed.
 pub const MAX_BYTES: usize = 4 * 1024 * 1024;
 
+/// Most bytes of JSON text that one byte of a file becomes: a control character in a string.
+const MAX_ESCAPE_BYTES: usize = 6;
+
 /// A document with the places of its values and the faults found while it was read.
 #[derive(Clone, Debug)]
 pub struct Source {
     pub(crate) root: Node,
     findings: Vec<Finding>,
     unread: Vec<Unread>,
+    /// Length of all texts that were read.
+    bytes: usize,
 }
 
 /// A file whose content is not part of the document.
@@ -118,6 +123,7 @@
             root: Node::empty(place),
             findings: Vec::new(),
             unread: Vec::new(),
+            bytes: 0,
         }
     }
 
@@ -153,6 +159,7 @@
     }
 
     fn add(&mut self, file: &str, text: &str) {
+        self.bytes += text.len();
         let (node, findings) = syntax::parse(file, text);
         self.findings.extend(findings);
         match node {
@@ -162,6 +169,9 @@
     }
 
     fn check_size(&mut self, name: &str) {
+        if self.bytes.saturating_mul(MAX_ESCAPE_BYTES) <= MAX_BYTES {
+            return;
+        }
         let length = self.to_text().len();
         if length > MAX_BYTES {
             self.report(
--- a/crates/settings/tests/lookup.rs
+++ b/crates/settings/tests/lookup.rs
@@ -110,6 +110,25 @@
     assert_eq!(std::fs::read_to_string(path).unwrap(), schema::text());
 }
 
+/// Guards against a setting without documentation.
+#[test]
+fn every_setting_is_documented() {
+    let text = include_str!("../../../docs/CONFIG.md");
+    let schema: serde_json::Value = serde_json::from_str(&schema::text()).unwrap();
+    let definitions = schema["definitions"].as_object().unwrap().values();
+    for definition in definitions.chain([&schema]) {
+        let Some(properties) = definition["properties"].as_object() else {
+            continue;
+        };
+        for name in properties.keys() {
+            assert!(
+                text.contains(&format!("`{name}`")),
+                "{name} is not in docs/CONFIG.md"
+            );
+        }
+    }
+}
+
 #[derive(Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 struct Daemon {
