Handle all fates of a proposal in the command

Cause: the register now tells repeated and too large proposals apart, which the command did not know. A repeated proposal is the accepted one; a too large one is refused with its reason.

--- a/crates/command/src/publication.rs
+++ b/crates/command/src/publication.rs
@@ -18,8 +18,6 @@
 /// Pause between two looks at the log.
 const RESOLVE_PAUSE: Duration = Duration::from_millis(200);
 
-/// Bits of an incarnation that are random (design, section 5.1).
-const RANDOM_BITS: u32 = 20;
 
 /// What became of a proposal.
 #[derive(Debug)]
@@ -58,8 +56,11 @@
             Append::Refused(lost) | Append::Unknown(lost) => reason = lost,
         }
         match find(log, id).await {
-            Ok(Some((position, Verdict::Accepted))) => return Ok(Outcome::Accepted(position)),
+            Ok(Some((position, Verdict::Accepted | Verdict::Repeated))) => {
+                return Ok(Outcome::Accepted(position));
+            }
             Ok(Some((_, Verdict::Stale))) => return Ok(Outcome::Stale),
+            Ok(Some((_, verdict))) => return Ok(Outcome::Refused(format!("{verdict:?}"))),
             Ok(None) => {}
             Err(unreachable) => return Ok(Outcome::Unknown(id, unreachable)),
         }
@@ -91,9 +92,8 @@
         .duration_since(SystemTime::UNIX_EPOCH)
         .unwrap_or_default();
     let millis = u64::try_from(time.as_millis()).unwrap_or_default();
-    let random = rand::random_range(0..1_u64 << RANDOM_BITS);
     Id {
-        incarnation: Incarnation(millis << RANDOM_BITS | random),
+        incarnation: Incarnation::new(millis, rand::random()),
         sequence: 1,
     }
 }
