Refuse to judge a publish by a log whose beginning is gone

Cause: with limited retention the record of the configuration in force can be dropped. The command's replica then has version 0, and it would have reported a publish on version 0 as accepted while every host, which knows the true version, rejects it.

Reading goes on at the oldest entry when the asked offset is gone. An IPv4 address mapped into IPv6 counts as a duplicate of the IPv4 address.

--- a/crates/command/src/commands/drain.rs
+++ b/crates/command/src/commands/drain.rs
@@ -16,6 +16,7 @@
 
 pub(crate) async fn run(config: &Config, arguments: &Drain) -> eyre::Result<Report> {
     let mut log = Log::open(config.platform()?).await?;
+    log.check_history()?;
     if let Some(report) = change(&mut log.document()?, arguments) {
         return Ok(report);
     }
--- a/crates/command/src/commands/publish.rs
+++ b/crates/command/src/commands/publish.rs
@@ -27,8 +27,10 @@
     }
     let base = match base {
         Some(Base::Version(base)) => base,
-        Some(Base::Current) => version,
-        None => Position::default(),
+        Some(Base::Current) | None => {
+            log.check_history()?;
+            base.map_or_else(Position::default, |_| version)
+        }
     };
     if base != version {
         return Ok(conflict(&log, base, &source.to_value()));
--- a/crates/command/src/platform.rs
+++ b/crates/command/src/platform.rs
@@ -18,6 +18,9 @@
 /// Deadline for reading the log to its tail.
 const READ_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Offset of a log's first entry.
+const FIRST_OFFSET: u64 = 1;
+
 /// Entries asked for at first; fewer when they do not fit [`MAX_BODY_BYTES`].
 const PAGE_ENTRIES: u64 = 1_024;
 
@@ -48,6 +51,10 @@
     verdicts: HashMap<Id, (Position, Verdict)>,
     accepted_at_ms: u64,
     unknown_entries: u64,
+    /// Offset from which to read on.
+    next: u64,
+    /// Oldest offset that the log held at the first reading.
+    oldest: Option<u64>,
 }
 
 impl Log {
@@ -60,6 +67,8 @@
             verdicts: HashMap::new(),
             accepted_at_ms: 0,
             unknown_entries: 0,
+            next: 0,
+            oldest: None,
         };
         log.read_on().await?;
         Ok(log)
@@ -88,6 +97,19 @@
         self.accepted_at_ms
     }
 
+    /// Fails when the log has dropped its first entries and nothing in the rest tells which
+    /// configuration is in force. A proposal could not be judged then.
+    pub(crate) fn check_history(&self) -> Result<(), Unreachable> {
+        let oldest = self.oldest.unwrap_or_default();
+        if self.accepted().is_some() || oldest <= FIRST_OFFSET {
+            return Ok(());
+        }
+        Err(self.unreachable(&format!(
+            "the log begins at offset {oldest} and does not tell which configuration is in force; \
+             wait for a host's snapshot, or give --base 0 if nothing was ever published"
+        )))
+    }
+
     /// Entries that this release cannot read.
     pub(crate) const fn unknown_entries(&self) -> u64 {
         self.unknown_entries
@@ -112,11 +134,14 @@
                 continue;
             };
             let tail = *tail.get_or_insert(page.next);
-            let is_empty = page.entries.is_empty();
+            self.oldest.get_or_insert(page.oldest);
             for entry in &page.entries {
                 self.apply(entry);
             }
-            if is_empty || self.replica.next_offset() >= tail {
+            let next = self.replica.next_offset().max(page.oldest);
+            let has_advanced = next > self.next;
+            self.next = next;
+            if next >= tail || !has_advanced {
                 return Ok(());
             }
         }
@@ -153,7 +178,7 @@
 
     /// Entries from the first one that was not applied; `None` when they are too long.
     async fn page(&self, limit: u64) -> Result<Option<ReadResponse>, Unreachable> {
-        let from = self.replica.next_offset();
+        let from = self.next;
         let url = format!("{}/log/read?from={from}&limit={limit}", self.url);
         let exchange = async {
             let mut response = self
--- a/crates/command/tests/command/online.rs
+++ b/crates/command/tests/command/online.rs
@@ -162,3 +162,28 @@
     assert_eq!(shown["endpoints"]["draft-decode-1"]["leaving"], true);
     assert_eq!(shown["customers"]["rival"]["rate"], 90);
 }
+
+/// Guards against a publish that is judged by a log whose beginning is gone.
+#[test]
+fn dropped_history_is_not_taken_for_an_empty_log() {
+    let platform = Platform::start();
+    let (_guard, folder) = sample();
+    let path = folder.to_str().unwrap();
+    assert_eq!(platform.json(&["publish", path]).0, 0);
+    platform.retain_from(2);
+    for arguments in [
+        &["publish", path][..],
+        &["publish", path, "--base", "current"],
+    ] {
+        let (code, report) = platform.json(arguments);
+        assert_eq!(code, 4, "{report}");
+        assert!(
+            report["error"]
+                .as_str()
+                .unwrap()
+                .contains("begins at offset 2")
+        );
+    }
+    assert_eq!(platform.json(&["drain", "draft-decode-1"]).0, 4);
+    assert_eq!(platform.appends(), 1);
+}
--- a/crates/command/tests/command/platform.rs
+++ b/crates/command/tests/command/platform.rs
@@ -33,6 +33,7 @@
     entries: Vec<LogEntry>,
     fault: Fault,
     appends: usize,
+    oldest: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -73,6 +74,11 @@
         self.state.lock().unwrap().fault = fault;
     }
 
+    /// Drops the first entries, as the log's retention does.
+    pub(crate) fn retain_from(&self, offset: u64) {
+        self.state.lock().unwrap().oldest = offset;
+    }
+
     pub(crate) fn appends(&self) -> usize {
         self.state.lock().unwrap().appends
     }
@@ -150,11 +156,11 @@
     let wanted = state
         .entries
         .iter()
-        .filter(|entry| entry.offset >= range.from);
+        .filter(|entry| entry.offset >= range.from.max(state.oldest));
     HttpResponse::Ok().json(ReadResponse {
         entries: wanted.take(range.limit.min(3)).cloned().collect(),
         next: state.entries.len() as u64 + 1,
-        oldest: 1,
+        oldest: state.oldest.max(1),
     })
 }
 
--- a/crates/settings/src/fleet/endpoint.rs
+++ b/crates/settings/src/fleet/endpoint.rs
@@ -1,7 +1,7 @@
 //! Endpoints: engines and plain services.
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use super::{Kind, check};
 use crate::issue::Issue;
@@ -40,8 +40,7 @@
 }
 
 /// Stands in for a faulty address, so that references to the endpoint can still be checked.
-const NO_ADDRESS: SocketAddr =
-    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
+const NO_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
 pub(super) fn check(
     endpoints: BTreeMap<String, raw::Endpoint>,
@@ -82,7 +81,7 @@
     let message = match text.parse::<SocketAddr>() {
         Err(_) => format!("address {text:?} is not an IP number with a port"),
         Ok(address) if address.port() == 0 => "port is 0".to_owned(),
-        Ok(address) if address.ip().is_unspecified() || address.ip().is_multicast() => {
+        Ok(address) if !is_one_host(address.ip().to_canonical()) => {
             format!("{} is not the address of one host", address.ip())
         }
         Ok(address) => return address,
@@ -94,6 +93,10 @@
     NO_ADDRESS
 }
 
+fn is_one_host(ip: IpAddr) -> bool {
+    !ip.is_unspecified() && !ip.is_multicast() && ip != IpAddr::V4(Ipv4Addr::BROADCAST)
+}
+
 fn check_model(
     path: &Path,
     endpoint: &raw::Endpoint,
@@ -124,7 +127,12 @@
         if endpoint.address == NO_ADDRESS {
             continue;
         }
-        if let Some(first) = owners.get(&endpoint.address) {
+        // An IPv4 address mapped into IPv6 reaches the same host.
+        let address = (
+            endpoint.address.ip().to_canonical(),
+            endpoint.address.port(),
+        );
+        if let Some(first) = owners.get(&address) {
             let message = format!("address {} belongs to {first:?}, too", endpoint.address);
             issues.push(Issue::new(
                 path_to!["endpoints", endpoint.name.as_str(), "address"],
@@ -132,6 +140,6 @@
             ));
             continue;
         }
-        owners.insert(endpoint.address, endpoint.name.as_str());
+        owners.insert(address, endpoint.name.as_str());
     }
 }
