Test that long and foreign log entries are read over

Cause: the path that halves a page which is longer than the answer's bound, and the one that skips entries of other writers, had no test.

Change: three foreign entries of 12 MiB each come before the publish; a page of all three exceeds the bound of 32 MiB.

--- a/crates/command/tests/command/online.rs
+++ b/crates/command/tests/command/online.rs
@@ -187,3 +187,19 @@
     assert_eq!(platform.json(&["drain", "draft-decode-1"]).0, 4);
     assert_eq!(platform.appends(), 1);
 }
+
+/// Guards against a log that cannot be read since a page of it is longer than the answer's bound.
+#[test]
+fn long_and_foreign_entries_are_read_over() {
+    let platform = Platform::start();
+    let (_guard, folder) = sample();
+    platform.store_foreign(3, 12 << 20);
+    let (code, published) = platform.json(&["publish", folder.to_str().unwrap()]);
+    assert_eq!(
+        (code, &published["version"]),
+        (0, &(4 << 8).into()),
+        "{published}"
+    );
+    let (code, status) = platform.json(&["status"]);
+    assert_eq!((code, &status["unknown_entries"]), (0, &3.into()));
+}
--- a/crates/command/tests/command/platform.rs
+++ b/crates/command/tests/command/platform.rs
@@ -74,6 +74,13 @@
         self.state.lock().unwrap().fault = fault;
     }
 
+    /// Stores entries that are not of this system.
+    pub(crate) fn store_foreign(&self, count: usize, bytes: usize) {
+        for _ in 0..count {
+            self.state.lock().unwrap().store("-".repeat(bytes));
+        }
+    }
+
     /// Drops the first entries, as the log's retention does.
     pub(crate) fn retain_from(&self, offset: u64) {
         self.state.lock().unwrap().oldest = offset;
