--- a/crates/command/src/publication.rs
+++ b/crates/command/src/publication.rs
@@ -18,7 +18,6 @@
 /// Pause between two looks at the log.
 const RESOLVE_PAUSE: Duration = Duration::from_millis(200);
 
-
 /// What became of a proposal.
 #[derive(Debug)]
 pub(crate) enum Outcome {
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -40,6 +40,8 @@
     platform: P,
     poll: Duration,
     ready: Arc<AtomicBool>,
+    /// Time since which every shard has had an owner and this host a lease.
+    owned_since: Option<Instant>,
     peers: Client,
     addresses: HashMap<String, SocketAddr>,
     replica: Replica,
@@ -89,6 +91,7 @@
             platform,
             poll,
             ready,
+            owned_since: None,
             addresses: HashMap::new(),
             replica: Replica::default(),
             holder,
