Test debts, checked limits, bounds and service to long requests

Cause: the fleet proof leaves extra tokens out of its sums, and nothing guarded the bounds of a bucket or the refill while holds are open.

Change: a proof over one bucket in which extra tokens count and every interval that ends at a take keeps the bound, with the fault that they are not charged; tests of limits, splits, open holds, tickets, returns and of a customer whose 8 s requests use half of what they hold.

--- a/crates/coordination/tests/leases.rs
+++ b/crates/coordination/tests/leases.rs
@@ -118,6 +118,47 @@
     assert_eq!(changes.len(), 1);
 }
 
+/// Guards against a change of the number of seats that counts as complete too early.
+#[test]
+fn lowest_seat_version_waits_for_every_holder_of_a_seat() {
+    let versioned = |host: u64, sequence: u64, offset: u64| {
+        let id = Id {
+            incarnation: Incarnation(host),
+            sequence,
+        };
+        let configuration_version = Position::new(offset, 0);
+        Record::Renew(Renew {
+            id,
+            host: String::new(),
+            configuration_version,
+        })
+    };
+    let seat = |host: u64, seat: u16| {
+        let id = Id {
+            incarnation: Incarnation(host),
+            sequence: 100,
+        };
+        let subjects = vec![(Subject::Seat(Seat(seat)), Position::default())];
+        Record::Claim(Claim { id, subjects })
+    };
+    let mut replica = Replica::default();
+    let mut lowest = |offset: u64, records: Vec<Record>| {
+        replica.apply(&Entry {
+            offset,
+            appended_at_ms: 0,
+            records,
+        });
+        replica.leases().lowest_seat_version().map(Position::offset)
+    };
+    assert_eq!(
+        lowest(10, vec![versioned(1, 1, 3), versioned(2, 1, 4)]),
+        None
+    );
+    assert_eq!(lowest(11, vec![seat(1, 0), seat(2, 1)]), Some(3));
+    assert_eq!(lowest(12, vec![versioned(1, 2, 9)]), Some(4));
+    assert_eq!(lowest(13, vec![versioned(2, 2, 9)]), Some(9));
+}
+
 /// Guards against a waiting time that is shorter than another host's lease at the drift bound.
 ///
 /// Clocks are in microseconds here; 1 + 2 x drift in place of the exact factor fails.
--- /dev/null
+++ b/crates/coordination/tests/quota.rs
@@ -0,0 +1,119 @@
+//! Checked limits, bounds of buckets, and service to customers with long requests.
+
+use berylknot_coordination::clock::{Drift, Instant};
+use berylknot_coordination::lease::Shard;
+use berylknot_coordination::quota::{Bucket, Error, Limits, Pool, Split};
+use berylknot_coordination::record::Position;
+use yare::parameterized;
+
+fn pool(rate: u64, burst: u64) -> Pool {
+    let limits = Limits::new(rate, burst).expect("valid limits");
+    let split = Split::new(0, 1, Drift::default()).expect("a valid split");
+    let since = Position::new(1, 0);
+    Pool::new(
+        Instant::from_millis(0),
+        limits,
+        split,
+        Shard::of(b"customer"),
+        since,
+    )
+}
+
+/// Guards against limits that the arithmetic cannot keep.
+#[parameterized(
+    rate_zero = { 0, 1_000, Some(Error::RateZero) },
+    burst_below_rate = { 1_000, 999, Some(Error::BurstBelowRate { burst: 999, rate: 1_000 }) },
+    burst_equals_rate = { 1_000, 1_000, None },
+    highest = { Limits::HIGHEST, Limits::HIGHEST, None },
+    above_highest = {
+        1, Limits::HIGHEST + 1, Some(Error::BurstTooHigh { burst: Limits::HIGHEST + 1 })
+    },
+)]
+fn limits_are_checked(rate: u64, burst: u64, error: Option<Error>) {
+    assert_eq!(Limits::new(rate, burst).err(), error);
+}
+
+/// Guards against a division without seats or without a pool.
+#[parameterized(
+    no_seats = { 250, 0, Some(Error::NoSeats) },
+    only_floors = { 1_000, 9, Some(Error::FloorTooHigh { per_mille: 1_000 }) },
+    usual = { 250, 9, None },
+)]
+fn splits_are_checked(floor_per_mille: u16, seats: u16, error: Option<Error>) {
+    assert_eq!(
+        Split::new(floor_per_mille, seats, Drift::default()).err(),
+        error
+    );
+}
+
+/// Guards against a level that overflows or drifts at the highest rate over a year.
+#[test]
+fn highest_rate_fills_to_the_cap_and_stays() {
+    let pool = pool(Limits::HIGHEST, Limits::HIGHEST);
+    let year = 365 * 24 * 3_600 * 1_000;
+    let level = pool.bucket().level(Instant::from_millis(year));
+    // 504 ms of the rate are set aside for grants under way.
+    assert_eq!(level, 496_000_000);
+    assert_eq!(u64::try_from(level).unwrap(), pool.bucket().largest());
+}
+
+/// Guards against wrongful refusals of customers whose requests are long and half unused: the
+/// refill must not wait until holds are settled.
+#[test]
+fn long_requests_within_the_rate_are_admitted() {
+    let mut pool = pool(1_000, 3_000);
+    let mut refused = 0;
+    let mut open = std::collections::VecDeque::new();
+    // 200 tokens every 250 ms are 800 tokens/s; each request lasts 8 s.
+    for turn in 20_u64..400 {
+        let now = Instant::from_millis(turn * 250);
+        match pool.ask(now, 200) {
+            Ok(approval) => open.push_back((turn, approval.hold)),
+            Err(_) => refused += 1,
+        }
+        while open.front().is_some_and(|(start, _)| turn - start >= 32) {
+            let (_, hold) = open.pop_front().unwrap();
+            pool.give_back(now, hold, 100);
+        }
+    }
+    assert_eq!(refused, 0);
+}
+
+/// Guards against a request that is cancelled at once and does not get its tokens back.
+#[test]
+fn cancelled_request_gets_all_tokens_back() {
+    let mut pool = pool(1_000, 3_000);
+    let now = Instant::from_millis(10_000);
+    let all = pool.bucket().largest();
+    let approval = pool.ask(now, all).unwrap();
+    assert_eq!(pool.give_back(now, approval.hold, all), all * 1_000_000_000);
+    assert_eq!(
+        pool.give_back(now, approval.hold, all),
+        0,
+        "a repetition credits nothing"
+    );
+    assert_eq!(pool.bucket().level(now), i64::try_from(all).unwrap());
+}
+
+/// Guards against state that grows with the number of requests.
+#[test]
+fn open_holds_and_tickets_are_bounded() {
+    let mut pool = pool(1_000_000, 1_000_000);
+    let now = Instant::from_millis(10_000);
+    let first = pool.ask(now, 1).unwrap();
+    for _ in 0..2 * Bucket::OPEN_HOLDS {
+        pool.ask(now, 1).unwrap();
+    }
+    let tickets = std::iter::from_fn(|| pool.ticket(now)).count();
+    assert_eq!(tickets, Pool::TICKETS);
+    assert!(
+        pool.memory_bytes() < 2_000_000,
+        "{} bytes",
+        pool.memory_bytes()
+    );
+    assert_eq!(
+        pool.give_back(now, first.hold, 1),
+        0,
+        "the oldest hold is forgotten"
+    );
+}
--- a/crates/coordination/tests/rates.rs
+++ b/crates/coordination/tests/rates.rs
@@ -1,5 +1,7 @@
 //! Proofs of leases and rates by stateful fuzzing; each is shown to fail without its mechanism.
 
+#[path = "rates/debt.rs"]
+mod debt;
 #[path = "rates/host.rs"]
 mod host;
 #[path = "rates/oracle.rs"]
@@ -85,3 +87,16 @@
     ];
     assert_eq!(tokens::run(&ops, tokens::Fault::None), Ok(()));
 }
+
+/// Guards against prompts that are underestimated for free.
+#[test]
+fn extra_tokens_are_paid_before_the_next_take() {
+    let failure = runner::first_failure(2_000, 500, debt::ops(), |ops| {
+        debt::run(ops, debt::Fault::None)
+    });
+    assert_eq!(failure, None);
+    let failure = runner::first_failure(2_000, 0, debt::ops(), |ops| {
+        debt::run(ops, debt::Fault::NoDebt)
+    });
+    assert!(failure.is_some(), "the missing debt was not noticed");
+}
--- a/crates/coordination/tests/rates/oracle.rs
+++ b/crates/coordination/tests/rates/oracle.rs
@@ -10,24 +10,43 @@
 
 /// Checks that in no interval more than `burst` plus rate times length was used.
 ///
-/// `burst` is in microtokens. The excess of the worst interval that ends at a use is the level of
-/// a bucket that leaks at the rate.
-pub(crate) fn check_window(mut used: Vec<Used>, burst: u128, rates: &Rates) -> Result<(), String> {
+/// `burst` is in microtokens.
+pub(crate) fn check_window(used: Vec<Used>, burst: u128, rates: &Rates) -> Result<(), String> {
+    let worst = excesses(used, rates)
+        .into_iter()
+        .max_by_key(|(_, excess)| *excess);
+    check(worst, burst)
+}
+
+/// Checks the intervals that end at the last use.
+pub(crate) fn check_last(used: Vec<Used>, burst: u128, rates: &Rates) -> Result<(), String> {
+    check(excesses(used, rates).pop(), burst)
+}
+
+fn check(excess: Option<(u64, u128)>, burst: u128) -> Result<(), String> {
+    match excess {
+        Some((time, excess)) if excess > burst => Err(format!(
+            "an interval that ends at {time} us exceeds its bound by {} microtokens",
+            excess - burst
+        )),
+        _ => Ok(()),
+    }
+}
+
+/// For each use, the microtokens above the rate in the worst interval that ends there. It is the
+/// level of a bucket that leaks at the rate.
+fn excesses(mut used: Vec<Used>, rates: &Rates) -> Vec<(u64, u128)> {
     used.sort_unstable();
     let mut excess: u128 = 0;
     let mut before = 0;
+    let mut excesses = Vec::with_capacity(used.len());
     for (time, tokens) in used {
         excess = excess.saturating_sub(accrued(rates, before, time));
         excess += u128::from(tokens) * 1_000_000;
         before = time;
-        if excess > burst {
-            return Err(format!(
-                "an interval that ends at {time} us exceeds its bound by {} microtokens",
-                excess - burst
-            ));
-        }
+        excesses.push((time, excess));
     }
-    Ok(())
+    excesses
 }
 
 /// Microtokens that the rate brings between two times.
