Test the handover of a pool and say when a configuration is acknowledged

Cause: the proofs allow a handover to lose tokens, so nothing showed that it moves the level.

Change: a test that a handover credits the full level once and only to the named successor; a clearer description of Holder::configure.

--- a/crates/coordination/src/lease/holder.rs
+++ b/crates/coordination/src/lease/holder.rs
@@ -138,8 +138,8 @@
 
     /// Sets the number of seats and the configuration version that renewals acknowledge.
     ///
-    /// Must be called before the configuration is used and not before every bucket of this host
-    /// has its new limits.
+    /// To be called once every bucket of this host has its new limits, since the next renewal
+    /// acknowledges the version. See [`crate::quota::Split`] for a change of the number of seats.
     pub fn configure(&mut self, seats: u16, version: Position) {
         self.seats = seats;
         self.configuration_version = self.configuration_version.max(version);
--- a/crates/coordination/tests/quota.rs
+++ b/crates/coordination/tests/quota.rs
@@ -117,3 +117,21 @@
         "the oldest hold is forgotten"
     );
 }
+
+/// Guards against a handover that loses the level, is taken twice or comes from another owner.
+#[test]
+fn handover_moves_the_level_once_to_the_named_successor() {
+    let now = Instant::from_millis(10_000);
+    let old = pool(1_000, 3_000);
+    let level = old.bucket().level(now);
+    let handover = old.hand_over(now);
+    let limits = Limits::new(1_000, 3_000).unwrap();
+    let split = Split::new(0, 1, Drift::default()).unwrap();
+    let since = Position::new(2, 0);
+    let mut new = Pool::new(now, limits, split, Shard::of(b"customer"), since);
+    assert!(!new.take_over(now, handover, None));
+    assert!(!new.take_over(now, handover, Some(since)));
+    assert!(new.take_over(now, handover, Some(Position::new(1, 0))));
+    assert!(!new.take_over(now, handover, Some(Position::new(1, 0))));
+    assert_eq!(new.bucket().level(now), level);
+}
