--- a/crates/coordination/tests/rates.rs
+++ b/crates/coordination/tests/rates.rs
@@ -1,5 +1,7 @@
 //! Proofs of leases and rates by stateful fuzzing; each is shown to fail without its mechanism.
 
+#[path = "rates/debt.rs"]
+mod debt;
 #[path = "rates/host.rs"]
 mod host;
 #[path = "rates/oracle.rs"]
@@ -48,7 +50,7 @@
 /// hosts, and against shards and customers that stay unserved after faults have ended.
 #[test]
 fn a_fleet_keeps_the_bound_and_recovers() {
-    let failure = runner::first_failure(60, 500, world::cases(), |case| {
+    let failure = runner::first_failure(60, 500, world::cases(world::Fault::None), |case| {
         world::run(case, world::Fault::None)
     });
     assert_eq!(failure, None);
@@ -63,7 +65,8 @@
     no_claim = { world::Fault::NoClaim, "have an owner" },
 )]
 fn a_fault_of_the_fleet_is_reported(fault: world::Fault, reason: &str) {
-    let failure = runner::first_failure(400, 0, world::cases(), |case| world::run(case, fault));
+    let failure =
+        runner::first_failure(400, 0, world::cases(fault), |case| world::run(case, fault));
     let failure = failure.unwrap_or_else(|| panic!("{fault:?} was not noticed"));
     assert!(failure.contains(reason), "{failure}");
 }
@@ -84,3 +87,16 @@
     ];
     assert_eq!(tokens::run(&ops, tokens::Fault::None), Ok(()));
 }
+
+/// Guards against prompts that are underestimated for free.
+#[test]
+fn extra_tokens_are_paid_before_the_next_take() {
+    let failure = runner::first_failure(2_000, 500, debt::ops(), |ops| {
+        debt::run(ops, debt::Fault::None)
+    });
+    assert_eq!(failure, None);
+    let failure = runner::first_failure(2_000, 0, debt::ops(), |ops| {
+        debt::run(ops, debt::Fault::NoDebt)
+    });
+    assert!(failure.is_some(), "the missing debt was not noticed");
+}
