--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{claim, snapshot};
+use crate::{claim, quarantine, snapshot};
 
 /// Random number that identifies one start of a coordinator process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -78,6 +78,8 @@
     Key(claim::Event),
     /// Part of a snapshot of the replicated state.
     Snapshot(snapshot::Chunk),
+    /// Strikes requests that were in flight when an endpoint crashed, or clears one.
+    Strike(quarantine::Event),
 }
 
 /// Proposal of a configuration by an operator.
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -5,7 +5,7 @@
 use crate::configuration::{Register, Verdict};
 use crate::record::{Entry, Id, Position, Record};
 use crate::snapshot::{self, Snapshot};
-use crate::{append, claim};
+use crate::{append, claim, quarantine};
 
 /// Effect of a record on the derived state.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -47,6 +47,7 @@
     batches: append::Table,
     claims: claim::Table,
     snapshots: snapshot::Table,
+    strikes: quarantine::Table,
 }
 
 impl Default for Replica {
@@ -58,6 +59,7 @@
             batches: append::Table::default(),
             claims: claim::Table::default(),
             snapshots: snapshot::Table::default(),
+            strikes: quarantine::Table::default(),
         }
     }
 }
@@ -92,6 +94,7 @@
         self.snapshots.entry(time_ms);
         self.batches.forget(time_ms);
         self.claims.forget(time_ms);
+        self.strikes.forget(time_ms);
         let mut changes = Vec::new();
         for (index, record) in (0..=u8::MAX).zip(&entry.records) {
             let position = Position::new(entry.offset, index);
@@ -112,6 +115,7 @@
                     verdict: self.claims.apply(position, time_ms, event),
                 }),
                 Record::Snapshot(chunk) => self.snapshots.apply(time_ms, chunk),
+                Record::Strike(event) => self.strikes.apply(time_ms, event),
             }
         }
         changes
@@ -163,6 +167,7 @@
             + self.batches.size_bytes()
             + self.claims.size_bytes()
             + self.snapshots.size_bytes()
+            + self.strikes.size_bytes()
     }
 
     /// Offset of the first entry that was not applied.
@@ -195,6 +200,12 @@
         &self.snapshots
     }
 
+    /// Strikes against requests.
+    #[must_use]
+    pub const fn strikes(&self) -> &quarantine::Table {
+        &self.strikes
+    }
+
     /// Idempotency keys.
     #[must_use]
     pub const fn claims(&self) -> &claim::Table {
