Add the planner of orders to engines and prove its rules

Change: a planner lives for one controller term. It reads every engine once a second, orders absolute states, changes one engine of a route at a time, keeps each route's minimum of serving engines and the weight store's budget. An engine that left the planned state after it was reached does not wait for other changes. `Planner::send` is asked immediately before an order is sent: the lease must outlive the order's timeout, for all engines, since an engine that checks tokens may not have met the next controller's token yet. The proofs name the support modules they use, so that the replica oracle is a module of its own.

Ruled out: taking a change as finished when a read sent after the order shows the wanted state. If the plan is taken back meanwhile, the order can still take effect and a second engine of the route changes beside it; a change therefore lasts for the order's timeout. Sending an order that waited inside the process: it is planned anew after the timeout.

Orders that take effect after their timeout can break a route's minimum; the oracle excuses 12 s after each.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod configuration;
 pub mod freshness;
+pub mod order;
 pub mod quarantine;
 pub mod record;
 pub mod replica;
--- a/crates/coordination/tests/append.rs
+++ b/crates/coordination/tests/append.rs
@@ -1,6 +1,11 @@
 //! Proof of the appender: records count at most once, and reported fates are true.
 
-mod support;
+mod support {
+    pub(crate) mod agreement;
+    pub(crate) mod log;
+    pub(crate) mod network;
+    pub(crate) mod run;
+}
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -10,9 +15,10 @@
 use berylknot_coordination::record::{Id, Incarnation, Position, Publish, Record};
 use berylknot_coordination::replica::{Change, Replica};
 use proptest::prelude::*;
+use support::agreement::Agreement;
 use support::log::Log;
 use support::network::Network;
-use support::run::{Agreement, Result, catches, holds};
+use support::run::{Result, catches, holds};
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Fault {
--- a/crates/coordination/tests/claim.rs
+++ b/crates/coordination/tests/claim.rs
@@ -1,6 +1,11 @@
 //! Proof of the idempotency keys: at most one run per key, and every "not run" is true.
 
-mod support;
+mod support {
+    pub(crate) mod agreement;
+    pub(crate) mod log;
+    pub(crate) mod network;
+    pub(crate) mod run;
+}
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,9 +19,10 @@
 use berylknot_coordination::replica::{Change, Replica};
 use proptest::prelude::*;
 use rand::Rng;
+use support::agreement::Agreement;
 use support::log::Log;
 use support::network::Network;
-use support::run::{Agreement, Result, catches, holds};
+use support::run::{Result, catches, holds};
 
 const HOSTS: usize = 3;
 const TICK_MS: u64 = 50;
--- a/crates/coordination/tests/configuration.rs
+++ b/crates/coordination/tests/configuration.rs
@@ -1,7 +1,12 @@
 //! Proof of configuration and snapshots: an accepted version never reverts, also on hosts that
 //! restart empty after the log has dropped old records.
 
-mod support;
+mod support {
+    pub(crate) mod agreement;
+    pub(crate) mod log;
+    pub(crate) mod network;
+    pub(crate) mod run;
+}
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,9 +19,10 @@
 use berylknot_coordination::replica::{Change, Replica};
 use berylknot_coordination::snapshot::{Chunk, Recent, Schedule, Search, Snapshot, split};
 use proptest::prelude::*;
+use support::agreement::Agreement;
 use support::log::Log;
 use support::network::Network;
-use support::run::{Agreement, Result, catches, holds};
+use support::run::{Result, catches, holds};
 
 const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
 const HOSTS: usize = NAMES.len();
--- a/crates/coordination/tests/freshness.rs
+++ b/crates/coordination/tests/freshness.rs
@@ -1,7 +1,12 @@
 //! Proof of freshness: a withdrawn key is refused everywhere in time, and keys work in a general
 //! outage.
 
-mod support;
+mod support {
+    pub(crate) mod agreement;
+    pub(crate) mod log;
+    pub(crate) mod network;
+    pub(crate) mod run;
+}
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -13,9 +18,10 @@
 use berylknot_coordination::replica::Replica;
 use berylknot_coordination::snapshot::Recent;
 use proptest::prelude::*;
+use support::agreement::Agreement;
 use support::log::Log;
 use support::network::Network;
-use support::run::{Agreement, Result, catches, holds};
+use support::run::{Result, catches, holds};
 
 const HOSTS: usize = 5;
 const MAJORITY: usize = HOSTS / 2 + 1;
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -1,7 +1,12 @@
 //! Proof of the quarantine: a crashing request takes two endpoints at most, and no other
 //! customer's request is refused for it.
 
-mod support;
+mod support {
+    pub(crate) mod agreement;
+    pub(crate) mod log;
+    pub(crate) mod network;
+    pub(crate) mod run;
+}
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,9 +20,10 @@
 use berylknot_coordination::replica::Replica;
 use proptest::prelude::*;
 use rand::Rng;
+use support::agreement::Agreement;
 use support::log::Log;
 use support::network::Network;
-use support::run::{Agreement, Result, catches, holds};
+use support::run::{Result, catches, holds};
 
 const HOSTS: usize = 3;
 const ENDPOINTS: usize = 6;
--- a/crates/coordination/tests/support/run.rs
+++ b/crates/coordination/tests/support/run.rs
@@ -1,9 +1,6 @@
 //! Seeded runs. `BERYLKNOT_FUZZ_CASES` multiplies the number of cases and `BERYLKNOT_FUZZ_SEED`
 //! changes the seed.
 
-use std::collections::BTreeMap;
-
-use berylknot_coordination::replica::Replica;
 use proptest::strategy::Strategy;
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
 
@@ -47,25 +44,3 @@
     }
     panic!("the oracle did not report {violation:?}; other report: {other:?}");
 }
-
-/// Oracle: replicas with the same next offset are equal.
-#[derive(Default)]
-pub(crate) struct Agreement {
-    seen: BTreeMap<u64, Replica>,
-}
-
-impl Agreement {
-    pub(crate) fn check(&mut self, replica: &Replica) -> Result {
-        let first = self
-            .seen
-            .entry(replica.next_offset())
-            .or_insert_with(|| replica.clone());
-        if first != replica {
-            return Err(format!(
-                "replicas disagree before {}",
-                replica.next_offset()
-            ));
-        }
-        Ok(())
-    }
-}
