--- /dev/null
+++ b/crates/coordination/tests/member.rs
@@ -0,0 +1,395 @@
+//! Views of whole fleets in virtual time, over links that lose digests.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use berylknot_coordination::clock::Instant;
+use berylknot_coordination::member::{
+    Cargo, DIGEST_BYTES, Digest, Health, Limits, Listed, Load, TARGETS, TRAFFIC_BYTES_PER_SECOND,
+    View,
+};
+use proptest::prelude::*;
+
+const SECOND_MS: u64 = 1_000;
+
+fn host(index: usize) -> String {
+    format!("entry-{index:03}.example")
+}
+
+fn endpoint(index: usize) -> String {
+    format!("engine-{index:04}.example")
+}
+
+fn second(round: u64) -> Instant {
+    // The origin of the clock is far enough back that nothing seems fresh by accident.
+    Instant::from_millis((round + 1_000) * SECOND_MS)
+}
+
+/// A fleet whose hosts know each other and all endpoints.
+fn fleet(hosts: usize, endpoints: usize) -> Vec<View> {
+    let names: Vec<String> = (0..hosts).map(host).collect();
+    let engines: Vec<String> = (0..endpoints).map(endpoint).collect();
+    let mut views = Vec::new();
+    for name in &names {
+        let mut view = View::new(second(0), name, Limits::default());
+        view.list_hosts(
+            second(0),
+            names.iter().map(|name| (name.as_str(), Listed::Live)),
+        );
+        view.list_endpoints(
+            second(0),
+            engines.iter().map(|name| (name.as_str(), Listed::Live)),
+        );
+        views.push(view);
+    }
+    views
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    None,
+    SameTargetsEachRound,
+    DigestWithoutLeaving,
+    RelaysRestartAges,
+    RendezvousByCount,
+}
+
+/// Runs one gossip round. Hosts whose clock is ahead are in the next round already.
+fn gossip(
+    views: &mut [View],
+    round: u64,
+    ahead: &[bool],
+    lost: impl Fn(u64) -> bool,
+    fault: Fault,
+) {
+    let now = second(round);
+    let mut sent: Vec<(usize, String, Digest)> = Vec::new();
+    for (index, view) in views.iter().enumerate() {
+        let own = round + u64::from(ahead[index % ahead.len()]);
+        let mut digest = view.digest(now, own, Cargo::default());
+        match fault {
+            Fault::DigestWithoutLeaving => digest.leaving.clear(),
+            Fault::RelaysRestartAges => digest.leaving.iter_mut().for_each(|(_, age)| *age = 0),
+            _ => {}
+        }
+        let own = if fault == Fault::SameTargetsEachRound {
+            0
+        } else {
+            own
+        };
+        for target in view.targets(now, own) {
+            sent.push((index, target.to_owned(), digest.clone()));
+        }
+    }
+    for (number, (sender, target, digest)) in (0..).zip(sent) {
+        let target = (0..views.len())
+            .find(|index| host(*index) == target)
+            .expect("a host");
+        if !lost(round * 7_919 + number) {
+            views[target].merge(now, &host(sender), &digest);
+        }
+    }
+}
+
+/// Rounds until every host has stopped giving the endpoint work.
+fn rounds_until_known(
+    views: &mut [View],
+    first: usize,
+    ahead: &[bool],
+    lost: impl Fn(u64) -> bool + Copy,
+    fault: Fault,
+) -> u64 {
+    let name = endpoint(0);
+    views[first].leaving(second(0), &name);
+    let knows = |view: &View, round| view.endpoint_health(second(round), &name) == Health::Leaving;
+    for round in 0..50 {
+        if views.iter().all(|view| knows(view, round)) {
+            return round;
+        }
+        gossip(views, round, ahead, lost, fault);
+    }
+    50
+}
+
+/// Guards against leaving endpoints that still get new work after a few seconds (I8). The bound is
+/// `⌈log3 n⌉` rounds when all hosts are in the same round and nothing is lost.
+#[yare::parameterized(
+    registry = { 7, 2 },
+    middle = { 60, 4 },
+    large = { 360, 6 },
+)]
+fn leaving_endpoints_are_known_within_the_stated_rounds(hosts: usize, bound: u64) {
+    for first in [0, hosts / 2, hosts - 1] {
+        let mut views = fleet(hosts, 1);
+        let rounds = rounds_until_known(&mut views, first, &[false], |_| false, Fault::None);
+        assert!(rounds <= bound, "{rounds} rounds from host {first}");
+    }
+}
+
+/// Guards against a spread that depends on aligned clocks and lossless links: a fifth of the
+/// digests is lost and hosts are in neighbouring rounds. Stated bounds: 5, 8 and 10 rounds.
+#[yare::parameterized(
+    registry = { 7, 5, 200 },
+    middle = { 60, 8, 60 },
+    large = { 360, 10, 6 },
+)]
+fn losses_and_skewed_clocks_delay_the_news_little(hosts: usize, bound: u64, cases: u32) {
+    let histories = (
+        0..hosts,
+        prop::collection::vec(any::<bool>(), 16),
+        any::<u64>(),
+    );
+    support::holds(cases, histories, |(first, ahead, salt)| {
+        let lost = |number: u64| (number ^ salt).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 56 < 51;
+        let mut views = fleet(hosts, 1);
+        let rounds = rounds_until_known(&mut views, *first, ahead, lost, Fault::None);
+        if rounds <= bound {
+            Ok(())
+        } else {
+            Err(format!("{rounds} rounds"))
+        }
+    });
+}
+
+/// Guards against an oracle that cannot see the faults it is for.
+#[yare::parameterized(
+    same_targets = { Fault::SameTargetsEachRound },
+    without_leaving = { Fault::DigestWithoutLeaving },
+)]
+fn the_spread_oracle_reports(fault: Fault) {
+    support::fails(4, 0..60_usize, |first| {
+        let rounds = rounds_until_known(&mut fleet(60, 1), *first, &[false], |_| false, fault);
+        if rounds <= 8 {
+            Ok(())
+        } else {
+            Err(format!("{rounds} rounds"))
+        }
+    });
+}
+
+/// Relays keep a statement alive only for its lifetime.
+fn returns_to_service(fault: Fault) -> bool {
+    let mut views = fleet(7, 1);
+    let name = endpoint(0);
+    views[0].leaving(second(0), &name);
+    for round in 0..70 {
+        gossip(&mut views, round, &[false], |_| false, fault);
+    }
+    views
+        .iter()
+        .all(|view| view.endpoint_health(second(70), &name) == Health::Live)
+}
+
+/// Guards against an endpoint that stays out of service for ever because hosts repeat to each other
+/// that it is leaving.
+#[test]
+fn statements_expire_although_they_are_relayed() {
+    assert!(returns_to_service(Fault::None));
+    assert!(!returns_to_service(Fault::RelaysRestartAges));
+}
+
+/// Guards against digests that exceed the control traffic of a node, at the largest fleet with
+/// every section full.
+#[test]
+fn digests_fit_the_control_traffic() {
+    let mut views = fleet(360, 3_100);
+    let view = &mut views[0];
+    for index in 0..3_100 {
+        let load = Load {
+            running: 300,
+            waiting: 300,
+            slots: 300,
+        };
+        view.load(second(0), &endpoint(index), load);
+        view.leaving(second(0), &endpoint(index));
+    }
+    let cargo = Cargo {
+        configuration: u64::MAX,
+        log_tail: u64::MAX,
+        log_age_ms: u32::MAX,
+        strikes: vec![(u64::MAX, u64::MAX); 4_096],
+    };
+    for round in 0..20 {
+        let digest = view.digest(second(5), round, cargo.clone());
+        let bytes = rmp_serde::to_vec(&digest)
+            .expect("a digest can be encoded")
+            .len();
+        assert!(bytes <= DIGEST_BYTES, "{bytes} bytes");
+        // Sent and received, with 400 bytes for the frame and HTTP headers of each.
+        let traffic = 2 * TARGETS * (bytes + 400);
+        assert!(
+            traffic * 2 <= TRAFFIC_BYTES_PER_SECOND,
+            "{traffic} bytes per second"
+        );
+    }
+}
+
+/// Guards against hosts that are never told anything directly.
+#[yare::parameterized(registry = { 7 }, middle = { 60 }, large = { 360 })]
+fn targets_reach_every_host(hosts: usize) {
+    let view = &fleet(hosts, 0)[hosts / 3];
+    let mut reached = BTreeMap::<&str, u32>::new();
+    for round in 0..hosts as u64 {
+        let targets = view.targets(second(0), round);
+        assert!(!targets.is_empty() && targets.len() <= TARGETS);
+        for target in targets {
+            *reached.entry(target).or_default() += 1;
+        }
+    }
+    assert_eq!(reached.len(), hosts - 1);
+    assert!(!reached.contains_key(&*host(hosts / 3)));
+}
+
+/// Endpoints that change their coordinating host when one host dies, although theirs did not.
+fn needless_moves(fault: Fault) -> usize {
+    let names: Vec<String> = (0..60).map(host).collect();
+    let mut view = View::new(second(0), &names[0], Limits::default());
+    let chosen = |view: &View, round| -> Vec<String> {
+        let members = view
+            .hosts()
+            .filter(|name| view.host_health(second(round), name) != Health::Dead);
+        let members: Vec<&str> = members.collect();
+        let pick = |index: usize| match fault {
+            Fault::RendezvousByCount => Some(members[index % members.len()]),
+            _ => view.coordinator(second(round), &endpoint(index)),
+        };
+        (0..400)
+            .map(|index| pick(index).expect("a live host").to_owned())
+            .collect()
+    };
+    view.list_hosts(
+        second(0),
+        names.iter().map(|name| (name.as_str(), Listed::Live)),
+    );
+    let before = chosen(&view, 0);
+    for name in names.iter().filter(|name| **name != host(30)) {
+        view.heard(second(20), name);
+    }
+    let after = chosen(&view, 20);
+    let moves = before
+        .iter()
+        .zip(&after)
+        .filter(|(before, after)| before != after);
+    moves.filter(|(before, _)| **before != host(30)).count()
+}
+
+/// Guards against slot ledgers that move although their host lives.
+#[test]
+fn a_dead_host_moves_only_its_own_endpoints() {
+    assert_eq!(needless_moves(Fault::None), 0);
+    assert!(needless_moves(Fault::RendezvousByCount) > 0);
+}
+
+/// Guards against one host that coordinates far more than its share.
+#[test]
+fn endpoints_are_spread_evenly() {
+    let view = &fleet(360, 0)[0];
+    let mut shares = BTreeMap::<&str, u32>::new();
+    for index in 0..3_100 {
+        let coordinator = view
+            .coordinator(second(0), &endpoint(index))
+            .expect("a live host");
+        *shares.entry(coordinator).or_default() += 1;
+    }
+    let largest = shares.values().max().copied().unwrap_or(0);
+    assert!(
+        largest <= 24,
+        "one host coordinates {largest} endpoints, 8.6 are its share"
+    );
+}
+
+/// What is known about one host, step by step.
+#[derive(Clone, Copy, Debug)]
+enum Sign {
+    Renewed,
+    Heard,
+    Relayed(u8),
+    Leaving,
+    Pass(u64),
+}
+
+/// Guards against a health that differs from the stated rules, in any order of signs.
+#[test]
+fn health_follows_the_latest_signs() {
+    let sign = prop_oneof![
+        Just(Sign::Renewed),
+        Just(Sign::Heard),
+        (0..200_u8).prop_map(Sign::Relayed),
+        Just(Sign::Leaving),
+        (0..20_000_u64).prop_map(Sign::Pass),
+    ];
+    support::holds(2_000, prop::collection::vec(sign, 1..40), |signs| {
+        let limits = Limits::default();
+        let (own, other) = (host(0), host(1));
+        let mut now = second(0);
+        let mut view = View::new(now, &own, limits);
+        let mut peer = View::new(now, &other, limits);
+        view.heard(now, &other);
+        peer.heard(now, &own);
+        let (mut heard, mut renewed, mut leaving) = (now, None, None);
+        for sign in signs {
+            match sign {
+                Sign::Renewed => {
+                    view.renewed(now, &other);
+                    renewed = Some(now);
+                }
+                Sign::Heard => {
+                    view.heard(now, &other);
+                    heard = now;
+                }
+                Sign::Relayed(age) => {
+                    let mut digest = peer.digest(now, 0, Cargo::default());
+                    digest.hosts.retain(|(_, age)| *age == 0);
+                    digest.hosts.iter_mut().for_each(|entry| entry.1 = *age);
+                    view.merge(now, "third.example", &digest);
+                    let at = now - Duration::from_millis(u64::from(*age) * 100);
+                    if !digest.hosts.is_empty() {
+                        heard = heard.max(at);
+                    }
+                }
+                Sign::Leaving => {
+                    view.leaving(now, &other);
+                    leaving = Some(now);
+                }
+                Sign::Pass(millis) => now = now + Duration::from_millis(*millis),
+            }
+            let since = |at: Instant| now.since(at);
+            let unheard = since(heard) >= limits.drift.surely_passed(limits.dead);
+            let expired =
+                renewed.is_none_or(|at| since(at) >= limits.drift.surely_passed(limits.lease));
+            let latest = since(heard.max(renewed.unwrap_or(heard)));
+            let wanted = if unheard && expired {
+                Health::Dead
+            } else if leaving.is_some_and(|at| since(at) < limits.leaving) {
+                Health::Leaving
+            } else if latest >= limits.silent {
+                Health::Silent
+            } else {
+                Health::Live
+            };
+            if view.host_health(now, &other) != wanted {
+                return Err(format!(
+                    "{:?} instead of {wanted:?}",
+                    view.host_health(now, &other)
+                ));
+            }
+            if view.host_health(now, &own) != Health::Live {
+                return Err("the own host is not live".into());
+            }
+        }
+        Ok(())
+    });
+}
+
+/// Guards against views that grow without bound when names come and go.
+#[test]
+fn forgotten_hosts_leave_the_view() {
+    let mut view = View::new(second(0), &host(0), Limits::default());
+    for round in 0..5_000 {
+        view.heard(second(round * 20), &format!("replaced-{round}"));
+        view.list_hosts(second(round * 20), []);
+    }
+    assert!(view.hosts().count() <= 3);
+}
