--- a/crates/coordination/benches/streams.rs
+++ b/crates/coordination/benches/streams.rs
@@ -39,7 +39,7 @@
                     attempt: 1,
                     body: Body::Token { index },
                 };
-                black_box(assembler.event(now, &event));
+                let _ = black_box(assembler.event(now, &event));
             }
         });
 }
