Add graceful shutdown

Cause: a shutdown must cut no request (I9), double no tokens and leave no shard with two granting owners, within the operator's deadline. Change: drain::Progress reports not ready and stops accepting at once, lets requests run, debits pools before their levels are sent and before their shards are released, and releases the seat last. Running requests are cut at the deadline and not earlier; their answers and cancels then get the time of a hand-over. The report counts what was cut, also by the exit itself. Ruled out: a hand-over only after the last request. Requests that run until the deadline would leave it no time, so it begins one hand-over before the deadline at the latest; the seat and the host's lease stay until the requests have ended. Sending a level again: a doubled message would double tokens.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod configuration;
 pub mod deadline;
+pub mod drain;
 pub mod member;
 pub mod reap;
 pub mod record;
