--- a/crates/coordination/src/queue.rs
+++ b/crates/coordination/src/queue.rs
@@ -18,6 +18,8 @@
 const UNITS_PER_TOKEN: u64 = 1 << 16;
 /// Timely requests of a customer that go before a late one of the same customer.
 const TIMELY_RUN: u8 = 7;
+/// Time before its deadline at which a late request goes before timely ones of its customer.
+const URGENT: Duration = Duration::from_millis(3_250);
 /// Shortest time over which the drain rate is sampled; shorter samples follow single long prompts.
 const SAMPLE: Duration = Duration::from_millis(500);
 const FEWEST_DRAINED: u32 = 4;
@@ -25,6 +27,9 @@
 const LONGEST_SAMPLE: Duration = Duration::from_secs(4);
 /// Weight of a new sample of the drain rate, in eighths.
 const SAMPLE_EIGHTHS: u64 = 2;
+/// Time of a lasting backlog after which late requests no longer go before timely ones. Without
+/// this bound goodput stayed low for as long as the callers' patience after an overload.
+const LONGEST_RESCUE: Duration = Duration::from_secs(8);
 /// Bounds of Retry-After.
 const SHORTEST_RETRY: Duration = Duration::from_millis(100);
 const LONGEST_RETRY: Duration = Duration::from_secs(60);
@@ -110,7 +115,8 @@
     /// Virtual start time of the next request.
     tag: u64,
     timely: BTreeSet<(Instant, Ticket)>,
-    late: BTreeSet<Ticket>,
+    /// By deadline.
+    late: BTreeSet<(Instant, Ticket)>,
     run: u8,
     tokens: u64,
 }
@@ -137,25 +143,33 @@
     }
 
     /// Takes the request whose turn it is within the customer.
-    fn next(&mut self, now: Instant) -> Option<Ticket> {
+    fn next<C>(
+        &mut self,
+        now: Instant,
+        rescue: bool,
+        waiting: &BTreeMap<Ticket, (Request<C>, Instant)>,
+    ) -> Option<Ticket> {
         while let Some(&(start_by, ticket)) = self.timely.first()
             && start_by < now
         {
             self.timely.pop_first();
-            self.late.insert(ticket);
+            let deadline = waiting.get(&ticket)?.0.deadline;
+            self.late.insert((deadline, ticket));
         }
-        if self.run >= TIMELY_RUN
-            && let Some(ticket) = self.late.pop_first()
-        {
-            self.run = 0;
-            return Some(ticket);
+        if let Some(&(deadline, ticket)) = self.late.first() {
+            let urgent = rescue && deadline.since(now) < URGENT;
+            if urgent || self.run >= TIMELY_RUN {
+                self.late.pop_first();
+                self.run = 0;
+                return Some(ticket);
+            }
         }
         if let Some((_, ticket)) = self.timely.pop_first() {
             self.run = self.run.saturating_add(1);
             return Some(ticket);
         }
         self.run = 0;
-        self.late.pop_first()
+        self.late.pop_first().map(|(_, ticket)| ticket)
     }
 }
 
@@ -215,6 +229,9 @@
     virtual_time: u64,
     next: u64,
     drain: Drain,
+    late: usize,
+    /// Time since which late requests have waited without a break.
+    behind_since: Option<Instant>,
 }
 
 impl<C: Copy + Ord> Fair<C> {
@@ -231,6 +248,8 @@
             virtual_time: 0,
             next: 0,
             drain: Drain::default(),
+            late: 0,
+            behind_since: None,
         }
     }
 
@@ -315,10 +334,15 @@
     pub fn pop(&mut self, now: Instant) -> Option<Turn<C>> {
         self.drain.sample(now);
         let (tag, customer) = self.active.pop_first()?;
+        let rescue = self
+            .behind_since
+            .is_none_or(|since| now.since(since) < LONGEST_RESCUE);
         let lane = self.lanes.get_mut(&customer)?;
-        let ticket = lane.next(now)?;
+        let late = lane.late.len();
+        let ticket = lane.next(now, rescue, &self.waiting)?;
         let (request, queued_at) = self.waiting.remove(&ticket)?;
         self.deadlines.remove(&(request.deadline, ticket));
+        let late_after = lane.late.len();
         let charge = lane.charge(request.tokens);
         self.virtual_time = self.virtual_time.max(tag);
         lane.tag = tag + charge;
@@ -330,6 +354,7 @@
         }
         let waited = queued_at < now;
         self.drain.left(request.tokens, waited);
+        self.count_late(now, late, late_after);
         if self.waiting.is_empty() {
             self.drain.since = None;
         }
@@ -375,7 +400,12 @@
         self.deadlines.remove(&(request.deadline, ticket));
         let lane = self.lanes.get_mut(&request.customer)?;
         lane.timely.remove(&(request.start_by, ticket));
-        lane.late.remove(&ticket);
+        if lane.late.remove(&(request.deadline, ticket)) {
+            self.late -= 1;
+            if self.late == 0 {
+                self.behind_since = None;
+            }
+        }
         lane.tokens -= request.tokens;
         if lane.len() == 0 {
             self.active.remove(&(lane.tag, request.customer));
@@ -451,7 +481,9 @@
             self.active_weight += u64::from(lane.weight.get());
         }
         if request.start_by < now {
-            lane.late.insert(ticket);
+            lane.late.insert((request.deadline, ticket));
+            self.late += 1;
+            self.behind_since.get_or_insert(now);
         } else {
             lane.timely.insert((request.start_by, ticket));
         }
@@ -463,6 +495,16 @@
         }
     }
 
+    /// Follows the number of late requests when that of one customer changed.
+    fn count_late(&mut self, now: Instant, before: usize, after: usize) {
+        self.late = self.late + after - before;
+        if self.late == 0 {
+            self.behind_since = None;
+        } else {
+            self.behind_since.get_or_insert(now);
+        }
+    }
+
     fn sweep(&mut self) {
         let virtual_time = self.virtual_time;
         self.lanes
--- a/crates/experiment/src/arguments.rs
+++ b/crates/experiment/src/arguments.rs
@@ -5,6 +5,8 @@
     reason = "the macro generates the types without documentation"
 )]
 
+use std::path::PathBuf;
+
 xflags::xflags! {
     /// Compares scheduling policies on seeded workloads in virtual time.
     cmd berylknot-experiment {
@@ -13,5 +15,22 @@
             /// Number of seeds; 10 by default.
             optional --seeds seeds: u64
         }
+        /// Prints goodput around each fault for both fleets.
+        cmd faults {
+            /// Number of seeds; 10 by default.
+            optional --seeds seeds: u64
+        }
+        /// Changes one constant of the service model at a time.
+        cmd sensitivity {
+            /// Number of seeds; 10 by default.
+            optional --seeds seeds: u64
+        }
+        /// Writes the plots of both fleets.
+        cmd plots {
+            /// Folder of the plots.
+            required folder: PathBuf
+            /// Number of seeds; 10 by default.
+            optional --seeds seeds: u64
+        }
     }
 }
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -8,6 +8,7 @@
 mod lookups;
 pub mod measure;
 pub mod model;
+pub mod plot;
 pub mod policy;
 pub mod report;
 pub mod scenario;
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -2,20 +2,39 @@
 
 use berylknot_experiment::arguments::{BerylknotExperiment, BerylknotExperimentCmd};
 use berylknot_experiment::model::{ATELIER, Model, REGISTRY};
-use berylknot_experiment::policy::all;
-use berylknot_experiment::report::{compare, table};
+use berylknot_experiment::policy::{all, short};
+use berylknot_experiment::report::{compare, draw, fault_table, sensitivity_table, table};
 use berylknot_experiment::scenario::Scenario;
 
-fn main() {
+/// Seeds of a comparison unless the command line says otherwise.
+const SEEDS: u64 = 10;
+
+fn main() -> eyre::Result<()> {
     let arguments = BerylknotExperiment::from_env_or_exit();
-    match arguments.subcommand {
-        BerylknotExperimentCmd::Table(options) => {
-            let seeds = options.seeds.unwrap_or(10);
-            let policies = all();
-            for fleet in [&REGISTRY, &ATELIER] {
-                let results = compare(fleet, &Model::default(), Scenario::Steady, &policies, seeds);
-                println!("## {}\n\n{}", fleet.name, table(&policies, &results));
+    let model = Model::default();
+    let policies = all();
+    for fleet in [&REGISTRY, &ATELIER] {
+        println!("## {}\n", fleet.name);
+        match &arguments.subcommand {
+            BerylknotExperimentCmd::Table(options) => {
+                let seeds = options.seeds.unwrap_or(SEEDS);
+                let results = compare(fleet, &model, Scenario::Steady, &policies, seeds);
+                println!("{}", table(&policies, &results));
+            }
+            BerylknotExperimentCmd::Faults(options) => {
+                let seeds = options.seeds.unwrap_or(SEEDS);
+                println!("{}", fault_table(fleet, &model, &short(), seeds));
+            }
+            BerylknotExperimentCmd::Sensitivity(options) => {
+                let seeds = options.seeds.unwrap_or(SEEDS);
+                println!("{}", sensitivity_table(fleet, &policies, seeds));
+            }
+            BerylknotExperimentCmd::Plots(options) => {
+                let seeds = options.seeds.unwrap_or(SEEDS);
+                draw(fleet, &model, &options.folder, seeds)
+                    .map_err(|error| eyre::eyre!("plots of {}: {error}", fleet.name))?;
             }
         }
     }
+    Ok(())
 }
--- a/crates/experiment/src/policy.rs
+++ b/crates/experiment/src/policy.rs
@@ -70,6 +70,13 @@
     ..baseline("chosen", Place::Chooser, Admit::Fair)
 };
 
+/// The better baselines and the chosen policy, for fault scenarios.
+#[must_use]
+pub fn short() -> Vec<Policy> {
+    let [_, least, _, first, once] = BASELINES;
+    vec![least, first, once, CHOSEN]
+}
+
 /// Baselines and the chosen policy, as the tables show them.
 #[must_use]
 pub fn all() -> Vec<Policy> {
--- a/crates/experiment/src/report.rs
+++ b/crates/experiment/src/report.rs
@@ -1,10 +1,12 @@
 //! Comparison of policies on the same seeds, as text tables.
 
 use std::fmt::Write;
+use std::path::Path;
 
 use crate::measure::{Measure, spread};
-use crate::model::{Fleet, Model};
-use crate::policy::Policy;
+use crate::model::{Fleet, MILLISECOND, Model};
+use crate::plot;
+use crate::policy::{self, Policy};
 use crate::scenario::Scenario;
 use crate::workload::Workload;
 use crate::world::World;
@@ -29,7 +31,12 @@
     results
 }
 
-type Column = (&'static str, fn(&Measure) -> f64, usize);
+/// Seconds that stand for a run without recovery: from the end of the fault to the end of the run.
+pub const NOT_RECOVERED: f64 = 28.0;
+
+type Value = fn(&Measure) -> f64;
+
+type Column = (&'static str, Value, usize);
 
 const COLUMNS: [Column; 10] = [
     ("goodput/s", |one| one.goodput, 1),
@@ -44,6 +51,223 @@
     ("lookup 99 ms", |one| one.lookup_99, 0),
 ];
 
+/// Table of goodput around a fault: before it, during it, after it, and seconds to recover.
+///
+/// A run that does not recover before its end counts as [`NOT_RECOVERED`] seconds.
+#[must_use]
+pub fn fault_table(fleet: &Fleet, model: &Model, policies: &[Policy], seeds: u64) -> String {
+    let mut text = String::from(
+        "| fault | policy | before /s | during /s | after /s | recovery s | refused % | lookup 99 ms |\n",
+    );
+    text.push_str("|---|---|---:|---:|---:|---:|---:|---:|\n");
+    for scenario in Scenario::FAULTS {
+        let results = compare(fleet, model, scenario, policies, seeds);
+        for (policy, measures) in policies.iter().zip(&results) {
+            let _ = write!(text, "| {} | {} |", scenario.name(), policy.name);
+            let around: Vec<_> = measures.iter().map(Measure::around_fault).collect();
+            let recovery = |one: &(f64, f64, f64, f64)| {
+                if one.3.is_nan() { NOT_RECOVERED } else { one.3 }
+            };
+            let columns: [Vec<f64>; 4] = [
+                around.iter().map(|one| one.0).collect(),
+                around.iter().map(|one| one.1).collect(),
+                around.iter().map(|one| one.2).collect(),
+                around.iter().map(recovery).collect(),
+            ];
+            for column in &columns {
+                let (mean, deviation) = spread(column);
+                let _ = write!(text, " {mean:.1} ± {deviation:.1} |");
+            }
+            let refused: Vec<f64> = measures
+                .iter()
+                .map(|one| one.wrongful_refusals * 100.0)
+                .collect();
+            let lookup: Vec<f64> = measures.iter().map(|one| one.lookup_99).collect();
+            let (refused, lookup) = (spread(&refused), spread(&lookup));
+            let _ = writeln!(
+                text,
+                " {:.2} ± {:.2} | {:.0} ± {:.0} |",
+                refused.0, refused.1, lookup.0, lookup.1
+            );
+        }
+    }
+    text
+}
+
+/// Table of the chosen policy against the best baseline for each changed constant.
+#[must_use]
+pub fn sensitivity_table(fleet: &Fleet, policies: &[Policy], seeds: u64) -> String {
+    let mut text = String::from(
+        "| changed constant | goodput/s: best baseline, chosen | wasted %: best, chosen | worst %: best, chosen | refused %: best, chosen | chosen is best in |\n|---|---:|---:|---:|---:|---:|\n",
+    );
+    let measured: [(Value, f64); 4] = [
+        (|one| one.goodput, 1.0),
+        (|one| -one.wasted_prefill, -100.0),
+        (|one| one.worst_customer, 100.0),
+        (|one| -one.wrongful_refusals, -100.0),
+    ];
+    for (name, model) in variations() {
+        let results = compare(fleet, &model, Scenario::Steady, policies, seeds);
+        let _ = write!(text, "| {name} |");
+        let mut wins = 0;
+        for (value, scale) in measured {
+            let means: Vec<f64> = results
+                .iter()
+                .map(|measures| spread(&measures.iter().map(value).collect::<Vec<_>>()).0)
+                .collect();
+            let Some((chosen, baselines)) = means.split_last() else {
+                continue;
+            };
+            let best = baselines.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+            wins += u32::from(*chosen >= best);
+            let _ = write!(text, " {:.2}, {:.2} |", best * scale, chosen * scale);
+        }
+        let _ = writeln!(text, " {wins} of 4 |");
+    }
+    text
+}
+
+/// Models with one constant changed, up and down.
+fn variations() -> Vec<(&'static str, Model)> {
+    let base = Model::default;
+    vec![
+        ("none", base()),
+        (
+            "load × 0.9",
+            Model {
+                load: 0.9,
+                ..base()
+            },
+        ),
+        (
+            "load × 1.1",
+            Model {
+                load: 1.1,
+                ..base()
+            },
+        ),
+        (
+            "load × 1.25",
+            Model {
+                load: 1.25,
+                ..base()
+            },
+        ),
+        (
+            "prefill 20 µs a token",
+            Model {
+                prefill_per_token_ns: 20_000,
+                ..base()
+            },
+        ),
+        (
+            "prefill 40 µs a token",
+            Model {
+                prefill_per_token_ns: 40_000,
+                ..base()
+            },
+        ),
+        (
+            "step 10 ms + 0.85 ms a request",
+            Model {
+                step_base: 10 * MILLISECOND,
+                ..base()
+            },
+        ),
+        (
+            "step 14 ms + 1.0 ms a request",
+            Model {
+                step_per_request: 1_000,
+                ..base()
+            },
+        ),
+        (
+            "KV lifetime 400 ms",
+            Model {
+                kv_lifetime: 400 * MILLISECOND,
+                ..base()
+            },
+        ),
+        (
+            "link between data centres 1.25 GB/s",
+            Model {
+                cross_link: 1_250,
+                ..base()
+            },
+        ),
+        (
+            "cache 50 pieces",
+            Model {
+                cache_pieces: 50,
+                ..base()
+            },
+        ),
+        (
+            "cache 400 pieces",
+            Model {
+                cache_pieces: 400,
+                ..base()
+            },
+        ),
+        (
+            "load reports 500 ms old",
+            Model {
+                report_lag: 500 * MILLISECOND,
+                ..base()
+            },
+        ),
+        (
+            "20 % of cache events lost",
+            Model {
+                event_loss: 0.2,
+                ..base()
+            },
+        ),
+        (
+            "45 % cancel",
+            Model {
+                cancel_share: 0.45,
+                ..base()
+            },
+        ),
+        (
+            "75 % cancel",
+            Model {
+                cancel_share: 0.75,
+                ..base()
+            },
+        ),
+        (
+            "prompt shape 0.9",
+            Model {
+                prompt_sigma: 0.9,
+                ..base()
+            },
+        ),
+        (
+            "prompt shape 1.4",
+            Model {
+                prompt_sigma: 1.4,
+                ..base()
+            },
+        ),
+        (
+            "answers 60 tokens",
+            Model {
+                answer_median: 60.0,
+                ..base()
+            },
+        ),
+        (
+            "no resends",
+            Model {
+                resend: 0.0,
+                ..base()
+            },
+        ),
+    ]
+}
+
 /// Table of means and standard deviations over the seeds.
 #[must_use]
 pub fn table(policies: &[Policy], results: &[Vec<Measure>]) -> String {
@@ -64,3 +288,33 @@
     }
     text
 }
+
+/// Draws the weighted measures and the goodput around the overload pulse of a fleet.
+///
+/// # Errors
+///
+/// Fails when a file cannot be written.
+pub fn draw(fleet: &Fleet, model: &Model, folder: &Path, seeds: u64) -> Result<(), plot::Error> {
+    let policies = policy::all();
+    let results = compare(fleet, model, Scenario::Steady, &policies, seeds);
+    let name = fleet.name;
+    let measures: [(&str, Value); 4] = [
+        ("goodput", |one| one.goodput),
+        ("wasted-prefill", |one| one.wasted_prefill * 100.0),
+        ("worst-customer", |one| one.worst_customer * 100.0),
+        ("wrongful-refusals", |one| one.wrongful_refusals * 100.0),
+    ];
+    for (measure, value) in measures {
+        let path = folder.join(format!("{name}-{measure}.svg"));
+        let title = format!("{name}: {}", measure.replace('-', " "));
+        plot::bars(&path, &title, &policies, &results, value)?;
+    }
+    for scenario in Scenario::FAULTS {
+        let policies = policy::short();
+        let results = compare(fleet, model, scenario, &policies, seeds);
+        let path = folder.join(format!("{name}-{}.svg", scenario.name().replace(' ', "-")));
+        let title = format!("{name}: {} from 30 s to 42 s", scenario.name());
+        plot::timeline(&path, &title, &policies, &results)?;
+    }
+    Ok(())
+}
