--- a/crates/experiment/src/policy.rs
+++ b/crates/experiment/src/policy.rs
@@ -67,6 +67,8 @@
 /// Policy of the current round.
 pub const CHOSEN: Policy = Policy {
     reserve: true,
+    eject: true,
+    hedge: true,
     ..baseline("chosen", Place::Chooser, Admit::Fair)
 };
 
