--- a/crates/experiment/src/policy.rs
+++ b/crates/experiment/src/policy.rs
@@ -67,9 +67,18 @@
 /// Policy of the current round.
 pub const CHOSEN: Policy = Policy {
     reserve: true,
+    eject: true,
+    hedge: true,
     ..baseline("chosen", Place::Chooser, Admit::Fair)
 };
 
+/// The better baselines and the chosen policy, for fault scenarios.
+#[must_use]
+pub fn short() -> Vec<Policy> {
+    let [_, least, _, first, once] = BASELINES;
+    vec![least, first, once, CHOSEN]
+}
+
 /// Baselines and the chosen policy, as the tables show them.
 #[must_use]
 pub fn all() -> Vec<Policy> {
