--- a/crates/coordination/tests/support/agreement.rs
+++ b/crates/coordination/tests/support/agreement.rs
@@ -6,7 +6,7 @@
 
 use super::run::Result;
 
-/// Oracle: replicas with the same next offset are equal.
+/// Oracle: replicas with the same next offset are equal, also one restored from a snapshot.
 #[derive(Default)]
 pub(crate) struct Agreement {
     seen: BTreeMap<u64, Replica>,
@@ -14,15 +14,21 @@
 
 impl Agreement {
     pub(crate) fn check(&mut self, replica: &Replica) -> Result {
-        let first = self
-            .seen
-            .entry(replica.next_offset())
-            .or_insert_with(|| replica.clone());
-        if first != replica {
-            return Err(format!(
-                "replicas disagree before {}",
-                replica.next_offset()
-            ));
+        let offset = replica.next_offset();
+        if let Some(first) = self.seen.get(&offset) {
+            let equal = first == replica;
+            return equal
+                .then_some(())
+                .ok_or_else(|| format!("replicas disagree before {offset}"));
+        }
+        let mut restored = Replica::default();
+        let snapshot = replica.snapshot().map_err(|error| error.to_string())?;
+        restored
+            .restore(&snapshot)
+            .map_err(|error| error.to_string())?;
+        self.seen.insert(offset, replica.clone());
+        if offset > restored.next_offset() || offset > 1 && restored != *replica {
+            return Err(format!("a restored replica differs before {offset}"));
         }
         Ok(())
     }
