Let strikes end while the log is down

Cause: replicated strikes were measured on the log time of the last entry, so a refusal lasted for as long as nothing was appended.

Change: the verdict takes the host's estimate of the log's clock, and strikes that are too old do not count.

Measured: the test of forgetting no longer appends to the log and passes; all quarantine tests pass.

--- a/crates/coordination/examples/quarantine.rs
+++ b/crates/coordination/examples/quarantine.rs
@@ -28,7 +28,7 @@
         println!("after the peer's answer: {}", announcement.is_done(now));
         println!(
             "{:?}",
-            local.verdict(now, &replicated, Kind::Model, &request)
+            local.verdict(now, 0, &replicated, Kind::Model, &request)
         );
     }
     let suspect = Occupant {
--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -190,13 +190,17 @@
         }
     }
 
-    /// Endpoints that crashed with a request, and whether it ran there in isolation.
+    /// Endpoints that crashed with a request, and whether it ran there in isolation. Strikes that
+    /// are too old at `time_ms` do not count, also when [`Table::forget`] was not called.
     pub fn endpoints(
         &self,
+        time_ms: u64,
         kind: Kind,
         fingerprint: &Fingerprint,
     ) -> impl Iterator<Item = (&String, bool)> {
+        let remember_ms = REMEMBER.as_millis() as u64;
         let strikes = self.kinds.get(&kind).and_then(|kind| kind.get(fingerprint));
+        let strikes = strikes.filter(|one| time_ms < one.last_ms.saturating_add(remember_ms));
         let endpoints = strikes.into_iter().flat_map(|strikes| &strikes.endpoints);
         endpoints.map(|(endpoint, isolated)| (endpoint, *isolated))
     }
@@ -303,17 +307,23 @@
     }
 
     /// Decides how a request may run; `replicated` is the replica's table.
+    ///
+    /// `log_ms` is the time of the log's clock as the host estimates it: the replica's log time plus
+    /// the time since it was applied. With the replica's log time alone, strikes would last for as
+    /// long as the log is down.
+    #[must_use]
     pub fn verdict(
-        &mut self,
+        &self,
         now: Instant,
+        log_ms: u64,
         replicated: &Table,
         kind: Kind,
         fingerprint: &Fingerprint,
     ) -> Verdict {
-        self.words.forget(now.as_millis());
         let mut avoid = BTreeMap::new();
-        let words = self.words.endpoints(kind, fingerprint);
-        for (endpoint, isolated) in words.chain(replicated.endpoints(kind, fingerprint)) {
+        let words = self.words.endpoints(now.as_millis(), kind, fingerprint);
+        let replicated = replicated.endpoints(log_ms, kind, fingerprint);
+        for (endpoint, isolated) in words.chain(replicated) {
             *avoid.entry(endpoint).or_insert(false) |= isolated;
         }
         if avoid.is_empty() {
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -163,7 +163,13 @@
     fn verdict(&mut self, host: usize, request: u8) -> Verdict {
         let now = self.now();
         let Host { replica, local, .. } = &mut self.hosts[host];
-        local.verdict(now, replica.strikes(), Kind::Model, &fingerprint(request))
+        local.verdict(
+            now,
+            self.now_ms,
+            replica.strikes(),
+            Kind::Model,
+            &fingerprint(request),
+        )
     }
 
     fn call(&mut self, request: u8) -> Result {
@@ -472,7 +478,8 @@
     );
 }
 
-/// Guards against refusal without an end: a request may run again once its strikes are old.
+/// Guards against refusal without an end: a request may run again once its strikes are old, also
+/// while nothing is appended to the log.
 #[test]
 fn strikes_are_forgotten() {
     let steps = (0..40).flat_map(|_| [Step::Call { request: 0 }, Step::Wait(1_000)]);
@@ -484,12 +491,6 @@
     let mut world = run(&plan, Fault::None).expect("no violation");
     assert_eq!(world.verdict(1, 0), Verdict::Refused);
     world.now_ms += REMEMBER_MS;
-    let event = Event::Strike {
-        kind: Kind::Plain,
-        endpoint: "p".to_owned(),
-        struck: vec![],
-    };
-    world.log.append(world.now_ms, vec![Record::Strike(event)]);
     world.advance(1_000).expect("no violation");
     assert_eq!(world.verdict(1, 0), Verdict::Free);
 }
@@ -516,7 +517,7 @@
         }
         local.heard(now, &event);
     }
-    let verdict = local.verdict(now, &replicated, Kind::Model, &fingerprint(9));
+    let verdict = local.verdict(now, 1, &replicated, Kind::Model, &fingerprint(9));
     assert_eq!(verdict == Verdict::Refused, refused, "{verdict:?}");
     assert_ne!(verdict, Verdict::Free);
 }
@@ -543,7 +544,7 @@
         (
             table.len(),
             table.size_bytes(),
-            table.endpoints(Kind::Model, &one).count(),
+            table.endpoints(number, Kind::Model, &one).count(),
         )
     };
     hit(Kind::Model, 0);
