--- a/crates/coordination/examples/claim.rs
+++ b/crates/coordination/examples/claim.rs
@@ -36,7 +36,7 @@
             println!("  first host may send: {}", first.send(now, id));
             let outcome = Outcome {
                 status: 201,
-                body: Some(b"reserved".to_vec()),
+                body: Some("reserved".into()),
             };
             println!("  then it does {:?}", first.finish(now, id, Some(outcome)));
         }
--- a/crates/coordination/src/claim.rs
+++ b/crates/coordination/src/claim.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Instant;
@@ -50,7 +51,7 @@
     /// HTTP status.
     pub status: u16,
     /// Body; none when it was longer than [`MAX_BODY_BYTES`] or the table had no room for it.
-    pub body: Option<Vec<u8>>,
+    pub body: Option<Bytes>,
 }
 
 /// Record about a key.
@@ -306,7 +307,7 @@
                 .body
                 .take()
                 .filter(|body| body.len() <= MAX_BODY_BYTES.min(room));
-            body_bytes = outcome.body.as_ref().map_or(0, Vec::len);
+            body_bytes = outcome.body.as_ref().map_or(0, Bytes::len);
         }
         owned.stage = Stage::Finished(outcome);
         self.bytes += body_bytes;
@@ -323,7 +324,7 @@
 /// Approximate memory of an entry in bytes: both maps hold the key.
 fn cost(key: &Key, owned: &Owned) -> usize {
     let body = match &owned.stage {
-        Stage::Finished(Some(outcome)) => outcome.body.as_ref().map_or(0, Vec::len),
+        Stage::Finished(Some(outcome)) => outcome.body.as_ref().map_or(0, Bytes::len),
         _ => 0,
     };
     2 * (size_of::<Key>() + key.customer.len()) + size_of::<Owned>() + size_of::<Position>() + body
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -136,7 +136,7 @@
     pub fn snapshot(&self) -> snapshot::Result<Snapshot> {
         Ok(Snapshot {
             next_offset: self.next_offset,
-            bytes: rmp_serde::to_vec_named(self)?,
+            bytes: rmp_serde::to_vec_named(self)?.into(),
         })
     }
 
--- a/crates/coordination/src/snapshot.rs
+++ b/crates/coordination/src/snapshot.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
@@ -59,7 +60,7 @@
     /// Offset of the first entry that the state does not contain.
     pub next_offset: u64,
     /// State in MessagePack.
-    pub bytes: Vec<u8>,
+    pub bytes: Bytes,
 }
 
 /// Part of a snapshot in the log. Chunks of a snapshot appear in order of their index.
@@ -76,7 +77,7 @@
     /// SHA-256 of the whole snapshot.
     pub digest: [u8; 32],
     /// Bytes of this chunk, at most [`CHUNK_BYTES`].
-    pub bytes: Vec<u8>,
+    pub bytes: Bytes,
 }
 
 /// Cuts a snapshot into chunks for the log, of at most `chunk_bytes` and [`CHUNK_BYTES`] bytes.
@@ -99,7 +100,7 @@
             index,
             count,
             digest,
-            bytes: bytes.to_vec(),
+            bytes: Bytes::copy_from_slice(bytes),
         })
         .collect();
     Ok(chunks)
@@ -311,7 +312,7 @@
         if <[u8; 32]>::from(Sha256::digest(&bytes)) == chunk.digest {
             self.best = Some(Snapshot {
                 next_offset: chunk.next_offset,
-                bytes,
+                bytes: bytes.into(),
             });
         }
     }
--- a/crates/coordination/tests/claim.rs
+++ b/crates/coordination/tests/claim.rs
@@ -15,8 +15,10 @@
     Action, Answer, Claimant, Event, Key, Limits, Outcome, Verdict,
 };
 use berylknot_coordination::clock::Instant;
+use berylknot_coordination::configuration::MAX_DOCUMENT_BYTES;
 use berylknot_coordination::record::{Entry, Id, Incarnation, Record};
 use berylknot_coordination::replica::{Change, Replica};
+use berylknot_coordination::snapshot::MAX_BYTES;
 use proptest::prelude::*;
 use rand::Rng;
 use support::agreement::Agreement;
@@ -74,7 +76,7 @@
 
 fn plans() -> impl Strategy<Value = Plan> {
     let step = prop_oneof![
-        6 => (0..HOSTS, 0_u8..2, 0_u64..8).prop_map(|(host, key, fingerprint)| Step::Call {
+        6 => (0..HOSTS, 0_u8..4, 0_u64..8).prop_map(|(host, key, fingerprint)| Step::Call {
             host,
             key,
             fingerprint: u64::from(fingerprint == 0),
@@ -166,7 +168,7 @@
         let early = self.fault == Fault::ForgetEarly;
         let few = self.fault == Fault::UnequalLimits && host == 0;
         let replica = Replica::new(Limits {
-            keys: if few { 1 } else { 8 },
+            keys: if few { 1 } else { 3 },
             remember_ms: if early { REMEMBER_MS / 4 } else { REMEMBER_MS },
             ..Limits::default()
         });
@@ -483,6 +485,67 @@
     );
 }
 
+/// Guards against a table that outgrows its bound or the largest snapshot.
+#[yare::parameterized(
+    empty_bodies = { 0 },
+    large_bodies = { 4_096 },
+)]
+fn a_full_table_fits_a_snapshot(body_bytes: usize) {
+    let mut replica = Replica::default();
+    let mut refused = 0;
+    for number in 0..70_000_u64 {
+        let id = Id {
+            incarnation: Incarnation(u64::MAX),
+            sequence: number,
+        };
+        let mut hash = [0xff; 32];
+        hash[..8].copy_from_slice(&number.to_le_bytes());
+        let key = Key {
+            customer: "a customer with a long name".to_owned(),
+            hash,
+        };
+        let body = Some(vec![0xff; body_bytes].into());
+        let outcome = Some(Outcome { status: 200, body });
+        let claim = Event::Claim {
+            id,
+            key: key.clone(),
+            fingerprint: u64::MAX,
+        };
+        let records = vec![
+            Record::Key(claim),
+            Record::Key(Event::Finish { id, key, outcome }),
+        ];
+        let entry = Entry {
+            offset: number + 1,
+            appended_at_ms: 1_700_000_000_000,
+            records,
+        };
+        let changes = replica.apply(&entry);
+        let full = |change: &&Change| {
+            matches!(
+                change,
+                Change::Key {
+                    verdict: Verdict::Full,
+                    ..
+                }
+            )
+        };
+        refused += changes.iter().filter(full).count();
+    }
+    let bytes = replica.claims().size_bytes();
+    assert!(
+        refused > 0 && bytes < 17 << 20,
+        "{refused} refused at {bytes} bytes"
+    );
+    let snapshot = replica.snapshot().expect("it can be encoded");
+    let limit = MAX_BYTES - MAX_DOCUMENT_BYTES;
+    assert!(
+        snapshot.bytes.len() < limit,
+        "{} bytes",
+        snapshot.bytes.len()
+    );
+}
+
 /// Guards against an oracle that cannot fail.
 #[yare::parameterized(
     send_late = { Fault::SendLate, "not run but ran" },
