--- a/crates/coordination/src/order.rs
+++ b/crates/coordination/src/order.rs
@@ -20,7 +20,18 @@
 pub const LOST: Duration = Duration::from_secs(10);
 
 /// Role of an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub enum Role {
     /// Reads prompts.
     Prefill,
@@ -29,7 +40,17 @@
 }
 
 /// Group of engines that can replace each other.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub struct Route {
     /// Name of the model.
     pub model: String,
@@ -38,7 +59,17 @@
 }
 
 /// Absolute state of an engine.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub struct State {
     /// Model and role.
     pub route: Route,
--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -26,7 +26,18 @@
 pub const HOLD: Duration = Duration::from_secs(1);
 
 /// Kind of service. Strikes and the bound on their number are separate for each.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub enum Kind {
     /// Prefill and decode engines.
     Model,
@@ -35,7 +46,17 @@
 }
 
 /// Identity of a request, equal when its caller sends it again.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub struct Fingerprint {
     /// Name of the customer; empty on open routes.
     pub customer: String,
@@ -46,7 +67,17 @@
 }
 
 /// A request in flight when its endpoint crashed.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub struct Struck {
     /// The request.
     pub fingerprint: Fingerprint,
--- a/crates/coordination/tests/configuration.rs
+++ b/crates/coordination/tests/configuration.rs
@@ -24,6 +24,8 @@
 use support::network::Network;
 use support::run::{Result, catches, holds};
 
+/// The table of shards alone takes about 15 kB, so that each snapshot has several chunks.
+const CHUNK_BYTES: usize = 6_000;
 const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
 const HOSTS: usize = NAMES.len();
 const TICK_MS: u64 = 100;
@@ -473,7 +475,7 @@
                     sequence: self.now_ms,
                 };
                 let snapshot = one.replica.snapshot().map_err(|error| error.to_string())?;
-                one.chunks = split(id, &snapshot, 500).map_err(|error| error.to_string())?;
+                one.chunks = split(id, &snapshot, CHUNK_BYTES).map_err(|error| error.to_string())?;
             }
         }
         if self.hosts[host].appender.is_idle()
--- a/crates/coordination/tests/leases.rs
+++ b/crates/coordination/tests/leases.rs
@@ -151,12 +151,12 @@
         replica.leases().lowest_seat_version().map(Position::offset)
     };
     assert_eq!(
-        lowest(10, vec![versioned(1, 1, 3), versioned(2, 1, 4)]),
+        lowest(1, vec![versioned(1, 1, 3), versioned(2, 1, 4)]),
         None
     );
-    assert_eq!(lowest(11, vec![seat(1, 0), seat(2, 1)]), Some(3));
-    assert_eq!(lowest(12, vec![versioned(1, 2, 9)]), Some(4));
-    assert_eq!(lowest(13, vec![versioned(2, 2, 9)]), Some(9));
+    assert_eq!(lowest(2, vec![seat(1, 0), seat(2, 1)]), Some(3));
+    assert_eq!(lowest(3, vec![versioned(1, 2, 9)]), Some(4));
+    assert_eq!(lowest(4, vec![versioned(2, 2, 9)]), Some(9));
 }
 
 /// Guards against a waiting time that is shorter than another host's lease at the drift bound.
--- a/crates/gateway/src/service/keyed.rs
+++ b/crates/gateway/src/service/keyed.rs
@@ -116,7 +116,7 @@
         report(state, Request::FinishKey { id, outcome: None }).await;
         return Err(Failure::Broken.refusal());
     };
-    let stored = (body.len() <= MAX_BODY_BYTES).then(|| body.to_vec());
+    let stored = (body.len() <= MAX_BODY_BYTES).then(|| body.clone());
     let outcome = Some(Outcome {
         status: head.status().as_u16(),
         body: stored,
