Place a lost kept prefill anew, and close gaps that mutations showed in the tests

Cause: trial mutations of the code survived the fuzz tests at seven places. One was a fault: when the engine of a kept prefill ended before a decode engine was found, the request waited for its deadline. Change: such a request is placed anew without using up an attempt. Debits in the drain harness take time; the stream harness pauses the process without checking deadlines; focused tests cover a takeover of an endpoint, a lapse that nobody saw, a gateway with an old incarnation and a hand-over with requests that run until the deadline.

--- a/crates/coordination/src/request.rs
+++ b/crates/coordination/src/request.rs
@@ -493,7 +493,14 @@
     }
 
     fn decode_placed(&mut self, now: Instant, decode: Endpoint, actions: &mut Vec<Action>) {
-        if self.stage != Stage::Queued || self.prefill.is_none() {
+        if self.stage != Stage::Queued {
+            return;
+        }
+        if self.prefill.is_none() {
+            // The prefill engine has ended since the placement was asked for.
+            actions.push(Action::Place {
+                keep_prefill: false,
+            });
             return;
         }
         if self.avoid().any(|endpoint| endpoint == decode) {
--- a/crates/coordination/tests/drain.rs
+++ b/crates/coordination/tests/drain.rs
@@ -36,6 +36,8 @@
 
 #[derive(Clone, Copy, Debug)]
 enum Message {
+    /// To the pool's owner in the same process: takes time and is never lost.
+    Debit(Pool),
     Level(Pool, u64),
     Ledger(Ledger),
     Release(Shard),
@@ -124,12 +126,7 @@
                     if self.fault == Fault::CutAtHandover {
                         self.cut += std::mem::take(&mut self.running);
                     }
-                    let level = self.levels[&pool];
-                    if self.fault != Fault::SentBeforeDebit {
-                        self.levels.insert(pool, 0);
-                    }
-                    self.debited.insert(pool);
-                    self.event(Event::Debited { pool, level })?;
+                    self.network.push(Message::Debit(pool));
                 }
                 Action::SendLevel { pool, level } => self.network.push(Message::Level(pool, level)),
                 Action::SendLedger { ledger } => self.network.push(Message::Ledger(ledger)),
@@ -180,6 +177,15 @@
                     self.network.remove(pick);
                 }
                 let event = match message {
+                    Message::Debit(pool) if self.debited.contains(&pool) => return Ok(()),
+                    Message::Debit(pool) => {
+                        let level = self.levels[&pool];
+                        if self.fault != Fault::SentBeforeDebit {
+                            self.levels.insert(pool, 0);
+                        }
+                        self.debited.insert(pool);
+                        Event::Debited { pool, level }
+                    }
                     Message::Level(pool, level) => {
                         *self.successor.entry(pool).or_default() += level;
                         Event::LevelAccepted { pool }
@@ -193,7 +199,10 @@
                 }
             }
             Step::Lose(pick) if !self.network.is_empty() => {
-                self.network.remove(pick % self.network.len());
+                let pick = pick % self.network.len();
+                if !matches!(self.network[pick], Message::Debit(_)) {
+                    self.network.remove(pick);
+                }
             }
             Step::Pass(millis) => {
                 let end = self.now + Duration::from_millis(millis);
@@ -303,6 +312,41 @@
     support::fails(6_000, histories(), |history| run(fault, history));
 }
 
+/// Guards against a hand-over that is lost because requests run until the deadline.
+#[test]
+fn the_hand_over_ends_before_the_deadline_although_requests_run() {
+    let at = Instant::from_millis;
+    let (pool, shard) = (Pool(1), Shard(1));
+    let plan = Plan {
+        deadline: at(DEADLINE_MS),
+        handover: Duration::from_millis(HANDOVER_MS),
+        running: 1,
+        pools: vec![(pool, shard)],
+        ..Plan::default()
+    };
+    let (mut progress, _) = Progress::begin(at(0), plan);
+    let wake = progress.wake(at(0)).expect("a deadline");
+    assert_eq!(progress.tick(wake), [Action::Debit { pool }]);
+    progress.event(wake, Event::Debited { pool, level: 1 });
+    progress.event(wake, Event::LevelAccepted { pool });
+    assert!(
+        progress
+            .event(wake, Event::ShardReleased { shard })
+            .is_empty()
+    );
+    assert_eq!(progress.wake(wake), Some(at(DEADLINE_MS)));
+    assert_eq!(progress.tick(at(DEADLINE_MS)), [Action::Cut]);
+    let report = Report {
+        cut: 1,
+        pools_handed_over: 1,
+        ..Report::default()
+    };
+    assert_eq!(
+        progress.event(at(DEADLINE_MS), Event::CutOff),
+        [Action::Exit(report)]
+    );
+}
+
 /// Guards against an idle process that waits for its deadline.
 #[test]
 fn an_idle_process_exits_at_once() {
--- a/crates/coordination/tests/reap.rs
+++ b/crates/coordination/tests/reap.rs
@@ -6,7 +6,9 @@
 
 mod support;
 
-use berylknot_coordination::reap::{Cause, Evidence, Limits, Report, Watch};
+use std::time::Duration;
+
+use berylknot_coordination::reap::{Cause, Evidence, Gateways, Limits, Permit, Report, Watch};
 use berylknot_coordination::{clock::Instant, record::Incarnation};
 use proptest::prelude::*;
 use world::{Fault, Step, World};
@@ -88,6 +90,59 @@
     );
 }
 
+/// Guards against reaping by a host that has just taken over an endpoint: the sender's heartbeats
+/// went to the host before it, which may have acknowledged one just before the change.
+#[test]
+fn silence_counts_from_the_takeover_of_an_endpoint() {
+    let limits = Limits::default();
+    let at = |seconds: u64| Instant::from_millis(seconds * 1_000);
+    let report = Gateways::new(at(0), Incarnation(0), limits).report();
+    let mut watch = Watch::new(limits);
+    watch.heartbeat(at(1), "a", &report);
+    let reaped = |second: u64| {
+        let now = at(second);
+        let evidence = |_: &str| Evidence {
+            renewal_read: Some(at(1)),
+            known_until: now,
+        };
+        watch
+            .scan(now, at(100), ["a.0000000000000001.7"], evidence)
+            .len()
+    };
+    assert_eq!((reaped(101), reaped(110), reaped(111)), (0, 0, 1));
+}
+
+/// Guards against a stream that goes on after a lapse of its permit that nobody saw, because the
+/// process was paused and then read new evidence first.
+#[test]
+fn a_lapse_that_nobody_saw_ends_the_epoch() {
+    let at = Instant::from_millis;
+    let silence = Duration::from_secs(10);
+    let mut permit = Permit::new();
+    permit.extend(at(0), at(15_000));
+    let epoch = permit.epoch(at(0)).expect("the permit was extended");
+    permit.acknowledged(at(14_999), at(14_000), silence);
+    assert!(permit.allows(at(23_999), epoch));
+    permit.acknowledged(at(24_000), at(23_000), silence);
+    assert!(!permit.allows(at(24_001), epoch));
+    assert!(permit.epoch(at(24_001)).is_some());
+}
+
+/// Guards against a gateway that starts with a Unix clock set back: reports have already stated
+/// that all incarnations below the coordinator's have ended.
+#[test]
+fn a_gateway_below_the_complete_reports_is_refused() {
+    let limits = Limits::default();
+    let mut gateways = Gateways::new(Instant::from_millis(0), Incarnation(9), limits);
+    assert!(gateways.streams(Instant::from_millis(0), Incarnation(5)));
+    let later = Instant::from_millis(9_000);
+    assert!(gateways.streams(later, Incarnation(5)));
+    let complete = Instant::from_millis(12_000);
+    assert!(!gateways.streams(complete, Incarnation(4)));
+    assert!(gateways.streams(complete, Incarnation(5)));
+    assert!(gateways.streams(complete, Incarnation(10)));
+}
+
 /// Guards against a restarted host whose earlier gateway nobody remembers: its host sends
 /// heartbeats and holds a lease, and still the old requests must be reaped.
 #[test]
--- a/crates/coordination/tests/request.rs
+++ b/crates/coordination/tests/request.rs
@@ -810,6 +810,38 @@
     assert_eq!((settlement.used, settlement.returned()), (0, 30));
 }
 
+/// Guards against a decode without a KV cache, and a request that waits for ever, when the kept
+/// prefill's engine ends before another decode engine is found.
+#[test]
+fn a_kept_prefill_that_is_lost_is_placed_anew() {
+    let now = Instant::from_millis(1);
+    let (mut tracker, submit) = driven_to(Stage::DecodeSent);
+    tracker.event(
+        now,
+        Event::Full {
+            submit,
+            allowance: true,
+        },
+    );
+    let gone = Event::Gone {
+        endpoint: Endpoint(1),
+        allowance: true,
+    };
+    assert!(tracker.event(now, gone).is_empty());
+    let actions = tracker.event(
+        now,
+        Event::DecodePlaced {
+            decode: Endpoint(3),
+        },
+    );
+    assert_eq!(
+        actions,
+        [Action::Place {
+            keep_prefill: false
+        }]
+    );
+}
+
 /// Guards against a wasted prefill when only the decode engine is full, and against an answer that
 /// never completes although nothing else goes wrong.
 #[test]
--- a/crates/coordination/tests/stream.rs
+++ b/crates/coordination/tests/stream.rs
@@ -27,10 +27,16 @@
 #[derive(Clone, Debug)]
 enum Step {
     Emit(usize),
-    Carry { pick: usize, keep: bool, to: usize },
+    Carry {
+        pick: usize,
+        keep: bool,
+        to: usize,
+    },
     Lose(usize),
     Fail(usize),
     Pass(u64),
+    /// The process is paused and checks no deadline.
+    Sleep(u64),
     Begin(usize),
 }
 
@@ -44,6 +50,7 @@
         1 => (0..4_usize).prop_map(Step::Lose),
         1 => (0..2_usize).prop_map(Step::Fail),
         1 => (1..120_u64).prop_map(Step::Pass),
+        1 => (1..120_u64).prop_map(Step::Sleep),
         4 => (0..2_usize).prop_map(Step::Begin),
     ]
 }
@@ -146,6 +153,7 @@
                     assembler.fail(attempt)
                 })?;
             }
+            Step::Sleep(millis) => now = now + Duration::from_millis(millis),
             Step::Pass(millis) => {
                 now = now + Duration::from_millis(millis);
                 if fault == Fault::SilentConnectionReused {
