Keep live hosts known by gossip alone

Change: hosts take what the byte limit leaves after the other sections, two thirds of it for the freshest signs of life and the rest in turns. A view calls a host dead after 20 s without a sign of life and an expired renewal; reaping does not use it.

--- a/crates/coordination/src/member.rs
+++ b/crates/coordination/src/member.rs
@@ -9,7 +9,7 @@
 use crate::clock::{Drift, Instant};
 
 pub use digest::{Cargo, DIGEST_BYTES, Digest, Load, TRAFFIC_BYTES_PER_SECOND};
-use digest::{MAX_HOSTS, MAX_LEAVING, MAX_LOADS, MAX_STRIKES};
+use digest::{MAX_LEAVING, MAX_LOADS, MAX_STRIKES};
 pub use tag::tag;
 
 /// Digests that a host sends each second.
@@ -43,14 +43,15 @@
 }
 
 impl Default for Limits {
-    /// Renewals come every 5 s and expire after 15 s, and heartbeats may be missing for 10 s
-    /// (design, sections 5.1 and 5.4). A statement about a leaving name lives for 60 s, several
-    /// times as long as a gossip round at any size, and first-hand sources renew it.
+    /// Renewals come every 5 s and expire after 15 s (design, section 5.1). While the log is out,
+    /// gossip at 360 hosts takes more than 10 s to refresh the rarest host, so death takes 20 s;
+    /// reaping does not depend on it and has its own rule. A statement about a leaving name lives
+    /// for 60 s, several times as long as it takes to spread, and first-hand sources renew it.
     fn default() -> Self {
         Self {
             silent: Duration::from_secs(6),
             lease: Duration::from_secs(15),
-            dead: Duration::from_secs(10),
+            dead: Duration::from_secs(20),
             leaving: Duration::from_secs(60),
             drift: Drift::default(),
         }
@@ -322,11 +323,19 @@
                 loads.push((endpoint.tag, load));
             }
         }
+        let loads = turn(loads, round, MAX_LOADS);
+        // Mostly the freshest, which are news to the most peers; the rest take turns, so that no
+        // host is always among the older ones.
+        let limit = digest::host_limit(cargo.strikes.len(), leaving.len(), loads.len());
+        let mixed = |(short, _): &(u32, u8)| tag::mix(u64::from(*short) ^ round);
+        hosts.sort_by_key(|entry| (entry.1, mixed(entry)));
+        let rest = hosts.split_off(hosts.len().min(limit * 2 / 3));
+        hosts.extend(turn(rest, round, limit - limit * 2 / 3));
         Digest {
             cargo,
-            hosts: turn(hosts, round, MAX_HOSTS),
+            hosts,
             leaving,
-            loads: turn(loads, round, MAX_LOADS),
+            loads,
         }
     }
 
--- a/crates/coordination/src/member/digest.rs
+++ b/crates/coordination/src/member/digest.rs
@@ -11,19 +11,33 @@
 /// rest is for reading the log, heartbeats, grants and reservations.
 pub const DIGEST_BYTES: usize = TRAFFIC_BYTES_PER_SECOND * 2 / 5 / 6;
 
-/// Highest number of hosts in a digest, 8 bytes each.
-pub(crate) const MAX_HOSTS: usize = 96;
+/// Encoded size of a host, 8 bytes, and of all other parts of a digest without their entries.
+const HOST_BYTES: usize = 8;
+const FIXED_BYTES: usize = 48;
 
-/// Highest number of leaving names in a digest, 13 bytes each. More of them take turns.
+/// Highest number of leaving names in a digest. More of them take turns.
 pub(crate) const MAX_LEAVING: usize = 56;
 
-/// Highest number of loads in a digest, 19 bytes each; at 360 hosts and 3,100 endpoints a host
+/// Highest number of loads in a digest; at 360 hosts and 3,100 endpoints a host
 /// coordinates nine on average.
 pub(crate) const MAX_LOADS: usize = 16;
 
-/// Highest number of strikes in a digest, 20 bytes each.
+/// Highest number of strikes in a digest.
 pub(crate) const MAX_STRIKES: usize = 12;
 
+const LEAVING_BYTES: usize = 13;
+const LOAD_BYTES: usize = 20;
+const STRIKE_BYTES: usize = 19;
+
+/// Hosts that fit into a digest with the given numbers of other entries.
+///
+/// While the log is out, ages of signs of life come by gossip alone. At 360 hosts, 96 in each
+/// digest left some live hosts unheard for more than 20 s.
+pub(crate) const fn host_limit(strikes: usize, leaving: usize, loads: usize) -> usize {
+    let others = strikes * STRIKE_BYTES + leaving * LEAVING_BYTES + loads * LOAD_BYTES;
+    DIGEST_BYTES.saturating_sub(FIXED_BYTES + others) / HOST_BYTES
+}
+
 /// Load of an endpoint, as its engine reported it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
