--- a/crates/coordination/src/member.rs
+++ b/crates/coordination/src/member.rs
@@ -9,7 +9,7 @@
 use crate::clock::{Drift, Instant};
 
 pub use digest::{Cargo, DIGEST_BYTES, Digest, Load, TRAFFIC_BYTES_PER_SECOND};
-use digest::{MAX_HOSTS, MAX_LEAVING, MAX_LOADS, MAX_STRIKES};
+use digest::{MAX_LEAVING, MAX_LOADS, MAX_STRIKES};
 pub use tag::tag;
 
 /// Digests that a host sends each second.
@@ -43,14 +43,15 @@
 }
 
 impl Default for Limits {
-    /// Renewals come every 5 s and expire after 15 s, and heartbeats may be missing for 10 s
-    /// (design, sections 5.1 and 5.4). A statement about a leaving name lives for 60 s, several
-    /// times as long as a gossip round at any size, and first-hand sources renew it.
+    /// Renewals come every 5 s and expire after 15 s (design, section 5.1). While the log is out,
+    /// gossip at 360 hosts takes more than 10 s to refresh the rarest host, so death takes 20 s;
+    /// reaping does not depend on it and has its own rule. A statement about a leaving name lives
+    /// for 60 s, several times as long as it takes to spread, and first-hand sources renew it.
     fn default() -> Self {
         Self {
             silent: Duration::from_secs(6),
             lease: Duration::from_secs(15),
-            dead: Duration::from_secs(10),
+            dead: Duration::from_secs(20),
             leaving: Duration::from_secs(60),
             drift: Drift::default(),
         }
@@ -98,6 +99,13 @@
     own: bool,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Statement {
+    at: Instant,
+    /// Digests that carried it.
+    told: u32,
+}
+
 /// One host's view of the fleet.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -107,8 +115,8 @@
     short: BTreeMap<u32, Box<str>>,
     endpoints: BTreeMap<Box<str>, Endpoint>,
     tags: BTreeMap<u64, Box<str>>,
-    /// Times of the latest first-hand statements that a name is leaving, by tag.
-    leaving: BTreeMap<u64, Instant>,
+    /// Latest first-hand statements that a name is leaving, by tag.
+    leaving: BTreeMap<u64, Statement>,
 }
 
 impl View {
@@ -293,7 +301,7 @@
 
     /// Makes the digest of a round. Where more is known than fits, entries take turns.
     #[must_use]
-    pub fn digest(&self, now: Instant, round: u64, mut cargo: Cargo) -> Digest {
+    pub fn digest(&mut self, now: Instant, round: u64, mut cargo: Cargo) -> Digest {
         cargo.strikes.truncate(MAX_STRIKES);
         let mut hosts = Vec::new();
         for (name, host) in &self.hosts {
@@ -305,9 +313,7 @@
                 hosts.push((tag::short(host.tag), age));
             }
         }
-        let statements = self.leaving.iter();
-        let leaving = statements.filter(|(_, at)| now.since(**at) < self.limits.leaving);
-        let leaving = leaving.map(|(tag, at)| (*tag, u16::try_from(age(now, *at)).unwrap_or(0)));
+        let leaving = self.tell_leaving(now, round);
         let mut loads = Vec::new();
         for endpoint in self.endpoints.values() {
             if let Some((load, at)) = endpoint.load
@@ -317,11 +323,19 @@
                 loads.push((endpoint.tag, load));
             }
         }
+        let loads = turn(loads, round, MAX_LOADS);
+        // Mostly the freshest, which are news to the most peers; the rest take turns, so that no
+        // host is always among the older ones.
+        let limit = digest::host_limit(cargo.strikes.len(), leaving.len(), loads.len());
+        let mixed = |(short, _): &(u32, u8)| tag::mix(u64::from(*short) ^ round);
+        hosts.sort_by_key(|entry| (entry.1, mixed(entry)));
+        let rest = hosts.split_off(hosts.len().min(limit * 2 / 3));
+        hosts.extend(turn(rest, round, limit - limit * 2 / 3));
         Digest {
             cargo,
-            hosts: turn(hosts, round, MAX_HOSTS),
-            leaving: turn(leaving.collect(), round, MAX_LEAVING),
-            loads: turn(loads, round, MAX_LOADS),
+            hosts,
+            leaving,
+            loads,
         }
     }
 
@@ -396,20 +410,43 @@
             return;
         }
         if let Some(known) = self.leaving.get_mut(&tag) {
-            *known = (*known).max(at);
+            known.at = known.at.max(at);
             return;
         }
         if self.leaving.len() >= LEAVING_LIMIT {
-            let oldest = self.leaving.iter().min_by_key(|(_, at)| **at);
+            let oldest = self
+                .leaving
+                .iter()
+                .min_by_key(|(_, statement)| statement.at);
             let oldest = oldest.map(|(tag, _)| *tag);
             oldest.and_then(|tag| self.leaving.remove(&tag));
         }
-        self.leaving.insert(tag, at);
+        self.leaving.insert(tag, Statement { at, told: 0 });
+    }
+
+    /// Statements for a digest, those told least often first, so that news goes out at once.
+    fn tell_leaving(&mut self, now: Instant, round: u64) -> Vec<(u64, u16)> {
+        let lifetime = self.limits.leaving;
+        self.leaving
+            .retain(|_, statement| now.since(statement.at) < lifetime);
+        let mut statements: Vec<(&u64, &mut Statement)> = self.leaving.iter_mut().collect();
+        // Equals are mixed anew each round; a fixed order could keep in step with the targets'
+        // turns and tell some statements to few peers only.
+        statements.sort_by_key(|(tag, statement)| (statement.told, tag::mix(**tag ^ round)));
+        let mut told = Vec::new();
+        for (tag, statement) in statements.into_iter().take(MAX_LEAVING) {
+            statement.told += 1;
+            told.push((
+                *tag,
+                u16::try_from(age(now, statement.at)).unwrap_or(u16::MAX),
+            ));
+        }
+        told
     }
 
     fn is_leaving(&self, now: Instant, tag: u64) -> bool {
-        let at = self.leaving.get(&tag);
-        at.is_some_and(|at| now.since(*at) < self.limits.leaving)
+        let statement = self.leaving.get(&tag);
+        statement.is_some_and(|statement| now.since(statement.at) < self.limits.leaving)
     }
 
     fn dead(&self, now: Instant, name: &str, host: &Host) -> bool {
