--- a/crates/coordinator/src/peers.rs
+++ b/crates/coordinator/src/peers.rs
@@ -65,11 +65,12 @@
         } = &self.identity;
         let sequence = self.frames.fetch_add(1, Ordering::Relaxed);
         let sealed = Frame::new(host, incarnation.0, sequence, request).seal(secret)?;
-        let sent = self
+        // Frames are small and not compressed; the header that offers compression costs 41 bytes.
+        let post = self
             .client
             .post(format!("http://{address}{PATH}"))
-            .send_body(sealed)
-            .await;
+            .no_decompress();
+        let sent = post.send_body(sealed).await;
         let mut response = sent.map_err(|error| Error::Unavailable(error.to_string()))?;
         let body = response.body().limit(ANSWER_LIMIT_BYTES).await;
         let body = body.map_err(|error| Error::Unavailable(error.to_string()))?;
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -40,4 +40,13 @@
         /// Number of records.
         count: usize,
     },
+    /// An entry starts with an unknown format byte.
+    #[error("entry at offset {offset} has an unknown format")]
+    Format {
+        /// Offset of the entry.
+        offset: u64,
+    },
+    /// An entry cannot be compressed.
+    #[error("entry cannot be compressed: {0}")]
+    Compression(std::io::Error),
 }
