Test the policy modules and the repeatability of the experiment

Cause: the properties must hold whatever the daemons do.

Found by the tests: a second reservation of a request that was already streaming left the count of streams too high, which underflowed later; the ledger now takes over the slot. The generator of the ledger test first let time pass too fast to fill an endpoint, so that the planted fault was not found; it now takes small steps and rare long ones.

--- a/crates/coordination/src/slot.rs
+++ b/crates/coordination/src/slot.rs
@@ -144,20 +144,22 @@
         lead: Duration,
     ) -> Result<Reservation> {
         self.tick(now);
-        let known = self.held.get(&request).is_some_and(|held| !held.streaming);
-        if !known {
+        if let Some(held) = self.held.get_mut(&request) {
+            // A retry whose first attempt was not ended here yet takes over its slot.
+            self.streams -= u32::from(held.streaming);
+            *held = Held {
+                host,
+                streaming: false,
+                seen: now,
+            };
+        } else {
             self.check(now, lead)?;
-            self.held.insert(
-                request,
-                Held {
-                    host,
-                    streaming: false,
-                    seen: now,
-                },
-            );
-        } else if let Some(held) = self.held.get_mut(&request) {
-            held.seen = now;
-            held.host = host;
+            let held = Held {
+                host,
+                streaming: false,
+                seen: now,
+            };
+            self.held.insert(request, held);
         }
         Ok(Reservation {
             expires_at: now + RESERVATION_LIFETIME,
--- /dev/null
+++ b/crates/coordination/tests/retry.rs
@@ -0,0 +1,83 @@
+//! Properties of retry budgets and hedging.
+
+mod policy_support;
+
+use std::time::Duration;
+
+use berylknot_coordination::retry::{Budget, Hedge, Reason};
+use policy_support::{Check, search};
+use proptest::collection::vec;
+
+#[derive(Clone, Copy, PartialEq)]
+enum Fault {
+    None,
+    /// A retry counts as a request of its own ten times over.
+    RetriesEarnRetries,
+}
+
+/// Guards against a retry storm: more retries than a tenth of the requests.
+fn budget(steps: &[bool], fault: Fault) -> Check {
+    let mut budget = Budget::default();
+    let (mut requests, mut retries) = (0_u64, 0_u64);
+    for is_request in steps {
+        if *is_request {
+            requests += 1;
+            budget.request();
+        } else if budget.retry(Reason::EndpointFailed) {
+            retries += 1;
+            if fault == Fault::RetriesEarnRetries {
+                (0..10).for_each(|_| budget.request());
+            }
+        }
+        if retries * 10 > requests {
+            return Err(format!("{retries} retries for {requests} requests"));
+        }
+    }
+    let counted: u64 = budget.counts().map(|(_, count)| count.allowed).sum();
+    if counted != retries {
+        return Err(format!("{counted} retries counted instead of {retries}"));
+    }
+    Ok(())
+}
+
+#[test]
+fn retries_stay_under_a_tenth_of_requests() {
+    let steps = vec(proptest::bool::weighted(0.6), 1..2_000);
+    let found = search(&steps, |steps| budget(&steps, Fault::None));
+    assert_eq!(found, Ok(()));
+}
+
+#[test]
+fn retries_that_earn_retries_are_reported() {
+    let steps = vec(proptest::bool::weighted(0.6), 1..2_000);
+    let found = search(&steps, |steps| budget(&steps, Fault::RetriesEarnRetries));
+    assert!(found.is_err());
+}
+
+fn answered(times: impl Iterator<Item = u64>) -> Option<Duration> {
+    let mut hedge = Hedge::default();
+    for millis in times {
+        hedge.answered(Duration::from_millis(millis));
+    }
+    hedge.delay()
+}
+
+/// Guards against hedges that only add load, where all answers take about the same time.
+#[test]
+fn a_short_tail_is_not_hedged() {
+    assert_eq!(answered((0..400).map(|number| 8 + number % 4)), None);
+}
+
+/// Guards against a lookup that waits for a slow server while another one is free.
+#[test]
+fn a_long_tail_is_hedged_after_most_answers() {
+    let times = (0..400).map(|number| if number % 40 == 0 { 300 } else { 8 });
+    let delay = answered(times).expect("one answer in forty is slow");
+    assert!((8..=20).contains(&delay.as_millis()), "{delay:?}");
+}
+
+/// Guards against a hedge before anything is known.
+#[test]
+fn nothing_is_hedged_before_answers_were_seen() {
+    assert_eq!(answered([1, 500].into_iter()), None);
+}
--- /dev/null
+++ b/crates/coordination/tests/slot.rs
@@ -0,0 +1,213 @@
+//! Properties of the slot ledger.
+
+mod policy_support;
+
+use std::time::Duration;
+
+use berylknot_coordination::clock::Instant;
+use berylknot_coordination::slot::{End, Ledger};
+use policy_support::{Check, search};
+use proptest::collection::vec;
+use proptest::prelude::Strategy;
+
+#[derive(Clone, Copy, PartialEq)]
+enum Fault {
+    None,
+    /// The ledger has more slots than the endpoint.
+    MoreSlots,
+    /// Something goes on confirming the streams of a dead host.
+    DeadHostConfirms,
+    /// A full engine is reported as a caller that left.
+    FullCountsAsUnused,
+}
+
+const SLOTS: u32 = 20;
+
+type Step = (u8, u32, u8, u64);
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    vec((0_u8..8, 0_u32..200, 0_u8..7, 0_u64..400), 1..400)
+}
+
+/// Guards against more reservations than 125 % of the slots, and against those of a dead host.
+fn ledger(steps: &[Step], fault: Fault) -> Check {
+    let slots = if fault == Fault::MoreSlots {
+        SLOTS * 2
+    } else {
+        SLOTS
+    };
+    let mut ledger = Ledger::new(slots);
+    let mut now = Instant::from_millis(1_000);
+    let mut held: Vec<(u32, u8)> = Vec::new();
+    let mut dead = None;
+    for (step, (kind, request, host, millis)) in steps.iter().enumerate() {
+        // Mostly small steps, so that the endpoint fills up, and now and then a long one.
+        let long = *kind == 7 && millis % 16 == 0;
+        let pause = if long { 2_500 } else { *millis / 40 };
+        now = now + Duration::from_millis(pause);
+        if step == steps.len() / 2 {
+            dead = Some((*host, now));
+        }
+        let lives = dead.is_none_or(|(dead, _)| dead != *host);
+        match kind {
+            0..=2 if lives => {
+                let lead = Duration::from_millis(*millis);
+                if ledger.reserve(now, *request, *host, lead).is_ok() {
+                    held.push((*request, *host));
+                }
+            }
+            3 if lives => {
+                ledger.start(now, *request);
+            }
+            4 if lives => ledger.end(now, *request, End::Released),
+            5 if lives => ledger.end(now, *request, End::EngineFull),
+            6 => ledger.report(now, *request % (SLOTS + 1), Duration::from_millis(*millis)),
+            _ => {}
+        }
+        ledger.tick(now);
+        if ledger.len() > (SLOTS + SLOTS / 4) as usize {
+            return Err(format!("{} held", ledger.len()));
+        }
+    }
+    let Some((host, _)) = dead else {
+        return Ok(());
+    };
+    let gone = now + Duration::from_secs(3);
+    if fault == Fault::DeadHostConfirms {
+        let own = held.iter().filter(|(_, one)| *one == host);
+        ledger.confirm(gone, host, own.map(|(request, _)| *request));
+    }
+    // All hosts are silent from here on, so nothing may be left.
+    ledger.tick(gone);
+    if !ledger.is_empty() {
+        return Err(format!("{} held by dead hosts", ledger.len()));
+    }
+    Ok(())
+}
+
+#[test]
+fn the_ledger_keeps_its_bound_and_drops_dead_hosts() {
+    assert_eq!(
+        search(&steps(), |steps| ledger(&steps, Fault::None)),
+        Ok(())
+    );
+}
+
+#[test]
+fn more_slots_are_reported() {
+    assert!(search(&steps(), |steps| ledger(&steps, Fault::MoreSlots)).is_err());
+}
+
+#[test]
+fn confirmations_for_a_dead_host_are_reported() {
+    assert!(search(&steps(), |steps| ledger(&steps, Fault::DeadHostConfirms)).is_err());
+}
+
+/// Guards against a stream that loses its slot although its host confirms it.
+#[test]
+fn a_confirmed_stream_stays_and_a_silent_one_goes_after_three_seconds() {
+    let mut ledger = Ledger::new(SLOTS);
+    let at = Instant::from_millis;
+    for (request, host) in [(1, 1), (2, 2)] {
+        assert!(ledger.reserve(at(0), request, host, Duration::ZERO).is_ok());
+        assert!(ledger.start(at(100), request));
+    }
+    for second in 1..=10 {
+        ledger.confirm(at(second * 1_000), 1, [1]);
+        let expired = ledger.tick(at(second * 1_000 + 500));
+        let expected: &[i32] = if second == 3 { &[2] } else { &[] };
+        assert_eq!(expired, expected, "after {second} s");
+    }
+}
+
+/// Guards against a reservation that outlives its two seconds.
+#[test]
+fn a_reservation_ends_after_two_seconds() {
+    let mut ledger = Ledger::new(SLOTS);
+    let at = Instant::from_millis;
+    assert!(ledger.reserve(at(0), 1, 1, Duration::ZERO).is_ok());
+    assert_eq!(ledger.tick(at(1_999)), []);
+    assert_eq!(ledger.tick(at(2_000)), [1]);
+    assert!(!ledger.start(at(2_000), 1));
+}
+
+/// Guards against over-commit that swings, or that grows from its own failures.
+fn learning(outcomes: &[u8], fault: Fault) -> Check {
+    let mut ledger = Ledger::new(SLOTS);
+    let mut now = Instant::from_millis(0);
+    // One in five callers leaves before decode; one in ten prefills meets a full engine.
+    for (request, outcome) in outcomes.iter().enumerate() {
+        now = now + Duration::from_millis(50);
+        let lead = Duration::from_millis(100);
+        if ledger.reserve(now, request, 1, lead).is_err() {
+            return Err(String::from("an empty endpoint refused"));
+        }
+        match outcome {
+            0..=19 => ledger.end(now, request, End::Released),
+            20..=49 if fault == Fault::FullCountsAsUnused => {
+                ledger.end(now, request, End::Released);
+            }
+            20..=49 => ledger.end(now, request, End::EngineFull),
+            _ => {
+                ledger.start(now, request);
+                ledger.end(now, request, End::Released);
+            }
+        }
+        let unused = ledger.unused_fraction();
+        // 20 of 70 counted outcomes are unused: 0.29, with the noise of 64 of them.
+        if request > 300 && !(0.08..=0.5).contains(&unused) {
+            return Err(format!("unused fraction {unused}"));
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn over_commit_settles() {
+    let outcomes = vec(0_u8..100, 1_500);
+    let found = search(&outcomes, |outcomes| learning(&outcomes, Fault::None));
+    assert_eq!(found, Ok(()));
+}
+
+#[test]
+fn over_commit_that_feeds_itself_is_reported() {
+    let outcomes = vec(0_u8..100, 1_500);
+    let found = search(&outcomes, |outcomes| {
+        learning(&outcomes, Fault::FullCountsAsUnused)
+    });
+    assert!(found.is_err());
+}
+
+/// Guards against a prefill that ends long before its slot is free.
+#[test]
+fn a_full_engine_grants_only_prefills_that_end_with_a_free_slot() {
+    let mut ledger = Ledger::new(SLOTS);
+    let at = Instant::from_millis;
+    let mut next = 0;
+    let mut stream = |ledger: &mut Ledger<u32, u8>, now| {
+        next += 1;
+        let granted = ledger.reserve(now, next, 1, Duration::from_secs(2)).is_ok();
+        ledger.start(now, next);
+        granted
+    };
+    for _ in 0..SLOTS {
+        assert!(stream(&mut ledger, at(0)));
+    }
+    // One stream ends every 100 ms.
+    for end in 1..=20_u32 {
+        let now = at(u64::from(end) * 100);
+        ledger.end(now, end, End::Released);
+        assert!(stream(&mut ledger, now));
+    }
+    let now = at(2_050);
+    assert!(
+        ledger
+            .reserve(now, 900, 2, Duration::from_millis(10))
+            .is_err()
+    );
+    assert!(
+        ledger
+            .reserve(now, 901, 2, Duration::from_millis(400))
+            .is_ok()
+    );
+}
--- /dev/null
+++ b/crates/experiment/tests/repeat.rs
@@ -0,0 +1,56 @@
+//! Guards against a comparison whose figures cannot be reproduced.
+
+use berylknot_experiment::measure::Measure;
+use berylknot_experiment::model::{ATELIER, Model};
+use berylknot_experiment::policy::all;
+use berylknot_experiment::report::{compare, table};
+use berylknot_experiment::scenario::Scenario;
+use berylknot_experiment::workload::Workload;
+use berylknot_experiment::world::World;
+
+#[test]
+fn one_seed_gives_the_same_measures() {
+    let policies = all();
+    let run = || compare(&ATELIER, &Model::default(), Scenario::Steady, &policies, 1);
+    let (first, second) = (run(), run());
+    assert_eq!(first, second);
+    assert_eq!(table(&policies, &first), table(&policies, &second));
+}
+
+#[test]
+fn seeds_differ() {
+    let model = Model::default();
+    let [one, other] = [1, 2].map(|seed| {
+        let workload = Workload::generate(&ATELIER, &model, Scenario::Steady, seed);
+        let policy = all()[0];
+        Measure::of(&World::run(
+            &ATELIER,
+            &model,
+            policy,
+            Scenario::Steady,
+            &workload,
+            seed,
+        ))
+    });
+    assert_ne!(one, other);
+}
+
+/// Guards against measures that count a request twice or not at all.
+#[test]
+fn shares_are_shares() {
+    let model = Model::default();
+    for scenario in Scenario::FAULTS {
+        for measure in compare(&ATELIER, &model, scenario, &all(), 1).concat() {
+            for share in [
+                measure.attainment,
+                measure.wasted_prefill,
+                measure.worst_customer,
+                measure.wrongful_refusals,
+                measure.gave_up,
+                measure.slots_used,
+            ] {
+                assert!((0.0..=1.0).contains(&share), "{scenario:?}: {measure:?}");
+            }
+        }
+    }
+}
