--- a/crates/coordination/src/queue.rs
+++ b/crates/coordination/src/queue.rs
@@ -29,7 +29,7 @@
 const SAMPLE_EIGHTHS: u64 = 2;
 /// Time of a lasting backlog after which late requests no longer go before timely ones. Without
 /// this bound goodput stayed low for as long as the callers' patience after an overload.
-const LONGEST_RESCUE: Duration = Duration::from_secs(8);
+const LONGEST_RESCUE: Duration = Duration::from_secs(12);
 /// Bounds of Retry-After.
 const SHORTEST_RETRY: Duration = Duration::from_millis(100);
 const LONGEST_RETRY: Duration = Duration::from_secs(60);
@@ -95,6 +95,13 @@
 }
 
 impl Refusal {
+    fn new(cause: Cause, retry_after: Duration) -> Self {
+        Self {
+            cause,
+            retry_after: retry_after.clamp(SHORTEST_RETRY, LONGEST_RETRY),
+        }
+    }
+
     /// Why the request was refused.
     #[must_use]
     pub const fn cause(&self) -> Cause {
@@ -142,6 +149,17 @@
         tokens.saturating_mul(UNITS_PER_TOKEN) / u64::from(self.weight.get())
     }
 
+    /// Moves requests that can no longer meet the TTFT target to the late ones.
+    fn settle<C>(&mut self, now: Instant, waiting: &BTreeMap<Ticket, (Request<C>, Instant)>) {
+        while let Some(&(start_by, ticket)) = self.timely.first()
+            && start_by < now
+            && let Some((request, _)) = waiting.get(&ticket)
+        {
+            self.timely.pop_first();
+            self.late.insert((request.deadline, ticket));
+        }
+    }
+
     /// Takes the request whose turn it is within the customer.
     fn next<C>(
         &mut self,
@@ -149,13 +167,7 @@
         rescue: bool,
         waiting: &BTreeMap<Ticket, (Request<C>, Instant)>,
     ) -> Option<Ticket> {
-        while let Some(&(start_by, ticket)) = self.timely.first()
-            && start_by < now
-        {
-            self.timely.pop_first();
-            let deadline = waiting.get(&ticket)?.0.deadline;
-            self.late.insert((deadline, ticket));
-        }
+        self.settle(now, waiting);
         if let Some(&(deadline, ticket)) = self.late.first() {
             let urgent = rescue && deadline.since(now) < URGENT;
             if urgent || self.run >= TIMELY_RUN {
@@ -232,6 +244,8 @@
     next: u64,
     drain: Drain,
     late: usize,
+    /// Requests that made room for others and were not reported yet.
+    displaced: Vec<(Ticket, Refusal)>,
     /// Time since which late requests have waited without a break.
     behind_since: Option<Instant>,
 }
@@ -252,6 +266,7 @@
             next: 0,
             drain: Drain::default(),
             late: 0,
+            displaced: Vec::new(),
             behind_since: None,
         }
     }
@@ -302,23 +317,27 @@
         if self.next % SWEEP_PERIOD == SWEEP_PERIOD - 1 {
             self.sweep();
         }
-        let wait = self.expected_wait(request.customer, request.tokens);
-        let refuse = |cause, retry_after: Duration| {
-            Err(Refusal {
-                cause,
-                retry_after: retry_after.clamp(SHORTEST_RETRY, LONGEST_RETRY),
-            })
-        };
-        let queued = self.lanes.get(&request.customer).map_or(0, Lane::len);
-        if queued >= self.limits.per_customer {
-            return refuse(Cause::CustomerFull, wait);
-        }
-        if self.waiting.len() >= self.limits.total {
-            return refuse(Cause::QueueFull, wait);
+        if let Some(lane) = self.lanes.get_mut(&request.customer) {
+            let late = lane.late.len();
+            lane.settle(now, &self.waiting);
+            let late_after = lane.late.len();
+            self.count_late(now, late, late_after);
         }
+        let wait = self.expected_wait(request.customer, request.tokens);
         let left = request.deadline.since(now);
         if wait > left || left.is_zero() {
-            return refuse(Cause::TooLate, wait.saturating_sub(left));
+            return Err(Refusal::new(Cause::TooLate, wait.saturating_sub(left)));
+        }
+        let queued = self.lanes.get(&request.customer).map_or(0, Lane::len);
+        let full = if queued >= self.limits.per_customer {
+            Some(Cause::CustomerFull)
+        } else {
+            (self.waiting.len() >= self.limits.total).then_some(Cause::QueueFull)
+        };
+        if let Some(cause) = full
+            && !self.displace(now, &request, cause)
+        {
+            return Err(Refusal::new(cause, wait));
         }
         let ticket = Ticket(self.next);
         self.next += 1;
@@ -422,10 +441,11 @@
         Some(request)
     }
 
-    /// Removes and refuses the requests whose deadline has passed.
+    /// Removes and refuses the requests whose deadline has passed, and names those that had to make
+    /// room since the last call. Call it after each push.
     pub fn expire(&mut self, now: Instant) -> Vec<(Ticket, Refusal)> {
         self.drain.sample(now);
-        let mut refused = Vec::new();
+        let mut refused = std::mem::take(&mut self.displaced);
         while let Some(&(deadline, ticket)) = self.deadlines.first()
             && deadline <= now
         {
@@ -433,24 +453,51 @@
                 break;
             };
             let wait = self.expected_wait(request.customer, request.tokens);
-            refused.push((
-                ticket,
-                Refusal {
-                    cause: Cause::TooLate,
-                    retry_after: wait.clamp(SHORTEST_RETRY, LONGEST_RETRY),
-                },
-            ));
+            refused.push((ticket, Refusal::new(Cause::TooLate, wait)));
         }
         refused
     }
 
+    /// Makes room for a timely request by refusing a late one: the customer's own, or in a full queue
+    /// the one whose deadline is first. Without this, late requests that filled the queue kept out
+    /// those that could still meet their target.
+    fn displace(&mut self, now: Instant, request: &Request<C>, cause: Cause) -> bool {
+        if request.start_by < now {
+            return false;
+        }
+        let lane = self.lanes.get(&request.customer);
+        let own = lane.and_then(|lane| lane.late.first()).map(|one| one.1);
+        let first = self.deadlines.first().map(|one| one.1);
+        let any = first.filter(|ticket| {
+            let waiting = self.waiting.get(ticket);
+            waiting.is_some_and(|(request, _)| request.start_by < now)
+        });
+        let displaced = match cause {
+            Cause::CustomerFull => own,
+            _ => own.or(any),
+        };
+        let Some(ticket) = displaced else {
+            return false;
+        };
+        let Some(removed) = self.take(ticket) else {
+            return false;
+        };
+        let wait = self.expected_wait(removed.customer, removed.tokens);
+        self.displaced.push((ticket, Refusal::new(cause, wait)));
+        true
+    }
+
     /// Time until a customer's new request is served at the observed drain rate.
     fn expected_wait(&self, customer: C, tokens: u64) -> Duration {
         if self.waiting.is_empty() || self.drain.rate == 0 {
             return Duration::ZERO;
         }
         let lane = self.lanes.get(&customer);
-        let ahead = lane.map_or(0, |lane| lane.tokens) + tokens;
+        // Late requests give way, so only the timely part of the lane counts.
+        let ahead = tokens
+            + lane.map_or(0, |lane| {
+                lane.tokens * lane.timely.len() as u64 / (lane.len() as u64).max(1)
+            });
         let weight = lane.map_or(1, |lane| u64::from(lane.weight.get()));
         let others = if lane.is_some_and(|lane| lane.len() > 0) {
             self.active_weight
--- a/crates/coordination/tests/queue.rs
+++ b/crates/coordination/tests/queue.rs
@@ -193,6 +193,11 @@
                 }
             }
         }
+        if kind <= 4 {
+            for (displaced, _) in queue.expire(now) {
+                waiting.retain(|(ticket, _)| *ticket != displaced);
+            }
+        }
         if queue.len() != waiting.len() {
             return Err(format!("{} wait, expected {}", queue.len(), waiting.len()));
         }
