--- a/crates/coordination/src/queue.rs
+++ b/crates/coordination/src/queue.rs
@@ -27,9 +27,15 @@
 const LONGEST_SAMPLE: Duration = Duration::from_secs(4);
 /// Weight of a new sample of the drain rate, in eighths.
 const SAMPLE_EIGHTHS: u64 = 2;
-/// Time of a lasting backlog after which late requests no longer go before timely ones. Without
-/// this bound goodput stayed low for as long as the callers' patience after an overload.
-const LONGEST_RESCUE: Duration = Duration::from_secs(12);
+/// Time after which a backlog of late requests is an overload, if it is long enough as well. In an
+/// overload late requests no longer go before timely ones, and those late for long are refused.
+/// Without this, recovery from an overload pulse took 18 s instead of 13 s.
+const LASTING: Duration = Duration::from_secs(8);
+/// A backlog is an overload when it fills one part in this many of the queue. Shedding shorter ones
+/// as well refused 0.7 % instead of 0.1 % of the requests in daily bursts.
+const OVERLOAD_PART: usize = 2;
+/// Time after its latest useful start for which a request is kept in a lasting backlog.
+const LONGEST_LATE: Duration = Duration::from_millis(1_000);
 /// Bounds of Retry-After.
 const SHORTEST_RETRY: Duration = Duration::from_millis(100);
 const LONGEST_RETRY: Duration = Duration::from_secs(60);
@@ -82,6 +88,8 @@
     CustomerFull,
     /// The queue is full.
     QueueFull,
+    /// It could no longer meet its TTFT target, and the backlog lasts.
+    Overload,
     /// The deadline cannot be met at the observed drain rate, or has passed.
     TooLate,
 }
@@ -356,9 +364,7 @@
     pub fn pop(&mut self, now: Instant) -> Option<Turn<C>> {
         self.drain.sample(now);
         let (tag, customer) = self.active.pop_first()?;
-        let rescue = self
-            .behind_since
-            .is_none_or(|since| now.since(since) < LONGEST_RESCUE);
+        let rescue = !self.is_overloaded(now);
         let lane = self.lanes.get_mut(&customer)?;
         let late = lane.late.len();
         let ticket = lane.next(now, rescue, &self.waiting)?;
@@ -455,9 +461,35 @@
             let wait = self.expected_wait(request.customer, request.tokens);
             refused.push((ticket, Refusal::new(Cause::TooLate, wait)));
         }
+        if self.is_overloaded(now) {
+            self.shed(now, &mut refused);
+        }
         refused
     }
 
+    /// Whether late requests have waited for long and fill a good part of the queue.
+    fn is_overloaded(&self, now: Instant) -> bool {
+        let lasting = self
+            .behind_since
+            .is_some_and(|since| now.since(since) >= LASTING);
+        lasting && self.waiting.len() * OVERLOAD_PART >= self.limits.total
+    }
+
+    /// Refuses requests that have been late for long. In a lasting backlog they would take the
+    /// places of requests that can meet the target, and their callers are likely to leave.
+    fn shed(&mut self, now: Instant, refused: &mut Vec<(Ticket, Refusal)>) {
+        while let Some(&(_, ticket)) = self.deadlines.first()
+            && let Some((request, _)) = self.waiting.get(&ticket)
+            && now.since(request.start_by) > LONGEST_LATE
+        {
+            let Some(request) = self.take(ticket) else {
+                break;
+            };
+            let wait = self.expected_wait(request.customer, request.tokens);
+            refused.push((ticket, Refusal::new(Cause::Overload, wait)));
+        }
+    }
+
     /// Makes room for a timely request by refusing a late one: the customer's own, or in a full queue
     /// the one whose deadline is first. Without this, late requests that filled the queue kept out
     /// those that could still meet their target.
