--- a/crates/coordination/src/queue.rs
+++ b/crates/coordination/src/queue.rs
@@ -19,7 +19,7 @@
 /// Timely requests of a customer that go before a late one of the same customer.
 const TIMELY_RUN: u8 = 7;
 /// Time before its deadline at which a late request goes before timely ones of its customer.
-const URGENT: Duration = Duration::from_millis(4_500);
+const URGENT: Duration = Duration::from_millis(3_250);
 /// Shortest time over which the drain rate is sampled; shorter samples follow single long prompts.
 const SAMPLE: Duration = Duration::from_millis(500);
 const FEWEST_DRAINED: u32 = 4;
