Bound the work and memory of ejection and placement in a large fleet

Cause: reading the modules at 3,100 endpoints: each outcome sorted the latencies of the whole route, the prefix index could hold 4,096 pieces for each endpoint (above 64 MB in total), and requests for a popular prefix always looked at its first four holders. Change: the median of a route of more than 16 endpoints is computed at most each 500 ms, the index holds 400,000 pieces in total, holders are looked at from a random start and found by binary search. Tests for the large route and the popular prefix; the ejection test now generates up to 23 endpoints.

--- a/crates/coordination/src/eject.rs
+++ b/crates/coordination/src/eject.rs
@@ -66,10 +66,18 @@
     good: u32,
 }
 
+/// Route size up to which the median leaves out the judged endpoint, exactly and at each outcome.
+const SMALL_ROUTE: usize = 16;
+/// Time between two computations of the median of a larger route, which sort all endpoints.
+const MEDIAN_PERIOD: Duration = Duration::from_millis(500);
+
 /// Endpoints of one route.
 #[derive(Clone, Debug, Default)]
 pub struct Detector<E> {
     tracks: BTreeMap<E, Track>,
+    ejected: usize,
+    /// Median latency of a large route, and the time of its computation.
+    median: Option<(Instant, Option<f64>)>,
 }
 
 impl<E: Copy + Ord> Detector<E> {
@@ -78,6 +86,8 @@
     pub const fn new() -> Self {
         Self {
             tracks: BTreeMap::new(),
+            ejected: 0,
+            median: None,
         }
     }
 
@@ -88,7 +98,9 @@
 
     /// Removes an endpoint; returns those that must come back to keep half of the route.
     pub fn remove(&mut self, endpoint: E) -> Vec<E> {
-        self.tracks.remove(&endpoint);
+        if let Some(track) = self.tracks.remove(&endpoint) {
+            self.ejected -= usize::from(track.ejected.is_some());
+        }
         let mut returned = Vec::new();
         while self.ejected() > self.tracks.len() / 2 {
             // The one whose ejection ends first comes back.
@@ -102,6 +114,7 @@
             };
             if let Some(track) = self.tracks.get_mut(&endpoint) {
                 *track = Track::default();
+                self.ejected -= 1;
             }
             returned.push(endpoint);
         }
@@ -110,11 +123,8 @@
 
     /// Number of ejected endpoints, never more than half of the route.
     #[must_use]
-    pub fn ejected(&self) -> usize {
-        self.tracks
-            .values()
-            .filter(|track| track.ejected.is_some())
-            .count()
+    pub const fn ejected(&self) -> usize {
+        self.ejected
     }
 
     /// Whether requests may go to the endpoint.
@@ -141,7 +151,7 @@
 
     /// Counts an outcome.
     pub fn outcome(&mut self, now: Instant, endpoint: E, outcome: Outcome) -> Option<Change> {
-        let usual = self.usual(endpoint);
+        let usual = self.usual(now, endpoint);
         let room = self.ejected() < self.tracks.len() / 2;
         let track = self.tracks.get_mut(&endpoint)?;
         let slow = |millis: f64| usual.is_some_and(|usual| millis > SLOW * usual);
@@ -160,6 +170,7 @@
                         last: now,
                         ..Track::default()
                     };
+                    self.ejected -= 1;
                     return Some(Change::Returned);
                 }
                 Outcome::Answered { .. } | Outcome::Failed => track.eject(now),
@@ -174,21 +185,36 @@
             return None;
         }
         track.eject(now);
+        self.ejected += 1;
         Some(Change::Ejected)
     }
 
-    /// Median latency of the route's other endpoints.
-    fn usual(&self, endpoint: E) -> Option<f64> {
-        let mut others: Vec<f64> = self
+    /// Median latency of the route's other endpoints; of a large route, a recent one of all.
+    fn usual(&mut self, now: Instant, endpoint: E) -> Option<f64> {
+        if self.tracks.len() <= SMALL_ROUTE {
+            return self.median(Some(endpoint));
+        }
+        if let Some((at, median)) = self.median
+            && now.since(at) < MEDIAN_PERIOD
+        {
+            return median;
+        }
+        let median = self.median(None);
+        self.median = Some((now, median));
+        median
+    }
+
+    fn median(&self, without: Option<E>) -> Option<f64> {
+        let mut known: Vec<f64> = self
             .tracks
             .iter()
-            .filter(|(other, track)| {
-                **other != endpoint && track.ejected.is_none() && track.outcomes >= FEWEST
+            .filter(|(endpoint, track)| {
+                Some(**endpoint) != without && track.ejected.is_none() && track.outcomes >= FEWEST
             })
             .map(|(_, track)| track.millis)
             .collect();
-        others.sort_by(f64::total_cmp);
-        others.get(others.len() / 2).copied()
+        known.sort_by(f64::total_cmp);
+        known.get(known.len() / 2).copied()
     }
 }
 
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -24,8 +24,12 @@
 const MEMORY: f64 = 32.0;
 /// Requests sent since the last report that are remembered for each endpoint.
 const MOST_SENT: usize = 256;
-/// Pieces remembered for each endpoint, which bounds the index.
-const MOST_PIECES: usize = 4_096;
+/// Pieces remembered for all endpoints together. At some 80 bytes each the index stays under 32 MB,
+/// half of the memory of a node (design page, section 1.6).
+const MOST_PIECES: usize = 400_000;
+/// Bounds of the pieces remembered for one endpoint.
+const FEWEST_PER_ENDPOINT: usize = 64;
+const MOST_PER_ENDPOINT: usize = 4_096;
 /// Time after which a report says nothing any more.
 const REPORT_LIFETIME: Duration = Duration::from_secs(2);
 
@@ -130,7 +134,7 @@
     endpoints: Vec<Endpoint>,
     prefill: Vec<Key>,
     decode: Vec<Key>,
-    /// Endpoints that hold a piece.
+    /// Endpoints that hold a piece, in the order of their keys.
     holders: BTreeMap<u64, Vec<Key>>,
     /// Estimated end of the queue of each link, by source and target data centre.
     links: Vec<Vec<(Instant, f64)>>,
@@ -332,7 +336,7 @@
             .take_while(|piece| {
                 self.holders
                     .get(piece)
-                    .is_some_and(|holders| holders.contains(&key))
+                    .is_some_and(|holders| holders.binary_search(&key).is_ok())
             })
             .count()
     }
@@ -345,7 +349,12 @@
         }
         let mut held = 0;
         for piece in prompt.pieces.iter().rev() {
-            for key in self.holders.get(piece).into_iter().flatten() {
+            let Some(holders) = self.holders.get(piece) else {
+                continue;
+            };
+            // A random start spreads requests for a popular prefix over its holders.
+            let start = (next_draw(draw) % holders.len() as u64) as usize;
+            for key in holders[start..].iter().chain(&holders[..start]) {
                 if held < HOLDERS && self.is_available(*key) && !keys.contains(key) {
                     keys.push(*key);
                     held += 1;
@@ -468,13 +477,15 @@
 
     fn store(&mut self, key: Key, piece: u64) {
         let holders = self.holders.entry(piece).or_default();
-        if holders.contains(&key) {
+        let Err(place) = holders.binary_search(&key) else {
             return;
-        }
-        holders.push(key);
+        };
+        holders.insert(place, key);
+        let bound =
+            (MOST_PIECES / self.prefill.len().max(1)).clamp(FEWEST_PER_ENDPOINT, MOST_PER_ENDPOINT);
         let endpoint = &mut self.endpoints[key.0 as usize];
         endpoint.pieces.push_back(piece);
-        if endpoint.pieces.len() > MOST_PIECES
+        if endpoint.pieces.len() > bound
             && let Some(oldest) = endpoint.pieces.pop_front()
         {
             self.drop_piece(key, oldest);
--- a/crates/coordination/tests/eject.rs
+++ b/crates/coordination/tests/eject.rs
@@ -20,7 +20,7 @@
 type Step = (u8, u8, u16);
 
 fn inputs() -> impl Strategy<Value = (u8, Vec<Step>)> {
-    (1_u8..8, vec((0_u8..8, 0_u8..20, 0_u16..500), 1..600))
+    (1_u8..24, vec((0_u8..24, 0_u8..20, 0_u16..500), 1..900))
 }
 
 /// Guards against the ejection of more than half of a route, whatever fails.
@@ -110,6 +110,23 @@
     assert_eq!(changes, [Change::Returned]);
 }
 
+/// Guards against a median of a large route that is too old or counts the ejected.
+#[test]
+fn a_slow_endpoint_of_a_large_route_is_ejected() {
+    let mut detector = Detector::new();
+    (0..40).for_each(|endpoint| detector.add(endpoint));
+    for round in 0..100 {
+        let now = Instant::from_millis(round * 50);
+        for endpoint in 0..40 {
+            let millis = if endpoint < 3 { 90.0 } else { 30.0 };
+            detector.outcome(now, endpoint, Outcome::Answered { millis });
+        }
+    }
+    let ejected: Vec<u32> = (0..40).filter(|one| detector.is_ejected(*one)).collect();
+    assert_eq!(ejected, [0, 1, 2]);
+    assert_eq!(detector.ejected(), 3);
+}
+
 /// Guards against the ejection of healthy endpoints by the noise of their latency.
 #[test]
 fn healthy_endpoints_stay() {
--- a/crates/coordination/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -164,6 +164,32 @@
     assert!(hits >= 95, "{hits} of 100");
 }
 
+/// Guards against a popular prefix of a large fleet that loads only its first holders.
+#[test]
+fn requests_for_a_popular_prefix_spread_over_its_holders() {
+    let (mut chooser, prefill, _) = chooser(0, 400, 400);
+    let pieces: Vec<u64> = (0..8).collect();
+    for key in &prefill[100..140] {
+        for (sequence, piece) in (0..).zip(&pieces) {
+            chooser.cache_event(*key, sequence, CacheChange::Stored, *piece);
+        }
+    }
+    let now = Instant::from_millis(0);
+    let mut chosen: Vec<Key> = (0..200)
+        .filter_map(|draw| chooser.choose(now, prompt(&pieces, 16_500), draw))
+        .map(|choice| choice.prefill)
+        .filter(|key| prefill[100..140].contains(key))
+        .collect();
+    let hits = chosen.len();
+    chosen.sort();
+    chosen.dedup();
+    assert!(
+        hits >= 190 && chosen.len() >= 30,
+        "{hits} at {}",
+        chosen.len()
+    );
+}
+
 /// Guards against trust in a prefix after the engine has reported less.
 #[test]
 fn a_prefill_corrects_lost_and_late_events() {
