Compare the chosen policy with each baseline seed by seed

Cause: the spread over seeds is mostly that of the workloads and hides differences between policies.

--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -3,7 +3,9 @@
 use berylknot_experiment::arguments::{BerylknotExperiment, BerylknotExperimentCmd};
 use berylknot_experiment::model::{ATELIER, Model, REGISTRY};
 use berylknot_experiment::policy::{all, short};
-use berylknot_experiment::report::{compare, draw, fault_table, sensitivity_table, table};
+use berylknot_experiment::report::{
+    compare, draw, fault_table, paired_table, sensitivity_table, table,
+};
 use berylknot_experiment::scenario::Scenario;
 
 /// Seeds of a comparison unless the command line says otherwise.
@@ -20,6 +22,7 @@
                 let seeds = options.seeds.unwrap_or(SEEDS);
                 let results = compare(fleet, &model, Scenario::Steady, &policies, seeds);
                 println!("{}", table(&policies, &results));
+                println!("{}", paired_table(&policies, &results));
             }
             BerylknotExperimentCmd::Faults(options) => {
                 let seeds = options.seeds.unwrap_or(SEEDS);
--- a/crates/experiment/src/report.rs
+++ b/crates/experiment/src/report.rs
@@ -51,6 +51,39 @@
     ("lookup 99 ms", |one| one.lookup_99, 0),
 ];
 
+/// Table of the differences between the last policy and each other one on the same seed.
+///
+/// The spread of these differences leaves out that of the workloads, which all policies share.
+#[must_use]
+pub fn paired_table(policies: &[Policy], results: &[Vec<Measure>]) -> String {
+    let mut text =
+        String::from("| chosen against | goodput/s | wasted % | worst % | refused % |\n");
+    text.push_str("|---|---:|---:|---:|---:|\n");
+    let Some((chosen, baselines)) = results.split_last() else {
+        return text;
+    };
+    let values: [Value; 4] = [
+        |one| one.goodput,
+        |one| one.wasted_prefill * 100.0,
+        |one| one.worst_customer * 100.0,
+        |one| one.wrongful_refusals * 100.0,
+    ];
+    for (policy, baseline) in policies.iter().zip(baselines) {
+        let _ = write!(text, "| {} |", policy.name);
+        for value in values {
+            let differences: Vec<f64> = chosen
+                .iter()
+                .zip(baseline)
+                .map(|(one, other)| value(one) - value(other))
+                .collect();
+            let (mean, deviation) = spread(&differences);
+            let _ = write!(text, " {mean:+.2} ± {deviation:.2} |");
+        }
+        text.push('\n');
+    }
+    text
+}
+
 /// Table of goodput around a fault: before it, during it, after it, and seconds to recover.
 ///
 /// A run that does not recover before its end counts as [`NOT_RECOVERED`] seconds.
