--- a/crates/experiment/src/arguments.rs
+++ b/crates/experiment/src/arguments.rs
@@ -12,6 +12,8 @@
     cmd berylknot-experiment {
         /// Prints the table of both fleets.
         cmd table {
+            /// First seed; 1 by default.
+            optional --first first: u64
             /// Number of seeds; 10 by default.
             optional --seeds seeds: u64
         }
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -4,7 +4,7 @@
 use berylknot_experiment::model::{ATELIER, Model, REGISTRY};
 use berylknot_experiment::policy::{all, short};
 use berylknot_experiment::report::{
-    compare, draw, fault_table, paired_table, sensitivity_table, table,
+    compare_from, draw, fault_table, paired_table, sensitivity_table, table,
 };
 use berylknot_experiment::scenario::Scenario;
 
@@ -20,7 +20,9 @@
         match &arguments.subcommand {
             BerylknotExperimentCmd::Table(options) => {
                 let seeds = options.seeds.unwrap_or(SEEDS);
-                let results = compare(fleet, &model, Scenario::Steady, &policies, seeds);
+                let first = options.first.unwrap_or(1);
+                let results =
+                    compare_from(first, fleet, &model, Scenario::Steady, &policies, seeds);
                 println!("{}", table(&policies, &results));
                 println!("{}", paired_table(&policies, &results));
             }
--- a/crates/experiment/src/report.rs
+++ b/crates/experiment/src/report.rs
@@ -19,9 +19,22 @@
     scenario: Scenario,
     policies: &[Policy],
     seeds: u64,
+) -> Vec<Vec<Measure>> {
+    compare_from(1, fleet, model, scenario, policies, seeds)
+}
+
+/// As [`compare`], from another first seed on: to check figures on seeds that guided no decision.
+#[must_use]
+pub fn compare_from(
+    first: u64,
+    fleet: &Fleet,
+    model: &Model,
+    scenario: Scenario,
+    policies: &[Policy],
+    seeds: u64,
 ) -> Vec<Vec<Measure>> {
     let mut results = vec![Vec::new(); policies.len()];
-    for seed in 1..=seeds {
+    for seed in first..first + seeds {
         let workload = Workload::generate(fleet, model, scenario, seed);
         for (policy, measures) in policies.iter().zip(&mut results) {
             let world = World::run(fleet, model, *policy, scenario, &workload, seed);
