Read the seed and the number of cases of all proofs in one place

Cause: four test runners parsed the same two variables, and BERYLKNOT_FUZZ_CASES meant a factor, a percentage or an absolute number.

--- a/crates/coordination/tests/history/mod.rs
+++ b/crates/coordination/tests/history/mod.rs
@@ -1,5 +1,8 @@
 //! Runs stateful checks with a fixed seed.
 
+#[path = "../fuzz/mod.rs"]
+mod fuzz;
+
 use std::fmt::Debug;
 
 use proptest::prelude::*;
@@ -8,15 +11,10 @@
 /// Seed of the CI run; any other is as good.
 const SEED: u64 = 20_261_204;
 
-fn variable(name: &str, default: u64) -> u64 {
-    std::env::var(name).map_or(default, |text| text.parse().expect("a whole number"))
-}
-
 fn runner(cases: u32, max_shrink_iters: u32) -> TestRunner {
-    let cases = variable("BERYLKNOT_FUZZ_CASES", u64::from(cases));
     TestRunner::new(Config {
-        cases: u32::try_from(cases).expect("at most u32::MAX cases"),
-        rng_seed: RngSeed::Fixed(variable("BERYLKNOT_FUZZ_SEED", SEED)),
+        cases: fuzz::cases(cases),
+        rng_seed: RngSeed::Fixed(fuzz::seed(SEED)),
         failure_persistence: None,
         max_shrink_iters,
         ..Config::default()
--- a/crates/coordination/tests/policy_support/mod.rs
+++ b/crates/coordination/tests/policy_support/mod.rs
@@ -1,23 +1,27 @@
 //! Fixed-seed runner of the policy tests.
 
+#[path = "../fuzz/mod.rs"]
+mod fuzz;
+
 use proptest::strategy::Strategy;
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestError, TestRng, TestRunner};
 
+/// Cases of one check.
+const CASES: u32 = 64;
+
 /// Result of a check: the violation it found.
 pub(crate) type Check = Result<(), String>;
 
 /// Runs a check on generated inputs; the first violation is the error.
 pub(crate) fn search<S: Strategy>(strategy: &S, check: impl Fn(S::Value) -> Check) -> Check {
-    let cases = std::env::var("BERYLKNOT_FUZZ_CASES")
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(64);
     let config = Config {
-        cases,
+        cases: fuzz::cases(CASES),
         failure_persistence: None,
         ..Config::default()
     };
-    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut seed = [7; 32];
+    seed[..8].copy_from_slice(&fuzz::seed(u64::from_le_bytes([7; 8])).to_le_bytes());
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
     TestRunner::new_with_rng(config, random)
         .run(strategy, |input| check(input).map_err(TestCaseError::fail))
         .map_err(|error| match error {
--- a/crates/coordination/tests/support/run.rs
+++ b/crates/coordination/tests/support/run.rs
@@ -1,18 +1,16 @@
-//! Seeded runs. `BERYLKNOT_FUZZ_CASES` multiplies the number of cases and `BERYLKNOT_FUZZ_SEED`
-//! changes the seed.
+//! Seeded runs.
+
+#[path = "../fuzz/mod.rs"]
+mod fuzz;
 
 use proptest::strategy::Strategy;
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
 
 pub(crate) type Result = std::result::Result<(), String>;
 
-fn variable(name: &str, default: u64) -> u64 {
-    std::env::var(name).map_or(default, |value| value.parse().expect("a number"))
-}
-
 fn runner(cases: u32) -> TestRunner {
     let mut seed = [0; 32];
-    seed[..8].copy_from_slice(&variable("BERYLKNOT_FUZZ_SEED", 1).to_le_bytes());
+    seed[..8].copy_from_slice(&fuzz::seed(1).to_le_bytes());
     let config = Config {
         cases,
         failure_persistence: None,
@@ -23,9 +21,8 @@
 
 /// Asserts that no case violates the oracle.
 pub(crate) fn holds<S: Strategy>(cases: u32, plans: S, case: impl Fn(S::Value) -> Result) {
-    let cases = cases * u32::try_from(variable("BERYLKNOT_FUZZ_CASES", 1)).expect("a small number");
     let checked = |plan| case(plan).map_err(TestCaseError::fail);
-    if let Err(error) = runner(cases).run(&plans, checked) {
+    if let Err(error) = runner(fuzz::cases(cases)).run(&plans, checked) {
         panic!("{error}");
     }
 }
