Assemble answers with the proven assembler and settle only what ran

Cause: the gateway checked engine events with code of its own, ignored the lifetime of an admission, charged the estimate when no engine had begun a request, charged tokens of earlier attempts again, and lost the charge when the caller left while admission was being decided.

Change: each engine event goes through coordination::stream::Assembler. The lifetime is checked right before the prefill, counted from before Admit was sent; an admission that came too late is settled with nothing used and asked for once more. A new end NotRun settles with nothing used. Each settlement contains only the tokens of its own admission. An interrupted request waits for an open admission and settles it. The outcome of a failed request is "not run" if every engine refused it or could not be reached. Temperature, top_p and seed reach the decode engine; the schema has no stop.

Ruled out: the engine's idle limit as the assembler's: its clock also runs while a slow caller takes no data, so the limit contains the caller's stall limit, and the engine client keeps its own deadline for each event.

The lifetime, the settlement after an interruption and the forwarding of sampling parameters have no test of their own yet.

--- a/crates/coordinator/src/admission.rs
+++ b/crates/coordinator/src/admission.rs
@@ -221,7 +221,10 @@
             prompt_tokens,
             ..
         } = running;
-        let used = u64::from(prompt_tokens) + u64::from(settle.completion_tokens);
+        let used = match settle.end {
+            local::End::NotRun => 0,
+            _ => u64::from(prompt_tokens) + u64::from(settle.completion_tokens),
+        };
         self.core.do_send(quota::Settle {
             customer,
             hold,
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -27,6 +27,7 @@
     max_tokens: Option<std::num::NonZeroU32>,
     stream: bool,
     include_usage: bool,
+    sampling: serde_json::Map<String, serde_json::Value>,
     format: Format,
 }
 
@@ -35,6 +36,7 @@
 
     fn try_from(request: CompletionRequest) -> Result<Self, Refusal> {
         single_answer(request.n.map(std::num::NonZeroU32::get))?;
+        let sampling = sampling(request.temperature, request.top_p, request.seed);
         Ok(Self {
             model: request.model,
             prompt: request.prompt,
@@ -43,6 +45,7 @@
             include_usage: request
                 .stream_options
                 .is_some_and(|options| options.include_usage),
+            sampling,
             format: Format::Completion,
         })
     }
@@ -53,6 +56,7 @@
 
     fn try_from(request: ChatRequest) -> Result<Self, Refusal> {
         single_answer(request.n.map(std::num::NonZeroU32::get))?;
+        let sampling = sampling(request.temperature, request.top_p, request.seed);
         let mut prompt = String::new();
         for message in &request.messages {
             prompt.push_str(&message.role);
@@ -68,11 +72,29 @@
             include_usage: request
                 .stream_options
                 .is_some_and(|options| options.include_usage),
+            sampling,
             format: Format::Chat,
         })
     }
 }
 
+/// Sampling parameters under the names that engines share with the caller's interface.
+fn sampling(
+    temperature: Option<f64>,
+    top_p: Option<f64>,
+    seed: Option<i64>,
+) -> serde_json::Map<String, serde_json::Value> {
+    let given = [
+        ("temperature", temperature.map(serde_json::Value::from)),
+        ("top_p", top_p.map(serde_json::Value::from)),
+        ("seed", seed.map(serde_json::Value::from)),
+    ];
+    let given = given
+        .into_iter()
+        .filter_map(|(name, value)| value.map(|value| (name.to_owned(), value)));
+    given.collect()
+}
+
 fn single_answer(n: Option<u32>) -> Result<(), Refusal> {
     if n.is_some_and(|n| n > 1) {
         return Err(invalid(
@@ -176,6 +198,7 @@
         prompt: question.prompt.clone(),
         prompt_tokens: bytes.div_ceil(model.bytes_per_token.max(1)).max(1),
         max_tokens: question.max_tokens.unwrap_or(default),
+        sampling: question.sampling.clone(),
         fingerprint,
     };
     Ok((job, question))
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -30,6 +30,18 @@
     Silent,
 }
 
+impl Error {
+    /// Whether the engine certainly did not begin the request.
+    pub(crate) fn surely_not_run(&self) -> bool {
+        match self {
+            Self::Unreachable(_) => true,
+            // An engine also answers a request that it stopped upon a cancel.
+            Self::Refused { code } => code != "cancelled",
+            Self::Broken(_) | Self::Silent => false,
+        }
+    }
+}
+
 /// An engine that runs prefills.
 pub(crate) trait Prefill {
     /// Runs a prefill.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -1,23 +1,27 @@
 //! The course of one model request: admission, prefill, decode, and release at every exit.
 
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
 use std::time::{Duration, Instant};
 
 use actix_web::http::StatusCode;
 use berylknot_border::caller::Usage;
 use berylknot_border::engine::{DecodeRequest, PrefillRequest, PrefillResponse};
 use berylknot_border::event::Event;
+use berylknot_coordination::stream::{self, Action, Assembler, Body, Cause, Limits};
 use berylknot_wire::local::{Admit, Admitted, End, Prefilled, Request, Response, Settle};
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 
 use crate::connection::Connection;
+use crate::control::Control;
 use crate::engine::{self, Cancel, Decode, Events, Prefill};
 use crate::metrics::Reason;
 use crate::refusal::Refusal;
 use crate::state::State;
 
 /// Attempts per request, including the first.
-const ATTEMPT_LIMIT: u32 = 3;
+const ATTEMPT_LIMIT: NonZeroU32 = NonZeroU32::new(3).unwrap();
 
 /// Tries to cancel a request at an engine.
 const CANCEL_LIMIT: u32 = 8;
@@ -34,7 +38,8 @@
     pub(crate) model: String,
     pub(crate) prompt: String,
     pub(crate) prompt_tokens: u32,
-    pub(crate) max_tokens: std::num::NonZeroU32,
+    pub(crate) max_tokens: NonZeroU32,
+    pub(crate) sampling: serde_json::Map<String, serde_json::Value>,
     pub(crate) fingerprint: u64,
 }
 
@@ -73,15 +78,54 @@
 }
 
 /// Progress of a request that survives its interruption.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Progress {
+    assembler: Assembler,
     /// Engines that may hold memory for the request.
     engines: Vec<SocketAddr>,
+    /// Question for admission that is not answered yet. An interrupted request waits for the answer
+    /// and settles it, since its tokens would stay charged otherwise.
+    asking: Option<JoinHandle<Result<Admitted, Refusal>>>,
     admitted: bool,
-    delivered: u32,
+    /// Whether an engine may have begun the request under the current admission.
+    begun: bool,
+    /// Whether an engine may have begun the request under any admission.
+    ran: bool,
+    /// Delivered tokens that earlier settlements contain.
+    settled_tokens: u32,
     prompt_tokens: u32,
 }
 
+impl Progress {
+    fn new(state: &State, job: &Job) -> Self {
+        let limits = &state.shared.options.limits;
+        // The engine client has its own deadline for each event. The assembler's clock also runs
+        // while a slow caller takes no data, which is not the engine's silence.
+        let idle = Duration::from_millis(limits.event_timeout_ms + limits.caller_stall_ms);
+        let limits = Limits {
+            max_tokens: job.max_tokens,
+            max_attempts: ATTEMPT_LIMIT,
+            idle,
+        };
+        Self {
+            assembler: Assembler::new(job.request_id.as_str(), limits),
+            engines: Vec::new(),
+            asking: None,
+            admitted: false,
+            begun: false,
+            ran: false,
+            settled_tokens: 0,
+            prompt_tokens: 0,
+        }
+    }
+
+    /// Marks the request as possibly begun by an engine.
+    const fn begin(&mut self) {
+        self.begun = true;
+        self.ran = true;
+    }
+}
+
 enum Ended {
     Finished { finish_reason: String },
     Refused(Refusal),
@@ -96,7 +140,7 @@
     sender: mpsc::Sender<Piece>,
 ) {
     state.shared.metrics.open_requests.inc();
-    let mut progress = Progress::default();
+    let mut progress = Progress::new(&state, &job);
     let ended = {
         let drive = drive(&state, &job, &sender, &mut progress);
         tokio::select! {
@@ -108,8 +152,11 @@
         }
     };
     let end = report(&state, &job, &progress, ended, &sender).await;
+    if let Some(asking) = progress.asking.take() {
+        progress.admitted = matches!(asking.await, Ok(Ok(_)));
+    }
     if progress.admitted {
-        settle(&state, &job, progress.delivered, end).await;
+        settle(&state, &job, &mut progress, end).await;
     }
     if end != End::Finished {
         release(&state, &job, progress.engines).await;
@@ -130,8 +177,8 @@
             metrics.finished.inc();
             let usage = Usage {
                 prompt_tokens: progress.prompt_tokens,
-                completion_tokens: progress.delivered,
-                total_tokens: progress.prompt_tokens + progress.delivered,
+                completion_tokens: progress.assembler.delivered(),
+                total_tokens: progress.prompt_tokens + progress.assembler.delivered(),
             };
             let _ = sender
                 .send(Piece::Finished {
@@ -218,41 +265,39 @@
 ) -> Ended {
     let started = Instant::now();
     let mut avoid = Vec::new();
-    for attempt in 0..ATTEMPT_LIMIT {
-        let admitted = match admit(state, job, &avoid).await {
+    for _ in 0..ATTEMPT_LIMIT.get() {
+        let admitted = match admit_in_time(state, job, &avoid, progress).await {
             Ok(admitted) => admitted,
             Err(refusal) => return Ended::Refused(partly_run(refusal, progress)),
         };
-        progress.admitted = true;
-        let failure =
-            match try_once(state, job, attempt, &admitted, sender, progress, started).await {
-                Ok(finish_reason) => return Ended::Finished { finish_reason },
-                Err(failure) => failure,
-            };
+        let failure = match try_once(state, job, &admitted, sender, progress, started).await {
+            Ok(finish_reason) => return Ended::Finished { finish_reason },
+            Err(failure) => failure,
+        };
         let reason = failure.reason();
-        tracing::info!(request = %job.request_id, attempt, reason, error = %failure.error, "flow: attempt failed");
-        state
-            .shared
-            .metrics
-            .retries
-            .get_or_create(&Reason { reason })
-            .inc();
-        avoid.push(failure.endpoint);
-        settle(state, job, progress.delivered, End::Failed).await;
-        progress.admitted = false;
+        tracing::info!(request = %job.request_id, endpoint = %failure.endpoint, reason, error = %failure.error, "flow: attempt failed");
+        count_retry(state, reason);
+        settle(state, job, progress, End::Failed).await;
         let engines = std::mem::take(&mut progress.engines);
         actix_rt::spawn(release_owned(state.clone(), job.clone(), engines));
+        if progress.assembler.ended() {
+            break;
+        }
+        avoid.push(failure.endpoint);
     }
-    let refusal = Refusal::may_have_run(
-        "endpoints_failed",
-        StatusCode::BAD_GATEWAY,
-        "the endpoints failed and the attempts are used up",
-    );
-    Ended::Refused(refusal)
+    let status = StatusCode::BAD_GATEWAY;
+    let message = "the endpoints failed and the attempts are used up";
+    let refusal = Refusal::not_run("endpoints_failed", status, message);
+    Ended::Refused(partly_run(refusal, progress))
+}
+
+fn count_retry(state: &State, reason: &'static str) {
+    let retries = &state.shared.metrics.retries;
+    retries.get_or_create(&Reason { reason }).inc();
 }
 
 fn partly_run(refusal: Refusal, progress: &Progress) -> Refusal {
-    if progress.prompt_tokens == 0 && progress.delivered == 0 {
+    if !progress.ran {
         return refusal;
     }
     Refusal {
@@ -277,7 +322,38 @@
     }
 }
 
-async fn admit(state: &State, job: &Job, avoid: &[String]) -> Result<Admitted, Refusal> {
+/// Asks for admission, and once more when the first answer comes after its lifetime. The caller
+/// sends the prefill without another wait.
+async fn admit_in_time(
+    state: &State,
+    job: &Job,
+    avoid: &[String],
+    progress: &mut Progress,
+) -> Result<Admitted, Refusal> {
+    const ASK_LIMIT: u32 = 2;
+    for _ in 0..ASK_LIMIT {
+        // The lifetime counts from before the question, which is the earliest possible grant.
+        let asked = Instant::now();
+        let question = admit(state.control.clone(), job, avoid);
+        let asking = progress.asking.insert(actix_rt::spawn(question));
+        let answer = asking.await.unwrap_or_else(|_| Err(refusal_of("refused")));
+        progress.asking = None;
+        let admitted = answer?;
+        progress.admitted = true;
+        if asked.elapsed() < Duration::from_millis(admitted.lifetime_ms) {
+            return Ok(admitted);
+        }
+        count_retry(state, "grant_expired");
+        settle(state, job, progress, End::NotRun).await;
+    }
+    Err(refusal_of("grant_expired").retry_after_ms(Some(1_000)))
+}
+
+fn admit(
+    control: Control,
+    job: &Job,
+    avoid: &[String],
+) -> impl Future<Output = Result<Admitted, Refusal>> + use<> {
     let admit = Admit {
         request: job.request_id.clone(),
         customer: job.customer.clone(),
@@ -288,17 +364,19 @@
         fingerprint: job.fingerprint,
         avoid: avoid.to_vec(),
     };
-    match state.control.send(Request::Admit(admit)).await {
-        Ok(Response::Admitted(admitted)) => Ok(admitted),
-        Ok(Response::Refused(refused)) => {
-            Err(refusal_of(&refused.code).retry_after_ms(refused.retry_after_ms))
+    async move {
+        match control.send(Request::Admit(admit)).await {
+            Ok(Response::Admitted(admitted)) => Ok(admitted),
+            Ok(Response::Refused(refused)) => {
+                Err(refusal_of(&refused.code).retry_after_ms(refused.retry_after_ms))
+            }
+            Ok(_) | Err(_) => Err(Refusal::not_run(
+                "coordinator_unavailable",
+                StatusCode::SERVICE_UNAVAILABLE,
+                "admission is not available on this host",
+            )
+            .retry_after_ms(Some(1_000))),
         }
-        Ok(_) | Err(_) => Err(Refusal::not_run(
-            "coordinator_unavailable",
-            StatusCode::SERVICE_UNAVAILABLE,
-            "admission is not available on this host",
-        )
-        .retry_after_ms(Some(1_000))),
     }
 }
 
@@ -350,7 +428,6 @@
 async fn try_once(
     state: &State,
     job: &Job,
-    attempt: u32,
     admitted: &Admitted,
     sender: &mpsc::Sender<Piece>,
     progress: &mut Progress,
@@ -363,26 +440,45 @@
         move |error| Failure { endpoint, error }
     };
     progress.engines.push(prefill_address);
-    let prefilled = prefill(state, job, attempt, admitted, prefill_address)
-        .await
-        .map_err(fail(&admitted.prefill))?;
+    let (before, attempt) = (progress.ran, progress.assembler.attempt() + 1);
+    progress.begin();
+    let prefilled = prefill(state, job, attempt, admitted, prefill_address).await;
+    if prefilled.as_ref().is_err_and(engine::Error::surely_not_run) {
+        (progress.begun, progress.ran) = (false, before);
+    }
+    let prefilled = prefilled.map_err(fail(&admitted.prefill))?;
     progress.prompt_tokens = prefilled.prompt_tokens;
     progress.engines.push(decode_address);
+    let decode = |error| Failure {
+        endpoint: admitted.decode.clone(),
+        error,
+    };
+    let begun = progress.assembler.begin(state.shared.clock.now());
+    let Some(attempt) = begun else {
+        return Err(decode(engine::Error::Broken(
+            "the answer takes no more attempts".to_owned(),
+        )));
+    };
     let request = DecodeRequest {
         request_id: job.request_id.clone(),
-        attempt,
+        attempt: attempt.number,
         model: job.model.clone(),
         kv_handle: prefilled.kv_handle,
         prefill_address: prefill_address.to_string(),
         max_tokens: job.max_tokens,
-        resume_from: progress.delivered,
+        resume_from: attempt.resume_from,
         priority: admitted.priority,
-        sampling: serde_json::Map::new(),
+        sampling: job.sampling.clone(),
+    };
+    let pumped = match state.engine.decode(decode_address, &request).await {
+        Ok(mut events) => pump(state, &mut events, sender, &mut progress.assembler, started).await,
+        Err(error) => Err(error),
     };
-    let events = state.engine.decode(decode_address, &request).await;
-    let mut events = events.map_err(fail(&admitted.decode))?;
-    let pumped = pump(state, job, attempt, &mut events, sender, progress, started).await;
-    pumped.map_err(fail(&admitted.decode))
+    if pumped.is_err() {
+        // The failure is reported once more when the assembler itself gave up the attempt.
+        let _ = progress.assembler.fail(attempt.number);
+    }
+    pumped.map_err(decode)
 }
 
 async fn prefill(
@@ -414,59 +510,84 @@
 
 async fn pump<E: Events>(
     state: &State,
-    job: &Job,
-    attempt: u32,
     events: &mut E,
     sender: &mpsc::Sender<Piece>,
-    progress: &mut Progress,
+    assembler: &mut Assembler,
     started: Instant,
 ) -> engine::Result<String> {
     let metrics = &state.shared.metrics;
     let mut last: Option<Instant> = None;
     while let Some(event) = events.next().await? {
-        match event {
-            Event::Token {
-                request_id,
-                attempt: from,
-                index,
-                text,
-            } => {
-                let expected = request_id == job.request_id && from == attempt;
-                if !expected || index != progress.delivered {
+        match assembler.event(state.shared.clock.now(), &facts(&event)) {
+            Action::Wait | Action::Drop(_) => {}
+            Action::Deliver => {
+                let Event::Token { text, .. } = event else {
                     continue;
-                }
+                };
                 let now = Instant::now();
                 match last {
                     Some(last) => metrics.tpot.observe((now - last).as_secs_f64()),
-                    None if progress.delivered == 0 => {
+                    None if assembler.delivered() == 1 => {
                         metrics.ttft.observe((now - started).as_secs_f64());
                     }
                     None => {}
                 }
                 last = Some(now);
-                progress.delivered += 1;
                 metrics.tokens.inc();
                 let _ = sender.send(Piece::Token(text.into_owned())).await;
             }
-            Event::Finish {
-                request_id,
-                attempt: from,
-                count,
-                finish_reason,
-            } => {
-                if request_id != job.request_id || from != attempt {
+            Action::Complete => {
+                let Event::Finish { finish_reason, .. } = event else {
                     continue;
-                }
-                if count != progress.delivered {
-                    return Err(engine::Error::Broken("the answer has gaps".to_owned()));
-                }
+                };
                 return Ok(finish_reason.into_owned());
             }
+            Action::Resume(cause) | Action::Incomplete(cause) => {
+                return Err(engine::Error::Broken(fault(cause).to_owned()));
+            }
         }
     }
     Err(engine::Error::Broken("the stream ended early".to_owned()))
 }
 
+/// The part of an engine's event that the assembler decides about.
+fn facts<'a>(event: &'a Event<'_>) -> stream::Event<'a> {
+    match event {
+        Event::Token {
+            request_id,
+            attempt,
+            index,
+            ..
+        } => stream::Event {
+            request: request_id,
+            attempt: *attempt,
+            body: Body::Token { index: *index },
+        },
+        Event::Finish {
+            request_id,
+            attempt,
+            count,
+            ..
+        } => stream::Event {
+            request: request_id,
+            attempt: *attempt,
+            body: Body::Finish { count: *count },
+        },
+    }
+}
+
+const fn fault(cause: Cause) -> &'static str {
+    match cause {
+        Cause::Idle => "the engine was silent",
+        Cause::Failed => "the stream failed",
+        Cause::Gap => "the answer has gaps",
+        Cause::Short => "the answer is shorter than its final event states",
+        Cause::Excess => "the answer is longer than its final event states",
+        Cause::Limit => "the engine sent more tokens than were asked for",
+        Cause::Abandoned => "the answer was given up",
+    }
+}
+
 fn address(state: &State, endpoint: &str) -> Result<SocketAddr, Failure> {
     let fleet = state.shared.configuration.borrow().fleet.clone();
     let Some(key) = fleet.endpoint_named(endpoint) else {
@@ -479,12 +600,18 @@
     Ok(fleet.endpoint(key).address)
 }
 
-async fn settle(state: &State, job: &Job, completion_tokens: u32, end: End) {
+/// Settles the current admission with what was used under it.
+async fn settle(state: &State, job: &Job, progress: &mut Progress, end: End) {
+    let delivered = progress.assembler.delivered();
+    let end = if progress.begun { end } else { End::NotRun };
     let settle = Settle {
         request: job.request_id.clone(),
-        completion_tokens,
+        completion_tokens: delivered - progress.settled_tokens,
         end,
     };
+    progress.settled_tokens = delivered;
+    progress.admitted = false;
+    progress.begun = false;
     if let Err(error) = state.control.send(Request::Settle(settle)).await {
         tracing::warn!(request = %job.request_id, %error, "flow: settlement was not delivered");
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub(crate) mod body;
 pub(crate) mod caller;
+pub(crate) mod clock;
 pub(crate) mod completion;
 pub(crate) mod configuration;
 pub(crate) mod connection;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,6 +14,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
+use crate::clock::Clock;
 use crate::configuration::{self, Configuration};
 use crate::control::{Control, Identity};
 use crate::metrics::Metrics;
@@ -62,6 +63,7 @@
         pepper: Pepper::new(pepper),
         configuration: receiver,
         metrics,
+        clock: Clock::start(),
         draining: Arc::default(),
     };
     let callers = server::callers(callers, &shared)?;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,7 @@
 use berylknot_settings::key::Pepper;
 use tokio::sync::watch;
 
+use crate::clock::Clock;
 use crate::configuration::Configuration;
 use crate::control::{Control, Identity};
 use crate::engine::http::Http;
@@ -22,6 +23,7 @@
     pub(crate) pepper: Pepper,
     pub(crate) configuration: watch::Receiver<Configuration>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) clock: Clock,
     pub(crate) draining: Arc<AtomicBool>,
 }
 
--- a/crates/wire/src/local.rs
+++ b/crates/wire/src/local.rs
@@ -149,6 +149,8 @@
     Cancelled,
     /// An endpoint failed.
     Failed,
+    /// No endpoint began the request, so that nothing was used.
+    NotRun,
 }
 
 /// A configuration in force.
