Reap the requests of gateways and hosts that are gone

Cause: engine memory of a killed gateway or host stayed held for good. Request ids also had a form that the reaping rules cannot read.

Change: request ids have the form of coordination::request::Id. Each gateway reports to its coordinator once a second (Streams); the answer says for how long streams may be forwarded. A request starts and goes on only under that permission, which is checked at each engine event; when it lapses, the gateway ends its streams (counter cancelled, reason permit_lapsed) and takes a new incarnation. Coordinators send heartbeats with the report of their gateways to all listed hosts, scan the engines that they coordinate each second, and cancel what reap::Watch allows (counter reaped, by reason). A gateway is ready only once it may run requests, and says at its end that it has finished.

Ruled out: a permit for each coordinating host. Hosts can differ about who coordinates an engine, so without a usable log lease all listed hosts must have acknowledged the heartbeat. Extending the host's permission while the coordinator refuses connections: other hosts would reap the streams after 10 s of silence, so only the gateway's own permission is extended then.

Not run: a log outage or a partition with streams running, a pause longer than the silence limit.

Conclusion: heartbeats to all hosts cost traffic that grows with the fleet; at 360 hosts they need to be limited to the hosts that coordinate engines in use.

--- a/crates/coordination/src/lease/holder.rs
+++ b/crates/coordination/src/lease/holder.rs
@@ -227,6 +227,14 @@
             .is_some_and(|(_, sent)| now.since(sent) < self.timing.shard_lease)
     }
 
+    /// Time by the own clock for which the log lease stays usable; `None` when it is not.
+    #[must_use]
+    pub fn log_lease_remaining(&self, now: Instant) -> Option<Duration> {
+        let (_, sent) = self.renewed?;
+        let remaining = self.timing.shard_lease.checked_sub(now.since(sent))?;
+        (!remaining.is_zero()).then_some(remaining)
+    }
+
     /// Whether all shard leases of an incarnation are surely over.
     #[must_use]
     pub fn surely_expired(&self, now: Instant, incarnation: Incarnation) -> bool {
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -28,6 +28,7 @@
 mod hosts;
 mod leases;
 pub(crate) mod quota;
+pub(crate) mod reap;
 
 /// Time between two steps of the lease holder, at most 500 ms.
 const LEASE_INTERVAL: Duration = Duration::from_millis(200);
@@ -49,6 +50,7 @@
     appender: Appender,
     quota: quota::Buckets,
     claims: claims::Claims,
+    reaping: reap::Reaping,
     /// Time at which the last successful read of the log was sent.
     last_read: Instant,
     published: watch::Sender<Configuration>,
@@ -98,6 +100,7 @@
             appender: Appender::new(incarnation, append::limits()),
             quota: quota::Buckets::default(),
             claims: claims::Claims::new(incarnation),
+            reaping: reap::Reaping::new(clock.now(), incarnation, &timing),
             last_read: clock.now(),
             published,
             metrics,
@@ -148,6 +151,7 @@
         context.run_interval(append::INTERVAL, Self::append_due);
         context.run_interval(LEASE_INTERVAL, |core, _| core.step_leases());
         context.run_interval(claims::INTERVAL, Self::step_claims);
+        context.run_interval(reap::INTERVAL, Self::step_reaping);
         context.run_interval(hosts::INTERVAL, Self::list_hosts);
         self.list_hosts(context);
     }
--- a/crates/coordinator/src/core/follow.rs
+++ b/crates/coordinator/src/core/follow.rs
@@ -43,6 +43,9 @@
         }
         self.publish();
         let more = self.replica.next_offset() < segment.next && !segment.entries.is_empty();
+        if !more {
+            self.reaping.reached_tail(sent);
+        }
         let actions = if more {
             self.appender.observe(self.replica.batches())
         } else {
@@ -58,6 +61,7 @@
             match change {
                 Change::Lease(change) => {
                     self.holder.observe(now, change);
+                    self.renewal_read(now, change);
                 }
                 Change::Key { id, verdict } => self.claim_changed(*id, verdict),
                 Change::Gap { expected, found } => {
--- a/crates/coordinator/src/local.rs
+++ b/crates/coordinator/src/local.rs
@@ -8,6 +8,7 @@
 
 use crate::admission::{Ask, End, Prefilled};
 use crate::core::claims::{Abandon, Claim, Finish};
+use crate::core::reap::Streams;
 use crate::metrics::Reason;
 use crate::state::State;
 
@@ -69,6 +70,11 @@
             state.core.do_send(Abandon(id));
             Response::Done
         }
+        Request::Streams(streams) => state
+            .core
+            .send(Streams(streams))
+            .await
+            .unwrap_or(Response::Done),
         Request::Watch { after } => watch(state, after).await,
         _ => Response::Done,
     }
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -23,6 +23,7 @@
     pub(crate) log_append_failures: Counter,
     pub(crate) log_read_failures: Counter,
     pub(crate) leases: Gauge,
+    pub(crate) reaped: Family<Reason, Counter>,
 }
 
 impl Metrics {
@@ -52,6 +53,12 @@
             "Failed reads of the log",
             log_read_failures.clone(),
         );
+        let reaped = Family::<Reason, Counter>::default();
+        registry.register(
+            "reaped",
+            "Requests of gateways that are gone, cancelled at engines, by reason",
+            reaped.clone(),
+        );
         let leases = Gauge::default();
         registry.register(
             "leases",
@@ -66,6 +73,7 @@
             log_append_failures,
             log_read_failures,
             leases,
+            reaped,
         }
     }
 }
--- a/crates/coordinator/src/peer.rs
+++ b/crates/coordinator/src/peer.rs
@@ -5,6 +5,7 @@
 use berylknot_wire::peer::{Request, Response};
 
 use crate::core::quota::FromPeer;
+use crate::core::reap::Heartbeat;
 use crate::state::State;
 
 /// Handles a message of another coordinator.
@@ -14,11 +15,14 @@
         return HttpResponse::Forbidden().finish();
     };
     let sequence = frame.sequence;
-    let response = state
-        .core
-        .send(FromPeer(frame.body))
-        .await
-        .unwrap_or(Response::NotOwner);
+    let answer = match frame.body {
+        Request::Heartbeat { report } => {
+            let host = frame.sender;
+            state.core.send(Heartbeat { host, report }).await
+        }
+        body => state.core.send(FromPeer(body)).await,
+    };
+    let response = answer.unwrap_or(Response::NotOwner);
     let reply = Frame::new(&identity.host, identity.incarnation.0, sequence, response);
     match reply.seal(&identity.secret) {
         Ok(sealed) => HttpResponse::Ok().body(sealed),
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -19,6 +19,7 @@
 use crate::metrics::Reason;
 use crate::refusal::Refusal;
 use crate::state::State;
+use crate::streams::Ticket;
 
 /// Attempts per request, including the first.
 const ATTEMPT_LIMIT: NonZeroU32 = NonZeroU32::new(3).unwrap();
@@ -65,6 +66,7 @@
     CallerGone,
     CallerStalled,
     KeyWithdrawn,
+    PermitLapsed,
 }
 
 impl Interruption {
@@ -73,6 +75,7 @@
             Self::CallerGone => "caller_gone",
             Self::CallerStalled => "caller_stalled",
             Self::KeyWithdrawn => "key_withdrawn",
+            Self::PermitLapsed => "permit_lapsed",
         }
     }
 }
@@ -80,6 +83,7 @@
 /// Progress of a request that survives its interruption.
 #[derive(Debug)]
 struct Progress {
+    ticket: Ticket,
     assembler: Assembler,
     /// Engines that may hold memory for the request.
     engines: Vec<SocketAddr>,
@@ -97,7 +101,7 @@
 }
 
 impl Progress {
-    fn new(state: &State, job: &Job) -> Self {
+    fn new(state: &State, job: &Job, ticket: Ticket) -> Self {
         let limits = &state.shared.options.limits;
         // The engine client has its own deadline for each event. The assembler's clock also runs
         // while a slow caller takes no data, which is not the engine's silence.
@@ -108,6 +112,7 @@
             idle,
         };
         Self {
+            ticket,
             assembler: Assembler::new(job.request_id.as_str(), limits),
             engines: Vec::new(),
             asking: None,
@@ -139,13 +144,19 @@
     connection: Option<Connection>,
     sender: mpsc::Sender<Piece>,
 ) {
+    let Some(ticket) = state.shared.permission.ticket(&job.request_id) else {
+        let refusal = no_permit();
+        state.shared.metrics.count_refusal(refusal.code);
+        let _ = sender.send(Piece::Failed(refusal)).await;
+        return;
+    };
     state.shared.metrics.open_requests.inc();
-    let mut progress = Progress::new(&state, &job);
+    let mut progress = Progress::new(&state, &job, ticket);
     let ended = {
         let drive = drive(&state, &job, &sender, &mut progress);
         tokio::select! {
             biased;
-            interruption = interrupted(&state, &job, connection.as_ref(), &sender) => {
+            interruption = interrupted(&state, &job, connection.as_ref(), &sender, ticket) => {
                 Ended::Interrupted(interruption)
             }
             ended = drive => ended,
@@ -204,17 +215,30 @@
                     Refusal::may_have_run("key_withdrawn", StatusCode::UNAUTHORIZED, message);
                 let _ = sender.try_send(Piece::Failed(refusal));
             }
+            if interruption == Interruption::PermitLapsed {
+                let message = "the host lost its permission to run requests";
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                let refusal = Refusal::not_run("permit_lapsed", status, message);
+                let _ = sender.try_send(Piece::Failed(partly_run(refusal, progress)));
+            }
             End::Cancelled
         }
     }
 }
 
+fn no_permit() -> Refusal {
+    let message = "this host may not run requests now";
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Refusal::not_run("no_permit", status, message).retry_after_ms(Some(1_000))
+}
+
 /// Waits until the caller is gone or its key is withdrawn.
 async fn interrupted(
     state: &State,
     job: &Job,
     connection: Option<&Connection>,
     sender: &mpsc::Sender<Piece>,
+    ticket: Ticket,
 ) -> Interruption {
     let stall = Duration::from_millis(state.shared.options.limits.caller_stall_ms);
     let gone = async {
@@ -227,6 +251,7 @@
         () = gone => Interruption::CallerGone,
         () = sender.closed() => Interruption::CallerGone,
         () = stalled(sender, stall) => Interruption::CallerStalled,
+        () = state.shared.permission.lapsed(ticket) => Interruption::PermitLapsed,
         () = withdrawn(state, &job.key_id) => Interruption::KeyWithdrawn,
     }
 }
@@ -471,7 +496,7 @@
         sampling: job.sampling.clone(),
     };
     let pumped = match state.engine.decode(decode_address, &request).await {
-        Ok(mut events) => pump(state, &mut events, sender, &mut progress.assembler, started).await,
+        Ok(mut events) => pump(state, &mut events, sender, progress, started).await,
         Err(error) => Err(error),
     };
     if pumped.is_err() {
@@ -512,12 +537,19 @@
     state: &State,
     events: &mut E,
     sender: &mpsc::Sender<Piece>,
-    assembler: &mut Assembler,
+    progress: &mut Progress,
     started: Instant,
 ) -> engine::Result<String> {
     let metrics = &state.shared.metrics;
+    let ticket = progress.ticket;
+    let assembler = &mut progress.assembler;
     let mut last: Option<Instant> = None;
     while let Some(event) = events.next().await? {
+        // After a pause of this process the request may run nowhere any more.
+        if !state.shared.permission.allows(ticket) {
+            // The other branch of the request's select ends it.
+            return std::future::pending().await;
+        }
         match assembler.event(state.shared.clock.now(), &facts(&event)) {
             Action::Wait | Action::Drop(_) => {}
             Action::Deliver => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,4 +22,5 @@
 pub(crate) mod server;
 pub(crate) mod service;
 pub(crate) mod state;
+pub(crate) mod streams;
 pub(crate) mod tls;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -3,9 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{SystemTime, UNIX_EPOCH};
 
-use berylknot_coordination::record::Incarnation;
 use berylknot_settings::key::Pepper;
 use berylknot_telemetry::log::Format;
 use berylknot_wire::Secret;
@@ -21,6 +19,7 @@
 use crate::options::Options;
 use crate::server;
 use crate::state::Shared;
+use crate::streams::Permission;
 
 /// Runs the gateway until it is told to stop and its requests have finished.
 ///
@@ -39,31 +38,37 @@
 async fn serve(options: Options) -> eyre::Result<()> {
     let secret = read(&options.secret_file)?;
     let pepper = read(&options.pepper_file)?;
-    let unix = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let unix_ms = u64::try_from(unix.as_millis()).unwrap_or(u64::MAX);
     let identity = Identity {
         host: options.host.clone(),
-        incarnation: Incarnation::new(unix_ms, std::process::id()).0,
+        incarnation: Arc::default(),
         secret: Secret::new(secret),
         frames: Arc::default(),
         requests: Arc::default(),
     };
+    identity.start_incarnation();
+    let clock = Clock::start();
+    let permission = Permission::new(clock, identity.clone());
     let callers = bind(options.listen)?;
     let operator = bind(options.operator_listen)?;
     tracing::info!(host = %identity.host, address = %options.listen, "server: listening");
     let (sender, receiver) = watch::channel(Configuration::default());
     let metrics = Arc::new(Metrics::new());
     let control = Control::new(options.coordinator, identity.clone());
-    actix_rt::spawn(configuration::follow(control, sender, metrics.clone()));
+    let reports = permission.clone().report(control.clone());
+    let reports = actix_rt::spawn(reports);
+    actix_rt::spawn(configuration::follow(
+        control.clone(),
+        sender,
+        metrics.clone(),
+    ));
     let shared = Shared {
         options: Arc::new(options),
         identity,
         pepper: Pepper::new(pepper),
         configuration: receiver,
         metrics,
-        clock: Clock::start(),
+        clock,
+        permission: permission.clone(),
         draining: Arc::default(),
     };
     let callers = server::callers(callers, &shared)?;
@@ -78,6 +83,8 @@
     });
     actix_rt::spawn(operator);
     callers.await?;
+    reports.abort();
+    permission.finish(&control).await;
     Ok(())
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -91,7 +91,8 @@
 
 async fn ready(shared: web::Data<Shared>) -> HttpResponse {
     let draining = shared.draining.load(std::sync::atomic::Ordering::Relaxed);
-    if draining || shared.configuration.borrow().version == 0 {
+    let usable = shared.permission.is_usable();
+    if draining || !usable || shared.configuration.borrow().version == 0 {
         return HttpResponse::ServiceUnavailable().finish();
     }
     HttpResponse::Ok().finish()
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 use crate::metrics::Metrics;
 use crate::options::Options;
 use crate::refusal::Refusal;
+use crate::streams::Permission;
 
 /// State shared by all threads.
 #[derive(Clone, Debug)]
@@ -24,6 +25,7 @@
     pub(crate) configuration: watch::Receiver<Configuration>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) clock: Clock,
+    pub(crate) permission: Permission,
     pub(crate) draining: Arc<AtomicBool>,
 }
 
--- a/crates/wire/src/local.rs
+++ b/crates/wire/src/local.rs
@@ -1,7 +1,7 @@
 //! Messages from a gateway to the coordinator of its host.
 
 use berylknot_coordination::claim;
-use berylknot_coordination::record::Id;
+use berylknot_coordination::record::{Id, Incarnation};
 use serde::{Deserialize, Serialize};
 
 /// Path of the coordinator's interface for its gateway.
@@ -31,6 +31,8 @@
         /// Id of the claim.
         id: Id,
     },
+    /// Reports that a gateway lives; sent once a second.
+    Streams(Streams),
     /// Waits for a configuration newer than `after`.
     Watch {
         /// Version in force at the gateway; zero for none.
@@ -56,6 +58,11 @@
     KeyTaken(claim::Answer),
     /// A configuration newer than the one asked about.
     Configuration(Configuration),
+    /// The gateway's streams may be forwarded.
+    Forward {
+        /// Milliseconds, from before the report was sent, for which no other host cancels them.
+        lifetime_ms: u64,
+    },
     /// Nothing to report.
     Done,
 }
@@ -153,6 +160,15 @@
     NotRun,
 }
 
+/// Report of a gateway about itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Streams {
+    /// Incarnation in the ids of the gateway's requests.
+    pub gateway: Incarnation,
+    /// Whether the gateway has no requests and takes no more.
+    pub finished: bool,
+}
+
 /// A configuration in force.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Configuration {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,6 +1,7 @@
 //! Messages between coordinators of different hosts.
 
 use berylknot_coordination::quota::{Approval, Donation, Handover, Hold, Ticket};
+use berylknot_coordination::reap::Report;
 use serde::{Deserialize, Serialize};
 
 /// Path of the coordinator's interface for other coordinators.
@@ -12,7 +13,10 @@
 #[non_exhaustive]
 pub enum Request {
     /// Tells that the sender lives.
-    Heartbeat,
+    Heartbeat {
+        /// The gateways of the sender's host.
+        report: Report,
+    },
     /// Asks the owner of a customer's pool for tokens.
     AskGrant {
         /// Name of the customer.
