--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub(crate) mod body;
 pub(crate) mod caller;
+pub(crate) mod clock;
 pub(crate) mod completion;
 pub(crate) mod configuration;
 pub(crate) mod connection;
@@ -21,4 +22,5 @@
 pub(crate) mod server;
 pub(crate) mod service;
 pub(crate) mod state;
+pub(crate) mod streams;
 pub(crate) mod tls;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,12 +7,14 @@
 use berylknot_settings::key::Pepper;
 use tokio::sync::watch;
 
+use crate::clock::Clock;
 use crate::configuration::Configuration;
 use crate::control::{Control, Identity};
 use crate::engine::http::Http;
 use crate::metrics::Metrics;
 use crate::options::Options;
 use crate::refusal::Refusal;
+use crate::streams::Permission;
 
 /// State shared by all threads.
 #[derive(Clone, Debug)]
@@ -22,6 +24,8 @@
     pub(crate) pepper: Pepper,
     pub(crate) configuration: watch::Receiver<Configuration>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) clock: Clock,
+    pub(crate) permission: Permission,
     pub(crate) draining: Arc<AtomicBool>,
 }
 
