--- a/crates/command/src/platform.rs
+++ b/crates/command/src/platform.rs
@@ -10,6 +10,7 @@
 use berylknot_coordination::configuration::{Accepted, Verdict};
 use berylknot_coordination::record::{Entry, Id, Position};
 use berylknot_coordination::replica::{Change, Replica};
+use berylknot_coordination::snapshot::Search;
 use berylknot_wire::entry;
 
 /// Deadline of one request to the log.
@@ -48,6 +49,8 @@
     client: Client,
     url: String,
     replica: Replica,
+    /// Search for a snapshot, while entries before the replica's next one have expired.
+    search: Option<Search>,
     verdicts: HashMap<Id, (Position, Verdict)>,
     accepted_at_ms: u64,
     unknown_entries: u64,
@@ -64,6 +67,7 @@
             client: Client::builder().disable_timeout().finish(),
             url: url.to_owned(),
             replica: Replica::default(),
+            search: None,
             verdicts: HashMap::new(),
             accepted_at_ms: 0,
             unknown_entries: 0,
@@ -135,10 +139,19 @@
             };
             let tail = *tail.get_or_insert(page.next);
             self.oldest.get_or_insert(page.oldest);
-            for entry in &page.entries {
-                self.apply(entry);
+            let next = if self.replica.is_behind(page.oldest) {
+                self.search(&page)?
+            } else {
+                for entry in &page.entries {
+                    self.apply(entry);
+                }
+                self.replica.next_offset()
+            };
+            if self.replica.next_offset() == next && self.search.take().is_some() {
+                // A snapshot was restored, from which the log is read on.
+                self.next = next;
+                continue;
             }
-            let next = self.replica.next_offset().max(page.oldest);
             let has_advanced = next > self.next;
             self.next = next;
             if next >= tail || !has_advanced {
@@ -206,6 +219,28 @@
         }
     }
 
+    /// Looks for a snapshot up to the end of a page and returns the offset from which to read on.
+    fn search(&mut self, page: &ReadResponse) -> Result<u64, Unreachable> {
+        let search = self.search.get_or_insert_default();
+        for stored in &page.entries {
+            if let Ok(entry) = entry::decode(stored) {
+                search.read(&entry);
+            }
+        }
+        let last = page.entries.last();
+        let next = last.map_or(page.next, |entry| entry.offset + 1);
+        if next < page.next {
+            return Ok(next);
+        }
+        // A clone, since the chunks of a later snapshot may follow when there is none yet.
+        let Some(found) = search.clone().best(page.oldest) else {
+            return Ok(next.max(page.oldest));
+        };
+        let restored = self.replica.restore(&found);
+        restored.map_err(|error| self.unreachable(&error.to_string()))?;
+        Ok(self.replica.next_offset())
+    }
+
     fn apply(&mut self, stored: &berylknot_border::platform::LogEntry) {
         let entry = entry::decode(stored).unwrap_or_else(|_| {
             self.unknown_entries += 1;
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -28,6 +28,7 @@
 mod hosts;
 mod leases;
 pub(crate) mod quota;
+mod snapshots;
 
 /// Time between two steps of the lease holder, at most 500 ms.
 const LEASE_INTERVAL: Duration = Duration::from_millis(200);
@@ -49,6 +50,8 @@
     appender: Appender,
     quota: quota::Buckets,
     claims: claims::Claims,
+    follower: follow::Follower,
+    snapshots: snapshots::Writer,
     /// Time at which the last successful read of the log was sent.
     last_read: Instant,
     published: watch::Sender<Configuration>,
@@ -63,6 +66,10 @@
     pub(crate) platform: P,
     pub(crate) poll: Duration,
     pub(crate) timing: Timing,
+    /// Time for which the log keeps entries.
+    pub(crate) retention: Duration,
+    /// Names of the hosts of the deployment.
+    pub(crate) configured: Vec<String>,
     pub(crate) ready: Arc<AtomicBool>,
     pub(crate) published: watch::Sender<Configuration>,
     pub(crate) metrics: Arc<Metrics>,
@@ -77,6 +84,8 @@
             platform,
             poll,
             timing,
+            retention,
+            configured,
             ready,
             published,
             metrics,
@@ -98,6 +107,8 @@
             appender: Appender::new(incarnation, append::limits()),
             quota: quota::Buckets::default(),
             claims: claims::Claims::new(incarnation),
+            follower: follow::Follower::default(),
+            snapshots: snapshots::Writer::new(retention, configured),
             last_read: clock.now(),
             published,
             metrics,
@@ -148,6 +159,7 @@
         context.run_interval(append::INTERVAL, Self::append_due);
         context.run_interval(LEASE_INTERVAL, |core, _| core.step_leases());
         context.run_interval(claims::INTERVAL, Self::step_claims);
+        context.run_interval(snapshots::INTERVAL, |core, _| core.step_snapshots());
         context.run_interval(hosts::INTERVAL, Self::list_hosts);
         self.list_hosts(context);
     }
--- a/crates/coordinator/src/core/append.rs
+++ b/crates/coordinator/src/core/append.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
-use berylknot_coordination::append::{Action, Answer, Limits};
+use berylknot_coordination::append::{Action, Answer, Limits, Ticket};
 use berylknot_coordination::record::{Id, Record};
 
 use super::Core;
@@ -25,12 +25,16 @@
 }
 
 impl<P: Platform> Core<P> {
-    /// Queues a record for the next batch.
-    pub(super) fn submit(&mut self, record: Record) {
+    /// Queues a record for the next batch; none when it is not taken.
+    pub(super) fn submit(&mut self, record: Record) -> Option<Ticket> {
         let bytes = rmp_serde::to_vec_named(&record).map_or(usize::MAX, |bytes| bytes.len());
         let deadline = self.clock.now() + DEADLINE;
-        if let Err(error) = self.appender.submit(record, bytes, deadline) {
-            tracing::warn!(%error, "append: record is not taken");
+        match self.appender.submit(record, bytes, deadline) {
+            Ok(ticket) => Some(ticket),
+            Err(error) => {
+                tracing::warn!(%error, "append: record is not taken");
+                None
+            }
         }
     }
 
@@ -45,7 +49,7 @@
         for action in actions {
             match action {
                 Action::Append { id, records } => self.send_batch(id, records, context),
-                Action::Report { .. } => {}
+                Action::Report { ticket, fate } => self.chunk_reported(ticket, fate),
             }
         }
     }
--- a/crates/coordinator/src/options/platform.rs
+++ b/crates/coordinator/src/options/platform.rs
@@ -14,6 +14,9 @@
     /// Deadline of a call in milliseconds.
     #[serde(default = "default_timeout_ms")]
     pub timeout_ms: u64,
+    /// Time for which the log keeps entries in milliseconds; a snapshot is written each quarter.
+    #[serde(default = "default_retention_ms")]
+    pub retention_ms: u64,
 }
 
 const fn default_poll_ms() -> u64 {
@@ -23,3 +26,8 @@
 const fn default_timeout_ms() -> u64 {
     2_000
 }
+
+/// One day. A setting above the real retention would let entries expire without a snapshot.
+const fn default_retention_ms() -> u64 {
+    24 * 3_600_000
+}
--- a/crates/coordinator/src/run.rs
+++ b/crates/coordinator/src/run.rs
@@ -60,6 +60,8 @@
     let metrics = Arc::new(Metrics::new());
     let (clock, counters, owner) = (Clock::start(), metrics.clone(), identity.clone());
     let (ready, timing) = (Arc::new(AtomicBool::new(false)), options.lease.timing());
+    let retention = Duration::from_millis(options.platform.retention_ms);
+    let configured = options.configured_hosts.clone();
     let flag = ready.clone();
     let core = Supervisor::start(move |_| {
         Core::new(Parts {
@@ -68,6 +70,8 @@
             platform,
             poll,
             timing,
+            retention,
+            configured: configured.clone(),
             ready: flag,
             published: sender,
             metrics: counters,
