Honour keys only while the knowledge of the log is fresh, and ask peers for it

Cause: the gateway honoured keys however long its coordinator had been without the log, /status told no age, and a starting host put old configurations in force while it read the log.

Change: coordinators ask three peers a second what they know about the log, and all configured ones within 5 s while the log cannot be read. freshness::Line turns the answers into a verdict that the gateway asks for each second. Past its lifetime the gateway refuses keys as stale_configuration, not run, and ends running model requests of keyed routes. The questions carry the sender's address.

Ruled out: a verdict pushed with the configuration watch, whose wait of up to 5 s is half the lifetime. An empty list of configured hosts permits nothing in an outage.

The ending of running streams has no test.

--- a/acceptance/src/deployment.rs
+++ b/acceptance/src/deployment.rs
@@ -384,7 +384,12 @@
         "listen": coordinator.to_string(),
         "secret_file": file("secret"),
         "configured_hosts": names,
-        "platform": { "url": format!("http://{platform}"), "poll_ms": 50 },
+        "platform": {
+            "url": format!("http://{platform}"),
+            "poll_ms": 50,
+            // A snapshot is due each second, so that tests need not wait for one.
+            "retention_ms": 4_000,
+        },
         // Shorter than in production, so that a deployment is ready within seconds.
         "lease": { "shard_ms": 3_000, "renew_ms": 700 },
     });
--- /dev/null
+++ b/acceptance/tests/log.rs
@@ -0,0 +1,240 @@
+//! Faults of the platform's log: outages, blocked hosts, expired entries, lost answers.
+
+use acceptance::caller::{self, completion, send};
+use acceptance::deployment::{Deployment, Host, KEY, Plan, wait_for};
+use berylknot_coordination::record::{Id, Incarnation, Position, Publish, Record};
+use berylknot_wire::entry;
+use rustix::process::Signal;
+use serde_json::json;
+use standins::platform;
+
+async fn start() -> Deployment {
+    Deployment::start(Plan::default())
+        .await
+        .expect("deployment starts")
+}
+
+async fn control(deployment: &Deployment, control: &platform::Control) {
+    caller::put(deployment.platform.address, "/control", control)
+        .await
+        .expect("control is set");
+}
+
+/// Status and code of the answer to a small model request.
+async fn ask(host: &Host) -> (u16, String, String) {
+    let body = completion("a dossier", 2, false);
+    let answer = send(
+        host.address,
+        "POST",
+        "/v1/completions",
+        Some(KEY),
+        &[],
+        Some(&body),
+    )
+    .await;
+    let answer = answer.expect("the host answers");
+    (
+        answer.status,
+        answer.code().to_owned(),
+        answer.outcome.clone(),
+    )
+}
+
+async fn wait_for_answer(host: &Host, status: u16, code: &str) {
+    let answered = wait_for("the answer changes", || async {
+        let (found, found_code, _) = ask(host).await;
+        found == status && found_code == code
+    });
+    answered.await.expect("the expected answer comes");
+}
+
+async fn version_of(host: &Host) -> Option<u64> {
+    let status = caller::get(host.coordinator_address, "/status")
+        .await
+        .ok()?;
+    status["version"].as_u64()
+}
+
+/// Guards against a general outage of the log that stops callers whose keys nobody can have
+/// withdrawn, and against a keyed call that runs without a claim in the log.
+#[actix_rt::test]
+async fn an_outage_of_the_log_stops_only_keyed_calls() {
+    let deployment = start().await;
+    let out = platform::Control {
+        fail_appends: true,
+        fail_reads: true,
+        ..platform::Control::default()
+    };
+    control(&deployment, &out).await;
+    // Beyond the 10 s for which the knowledge from before the outage permits to honour keys.
+    let old = wait_for("the knowledge is old", || async {
+        let status = caller::get(deployment.hosts[0].coordinator_address, "/status").await;
+        status.is_ok_and(|status| status["age_ms"].as_u64() > Some(12_000))
+    });
+    old.await.expect("the age of the configuration grows");
+    for host in &deployment.hosts {
+        let (status, code, _) = ask(host).await;
+        assert_eq!(status, 200, "{code}");
+        let booking = json!({ "name": "Luz del Sur" });
+        let answer = send(
+            host.address,
+            "POST",
+            "/services/counter/reservations",
+            Some(KEY),
+            &[("idempotency-key", "a")],
+            Some(&booking),
+        );
+        let answer = answer.await.expect("the host answers");
+        assert_eq!(
+            (answer.status, answer.outcome.as_str()),
+            (503, "not_run"),
+            "{answer:?}"
+        );
+    }
+    control(&deployment, &platform::Control::default()).await;
+    for host in &deployment.hosts {
+        let recovered = wait_for("the host reads the log", || async {
+            let status = caller::get(host.coordinator_address, "/status").await;
+            status.is_ok_and(|status| status["age_ms"].as_u64() < Some(3_000))
+        });
+        recovered.await.expect("the host recovers");
+        wait_for_answer(host, 200, "").await;
+    }
+}
+
+/// Guards against a host that honours keys although it can hear neither of their withdrawal by the
+/// log nor by its peers.
+#[actix_rt::test]
+async fn a_host_without_log_and_peers_refuses_keys() {
+    let deployment = start().await;
+    let blocked = platform::Control {
+        blocked_hosts: vec![deployment.hosts[0].name.clone()],
+        ..platform::Control::default()
+    };
+    control(&deployment, &blocked).await;
+    for host in &deployment.hosts[1..] {
+        host.coordinator.signal(Signal::STOP).expect("it runs");
+    }
+    let alone = &deployment.hosts[0];
+    wait_for_answer(alone, 503, "stale_configuration").await;
+    assert_eq!(ask(alone).await.2, "not_run");
+    for host in &deployment.hosts[1..] {
+        host.coordinator.signal(Signal::CONT).expect("it runs");
+    }
+    control(&deployment, &platform::Control::default()).await;
+    wait_for_answer(alone, 200, "").await;
+}
+
+/// Guards against a withdrawn key that still works on a host which alone has lost the log.
+#[actix_rt::test]
+async fn a_host_without_the_log_learns_a_withdrawn_key_from_its_peers() {
+    let mut deployment = start().await;
+    let blocked = platform::Control {
+        blocked_hosts: vec![deployment.hosts[0].name.clone()],
+        ..platform::Control::default()
+    };
+    control(&deployment, &blocked).await;
+    let failing = wait_for("reads fail", || async {
+        let address = deployment.hosts[0].coordinator_address;
+        let name = "berylknot_coordinator_log_read_failures_total";
+        caller::metric(address, name, "")
+            .await
+            .is_ok_and(|count| count > 0.0)
+    });
+    failing.await.expect("the log is blocked");
+    assert_eq!(ask(&deployment.hosts[0]).await.0, 200);
+    deployment.settings["keys"]["breeder-1"]["withdrawn"] = json!(true);
+    deployment
+        .publish()
+        .await
+        .expect("the settings are published");
+    wait_for_answer(&deployment.hosts[0], 401, "key_withdrawn").await;
+}
+
+/// Guards against an old configuration that comes back after its successor has expired from the
+/// log, also when no host remembers it.
+#[actix_rt::test]
+async fn the_configuration_survives_the_start_of_the_log() {
+    let mut deployment = start().await;
+    let version = version_of(&deployment.hosts[0]).await.expect("it answers");
+    // Snapshots follow each other within 15 s, in which a deployment appends about 80 entries.
+    let small = platform::Control {
+        retained_entries: 200,
+        ..platform::Control::default()
+    };
+    control(&deployment, &small).await;
+    // Proposals on no version: a host that started empty from them would accept the first.
+    let mut sequence = 0;
+    let expired = wait_for("the start of the log and a later snapshot", || {
+        sequence += 1;
+        let record = Record::Publish(Publish {
+            id: Id {
+                incarnation: Incarnation(2),
+                sequence,
+            },
+            base_version: Position::default(),
+            document: "{}".to_owned(),
+        });
+        let platform = deployment.platform.address;
+        async move {
+            let body = entry::encode(&[record]).expect("the record is small");
+            let body = serde_json::to_value(body).expect("the body is JSON");
+            send(platform, "POST", "/log/append", None, &[], Some(&body))
+                .await
+                .expect("the log answers");
+            sequence >= 250
+        }
+    });
+    expired.await.expect("the start of the log expires");
+    let snapshot = wait_for("a snapshot is in the log", || async {
+        snapshot_offset(&deployment).await.is_some()
+    });
+    snapshot.await.expect("a host writes a snapshot");
+    kill(&mut deployment.hosts[0]);
+    restart(&mut deployment.hosts[0]);
+    expect_version(&deployment.hosts[0], version).await;
+    for host in &mut deployment.hosts {
+        kill(host);
+    }
+    for host in &mut deployment.hosts {
+        restart(host);
+    }
+    for host in &deployment.hosts {
+        expect_version(host, version).await;
+    }
+    for host in &deployment.hosts {
+        wait_for_answer(host, 200, "").await;
+    }
+}
+
+/// Offset up to which the best snapshot of the log holds, if there is one.
+async fn snapshot_offset(deployment: &Deployment) -> Option<u64> {
+    let read = caller::get(deployment.platform.address, "/log/read?from=0").await;
+    let read: berylknot_border::platform::ReadResponse =
+        serde_json::from_value(read.expect("the log answers")).expect("a part of the log");
+    let mut search = berylknot_coordination::snapshot::Search::default();
+    for raw in &read.entries {
+        search.read(&entry::decode(raw).expect("the entry is known"));
+    }
+    search.best(read.oldest).map(|best| best.next_offset)
+}
+
+fn kill(host: &mut Host) {
+    host.coordinator.kill();
+    host.gateway.kill();
+}
+
+fn restart(host: &mut Host) {
+    host.restart_coordinator().expect("the coordinator starts");
+    host.restart_gateway().expect("the gateway starts");
+}
+
+/// Waits for a version; no version but none may be told before it.
+async fn expect_version(host: &Host, version: u64) {
+    let known = wait_for("the version is known", || async {
+        let found = version_of(host).await.unwrap_or_default();
+        assert!(found == 0 || found == version, "{found} is not {version}");
+        found == version
+    });
+    known.await.expect("the accepted configuration is in force");
+}
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -29,6 +29,7 @@
 mod leases;
 pub(crate) mod quota;
 mod snapshots;
+pub(crate) mod words;
 
 /// Time between two steps of the lease holder, at most 500 ms.
 const LEASE_INTERVAL: Duration = Duration::from_millis(200);
@@ -52,6 +53,7 @@
     claims: claims::Claims,
     follower: follow::Follower,
     snapshots: snapshots::Writer,
+    words: words::Words,
     /// Time at which the last successful read of the log was sent.
     last_read: Instant,
     published: watch::Sender<Configuration>,
@@ -70,6 +72,8 @@
     pub(crate) retention: Duration,
     /// Names of the hosts of the deployment.
     pub(crate) configured: Vec<String>,
+    /// Address of this host for its peers.
+    pub(crate) address: SocketAddr,
     pub(crate) ready: Arc<AtomicBool>,
     pub(crate) published: watch::Sender<Configuration>,
     pub(crate) metrics: Arc<Metrics>,
@@ -86,11 +90,13 @@
             timing,
             retention,
             configured,
+            address,
             ready,
             published,
             metrics,
         } = parts;
         let (host, incarnation) = (identity.host.clone(), identity.incarnation);
+        let identity_host = host.clone();
         // The number of seats is set when a configuration is in force.
         let holder = Holder::new(clock.now(), incarnation, host, 0, timing);
         Self {
@@ -108,6 +114,7 @@
             quota: quota::Buckets::default(),
             claims: claims::Claims::new(incarnation),
             follower: follow::Follower::default(),
+            words: words::Words::new(&identity_host, &configured, address, timing.drift),
             snapshots: snapshots::Writer::new(retention, configured),
             last_read: clock.now(),
             published,
@@ -122,7 +129,13 @@
     }
 
     /// Puts a newly accepted configuration in force.
+    ///
+    /// A starting host reads old configurations before the one in force, so none counts until the
+    /// host has caught up.
     fn publish(&mut self) {
+        if !self.caught_up() {
+            return;
+        }
         let Some(accepted) = self.replica.configuration().accepted() else {
             return;
         };
@@ -160,6 +173,7 @@
         context.run_interval(LEASE_INTERVAL, |core, _| core.step_leases());
         context.run_interval(claims::INTERVAL, Self::step_claims);
         context.run_interval(snapshots::INTERVAL, |core, _| core.step_snapshots());
+        context.run_interval(words::INTERVAL, Self::ask_words);
         context.run_interval(hosts::INTERVAL, Self::list_hosts);
         self.list_hosts(context);
     }
--- a/crates/coordinator/src/core/append.rs
+++ b/crates/coordinator/src/core/append.rs
@@ -57,10 +57,21 @@
     fn send_batch(&mut self, id: Id, records: Vec<Record>, context: &mut Context<Self>) {
         self.metrics.log_appends.inc();
         let platform = self.platform.clone();
-        let append = async move { platform.append(&records).await };
+        let relay = self.relay();
+        let peers = self.peers.clone();
+        let append = async move {
+            match relay {
+                Some(address) => peers.relay(address, records).await,
+                None => platform
+                    .append(&records)
+                    .await
+                    .map(drop)
+                    .map_err(|error| error.to_string()),
+            }
+        };
         let append = append.into_actor(self).map(move |appended, core, context| {
             let answer = match appended {
-                Ok(_) => Answer::Appended,
+                Ok(()) => Answer::Appended,
                 Err(error) => {
                     core.metrics.log_append_failures.inc();
                     tracing::warn!(%error, "append: answer is lost");
--- a/crates/coordinator/src/core/follow.rs
+++ b/crates/coordinator/src/core/follow.rs
@@ -75,6 +75,7 @@
         for entry in &segment.entries {
             self.apply(entry);
         }
+        self.tail_read(sent, segment.next);
         self.publish();
         let more = self.replica.next_offset() < segment.next && !segment.entries.is_empty();
         let actions = if more {
--- a/crates/coordinator/src/core/leases.rs
+++ b/crates/coordinator/src/core/leases.rs
@@ -36,6 +36,14 @@
 
     /// Marks the host as ready once the requests of all customers can get tokens.
     fn check_ready(&mut self, now: Instant) {
+        if !self.caught_up() {
+            return;
+        }
+        if self.lacks_log(now) {
+            // Leases cannot be had; services without quota can be served.
+            self.ready.store(true, Ordering::Relaxed);
+            return;
+        }
         let table = self.replica.leases();
         let owned = Shard::all().all(|shard| table.holding(Subject::Shard(shard)).owner.is_some());
         if !owned || !self.holder.log_lease_usable(now) {
--- a/crates/coordinator/src/local.rs
+++ b/crates/coordinator/src/local.rs
@@ -8,6 +8,7 @@
 
 use crate::admission::{Ask, End, Prefilled};
 use crate::core::claims::{Abandon, Claim, Finish};
+use crate::core::words::AskKnowledge;
 use crate::metrics::Reason;
 use crate::state::State;
 
@@ -70,6 +71,7 @@
             Response::Done
         }
         Request::Watch { after } => watch(state, after).await,
+        Request::AskFreshness => freshness(state).await,
         _ => Response::Done,
     }
 }
@@ -96,6 +98,18 @@
     })
 }
 
+async fn freshness(state: &State) -> Response {
+    let lifetime_ms = match state.core.send(AskKnowledge).await {
+        Ok(knowledge) => knowledge.lifetime_ms,
+        Err(_) => 0,
+    };
+    let version = state.configuration.borrow().version.as_u64();
+    Response::Fresh {
+        version,
+        lifetime_ms,
+    }
+}
+
 async fn watch(state: &State, after: u64) -> Response {
     let mut receiver = state.configuration.clone();
     let newer = receiver.wait_for(|configuration| configuration.version.as_u64() > after);
--- a/crates/coordinator/src/peer.rs
+++ b/crates/coordinator/src/peer.rs
@@ -5,6 +5,7 @@
 use berylknot_wire::peer::{Request, Response};
 
 use crate::core::quota::FromPeer;
+use crate::core::words::Question;
 use crate::state::State;
 
 /// Handles a message of another coordinator.
@@ -14,11 +15,17 @@
         return HttpResponse::Forbidden().finish();
     };
     let sequence = frame.sequence;
-    let response = state
-        .core
-        .send(FromPeer(frame.body))
-        .await
-        .unwrap_or(Response::NotOwner);
+    let response = match frame.body {
+        request @ (Request::AskWord { .. } | Request::Fetch { .. } | Request::Relay { .. }) => {
+            let question = Question {
+                sender: frame.sender,
+                request,
+            };
+            state.core.send(question).await
+        }
+        request => state.core.send(FromPeer(request)).await,
+    };
+    let response = response.unwrap_or(Response::NotOwner);
     let reply = Frame::new(&identity.host, identity.incarnation.0, sequence, response);
     match reply.seal(&identity.secret) {
         Ok(sealed) => HttpResponse::Ok().body(sealed),
--- a/crates/coordinator/src/peers.rs
+++ b/crates/coordinator/src/peers.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use berylknot_coordination::record::Record;
 use berylknot_wire::Frame;
 use berylknot_wire::peer::{PATH, Request, Response};
 
@@ -13,8 +14,11 @@
 /// Deadline of a call. A grant lives for 500 ms from before it was asked for.
 const TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Largest answer in bytes.
-const ANSWER_LIMIT_BYTES: usize = 8 << 20;
+/// Deadline of a call that moves entries or a snapshot, or that waits for the log.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Largest answer in bytes; a snapshot has at most 32 MiB.
+const ANSWER_LIMIT_BYTES: usize = 40 << 20;
 
 /// Result of calls to other coordinators.
 pub(crate) type Result<T> = std::result::Result<T, Error>;
@@ -58,6 +62,30 @@
 
     /// Sends a message and waits for the answer.
     pub(crate) async fn send(&self, address: SocketAddr, request: Request) -> Result<Response> {
+        Ok(self.ask(address, request).await?.body)
+    }
+
+    /// Appends records through a peer.
+    pub(crate) async fn relay(
+        &self,
+        address: SocketAddr,
+        records: Vec<Record>,
+    ) -> std::result::Result<(), String> {
+        match self.send(address, Request::Relay { records }).await {
+            Ok(Response::Appended) => Ok(()),
+            Ok(_) => Err("the peer did not append".to_owned()),
+            Err(error) => Err(error.to_string()),
+        }
+    }
+
+    /// Sends a message and waits for the answer, whose frame names the host that gave it.
+    pub(crate) async fn ask(
+        &self,
+        address: SocketAddr,
+        request: Request,
+    ) -> Result<Frame<Response>> {
+        let moves = matches!(request, Request::Fetch { .. } | Request::Relay { .. });
+        let timeout = if moves { TRANSFER_TIMEOUT } else { TIMEOUT };
         let Identity {
             host,
             incarnation,
@@ -68,6 +96,7 @@
         let sent = self
             .client
             .post(format!("http://{address}{PATH}"))
+            .timeout(timeout)
             .send_body(sealed)
             .await;
         let mut response = sent.map_err(|error| Error::Unavailable(error.to_string()))?;
@@ -76,7 +105,7 @@
         if !response.status().is_success() {
             return Err(Error::Unavailable(response.status().to_string()));
         }
-        Ok(Frame::<Response>::open(&body, secret)?.body)
+        Ok(Frame::open(&body, secret)?)
     }
 
     /// Sends a message whose loss does no harm.
--- a/crates/coordinator/src/run.rs
+++ b/crates/coordinator/src/run.rs
@@ -62,6 +62,7 @@
     let (ready, timing) = (Arc::new(AtomicBool::new(false)), options.lease.timing());
     let retention = Duration::from_millis(options.platform.retention_ms);
     let configured = options.configured_hosts.clone();
+    let address = listener.local_addr()?;
     let flag = ready.clone();
     let core = Supervisor::start(move |_| {
         Core::new(Parts {
@@ -72,6 +73,7 @@
             timing,
             retention,
             configured: configured.clone(),
+            address,
             ready: flag,
             published: sender,
             metrics: counters,
--- a/crates/coordinator/src/server.rs
+++ b/crates/coordinator/src/server.rs
@@ -3,6 +3,7 @@
 use actix_web::{App, HttpResponse, HttpServer, web};
 use berylknot_telemetry::metrics;
 
+use crate::core::words::AskKnowledge;
 use crate::state::State;
 use crate::{local, peer};
 
@@ -42,11 +43,14 @@
 }
 
 async fn status(state: web::Data<State>) -> HttpResponse {
+    let Ok(knowledge) = state.core.send(AskKnowledge).await else {
+        return HttpResponse::ServiceUnavailable().finish();
+    };
     let version = state.configuration.borrow().version.as_u64();
     HttpResponse::Ok().json(serde_json::json!({
         "host": state.identity.host,
         "version": version,
-        "age_ms": 0,
+        "age_ms": knowledge.age_ms,
         "ready": is_ready(&state),
     }))
 }
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -5,9 +5,9 @@
 use actix_web::http::header::AUTHORIZATION;
 use berylknot_settings::Fleet;
 use berylknot_settings::fleet::CustomerKey;
-use berylknot_settings::key::Pepper;
 
 use crate::refusal::Refusal;
+use crate::state::Shared;
 
 /// A caller with a valid key.
 #[derive(Clone, Debug)]
@@ -29,14 +29,15 @@
 pub(crate) fn authenticate(
     request: &HttpRequest,
     fleet: &Fleet,
-    pepper: &Pepper,
+    shared: &Shared,
 ) -> Result<Caller, Refusal> {
     let unauthorized =
         |code, message: &str| Refusal::not_run(code, StatusCode::UNAUTHORIZED, message);
     let presented = presented_key(request)
         .ok_or_else(|| unauthorized("key_missing", "the request carries no bearer key"))?;
+    shared.honours_keys()?;
     let key = fleet
-        .find_key(presented, pepper)
+        .find_key(presented, &shared.pepper)
         .ok_or_else(|| unauthorized("key_unknown", "the key is not known"))?;
     if key.withdrawn {
         return Err(unauthorized("key_withdrawn", "the key was withdrawn"));
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -151,7 +151,7 @@
     state.shared.accepts_requests()?;
     let configuration = state.shared.configuration.borrow().clone();
     // The key comes first, so that a stranger's body costs nothing.
-    let caller = authenticate(request, &configuration.fleet, &state.shared.pepper)?;
+    let caller = authenticate(request, &configuration.fleet, &state.shared)?;
     let body = crate::body::read(payload, &state.shared.options.limits).await?;
     refuse_key_in_body(request, &body)?;
     let question = question::<R>(&body)?;
@@ -268,7 +268,7 @@
 /// Handles GET /v1/models.
 pub(crate) async fn models(state: web::Data<State>, request: HttpRequest) -> HttpResponse {
     let configuration = state.shared.configuration.borrow().clone();
-    if let Err(refusal) = authenticate(&request, &configuration.fleet, &state.shared.pepper) {
+    if let Err(refusal) = authenticate(&request, &configuration.fleet, &state.shared) {
         state.shared.metrics.count_refusal(refusal.code);
         return refusal.response(&state.shared.identity.next_request_id());
     }
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -12,6 +12,7 @@
 
 use crate::connection::Connection;
 use crate::engine::{self, Cancel, Decode, Events, Prefill};
+use crate::freshness;
 use crate::metrics::Reason;
 use crate::refusal::Refusal;
 use crate::state::State;
@@ -60,6 +61,7 @@
     CallerGone,
     CallerStalled,
     KeyWithdrawn,
+    Stale,
 }
 
 impl Interruption {
@@ -68,6 +70,7 @@
             Self::CallerGone => "caller_gone",
             Self::CallerStalled => "caller_stalled",
             Self::KeyWithdrawn => "key_withdrawn",
+            Self::Stale => freshness::CODE,
         }
     }
 }
@@ -157,6 +160,10 @@
                     Refusal::may_have_run("key_withdrawn", StatusCode::UNAUTHORIZED, message);
                 let _ = sender.try_send(Piece::Failed(refusal));
             }
+            if interruption == Interruption::Stale {
+                let refusal = freshness::refusal(progress.engines.is_empty());
+                let _ = sender.try_send(Piece::Failed(refusal));
+            }
             End::Cancelled
         }
     }
@@ -181,6 +188,7 @@
         () = sender.closed() => Interruption::CallerGone,
         () = stalled(sender, stall) => Interruption::CallerStalled,
         () = withdrawn(state, &job.key_id) => Interruption::KeyWithdrawn,
+        () = state.shared.stale() => Interruption::Stale,
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub(crate) mod engine;
 pub(crate) mod fingerprint;
 pub(crate) mod flow;
+pub(crate) mod freshness;
 pub(crate) mod metrics;
 pub(crate) mod refusal;
 pub(crate) mod server;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,6 +16,7 @@
 
 use crate::configuration::{self, Configuration};
 use crate::control::{Control, Identity};
+use crate::freshness;
 use crate::metrics::Metrics;
 use crate::options::Options;
 use crate::server;
@@ -55,12 +56,19 @@
     let (sender, receiver) = watch::channel(Configuration::default());
     let metrics = Arc::new(Metrics::new());
     let control = Control::new(options.coordinator, identity.clone());
+    let (fresh_sender, fresh_until) = watch::channel(std::time::Instant::now());
+    actix_rt::spawn(freshness::follow(
+        control.clone(),
+        receiver.clone(),
+        fresh_sender,
+    ));
     actix_rt::spawn(configuration::follow(control, sender, metrics.clone()));
     let shared = Shared {
         options: Arc::new(options),
         identity,
         pepper: Pepper::new(pepper),
         configuration: receiver,
+        fresh_until,
         metrics,
         draining: Arc::default(),
     };
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -91,7 +91,8 @@
 
 async fn ready(shared: web::Data<Shared>) -> HttpResponse {
     let draining = shared.draining.load(std::sync::atomic::Ordering::Relaxed);
-    if draining || shared.configuration.borrow().version == 0 {
+    let known = shared.configuration.borrow().version > 0;
+    if draining || !known || shared.honours_keys().is_err() {
         return HttpResponse::ServiceUnavailable().finish();
     }
     HttpResponse::Ok().finish()
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -97,6 +97,10 @@
     let customer = authorize(state, request, &fleet, route)?;
     let body = crate::body::read(payload, &state.shared.options.limits).await?;
     refuse_key_in_body(request, &body)?;
+    if !route.open {
+        // The body may have taken longer to arrive than the verdict lasts.
+        state.shared.honours_keys()?;
+    }
     let call = Call::new(request, request_id, route, path, body);
     if call.idempotent {
         return attempt(state, &fleet, route, &call)
@@ -201,7 +205,7 @@
     if route.open {
         return Ok(String::new());
     }
-    let caller = authenticate(request, fleet, &state.shared.pepper)?;
+    let caller = authenticate(request, fleet, &state.shared)?;
     if !route.customers.is_empty() && !route.customers.contains(&caller.customer) {
         let message = "the route is not open to this customer";
         return Err(Refusal::not_run(
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
 
 use actix_web::http::StatusCode;
 use berylknot_settings::key::Pepper;
@@ -21,6 +22,8 @@
     pub(crate) identity: Identity,
     pub(crate) pepper: Pepper,
     pub(crate) configuration: watch::Receiver<Configuration>,
+    /// Time until which caller keys may be honoured.
+    pub(crate) fresh_until: watch::Receiver<Instant>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) draining: Arc<AtomicBool>,
 }
--- a/crates/wire/src/local.rs
+++ b/crates/wire/src/local.rs
@@ -36,6 +36,8 @@
         /// Version in force at the gateway; zero for none.
         after: u64,
     },
+    /// Asks for how long the caller keys of the configuration may be honoured.
+    AskFreshness,
 }
 
 /// Answer of a coordinator.
@@ -56,6 +58,13 @@
     KeyTaken(claim::Answer),
     /// A configuration newer than the one asked about.
     Configuration(Configuration),
+    /// The caller keys may be honoured for a time.
+    Fresh {
+        /// Version of the configuration that this is about.
+        version: u64,
+        /// Time from before the question was sent, in milliseconds; zero when it has passed.
+        lifetime_ms: u64,
+    },
     /// Nothing to report.
     Done,
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,6 +1,11 @@
 //! Messages between coordinators of different hosts.
 
+use std::net::SocketAddr;
+
+use berylknot_coordination::freshness::Word;
 use berylknot_coordination::quota::{Approval, Donation, Handover, Hold, Ticket};
+use berylknot_coordination::record::{Entry, Record};
+use berylknot_coordination::snapshot::Snapshot;
 use serde::{Deserialize, Serialize};
 
 /// Path of the coordinator's interface for other coordinators.
@@ -13,6 +18,21 @@
 pub enum Request {
     /// Tells that the sender lives.
     Heartbeat,
+    /// Asks what the receiver knows about the log.
+    AskWord {
+        /// Address of the sender, which the platform's late list may not name yet.
+        address: SocketAddr,
+    },
+    /// Asks for entries of the log that the sender lacks.
+    Fetch {
+        /// Offset of the first entry that the sender has not applied.
+        next_offset: u64,
+    },
+    /// Appends records for a host that alone has lost the log.
+    Relay {
+        /// Records of one entry, the first of which names the batch.
+        records: Vec<Record>,
+    },
     /// Asks the owner of a customer's pool for tokens.
     AskGrant {
         /// Name of the customer.
@@ -77,4 +97,14 @@
     },
     /// The receiver does not hold the customer's shard.
     NotOwner,
+    /// What the host knows about the log.
+    Word(Word),
+    /// Entries from the asked offset on, in order.
+    Entries(Vec<Entry>),
+    /// State that replaces entries which the host no longer keeps.
+    Snapshot(Snapshot),
+    /// The records were appended.
+    Appended,
+    /// The records may have been appended.
+    AppendLost,
 }
