--- a/acceptance/tests/log.rs
+++ b/acceptance/tests/log.rs
@@ -2,6 +2,7 @@
 
 use acceptance::caller::{self, completion, send};
 use acceptance::deployment::{Deployment, Host, KEY, Plan, wait_for};
+use acceptance::process::Process;
 use berylknot_coordination::record::{Id, Incarnation, Position, Publish, Record};
 use berylknot_wire::entry;
 use rustix::process::Signal;
@@ -207,6 +208,43 @@
     }
 }
 
+/// Guards against a publish whose answer is lost and which is then reported as failed, or doubled.
+#[actix_rt::test]
+async fn a_lost_answer_to_a_publish_is_resolved() {
+    let mut deployment = start().await;
+    let before = version_of(&deployment.hosts[0]).await.expect("it answers");
+    deployment.settings["keys"]["breeder-1"]["withdrawn"] = json!(true);
+    let folder = deployment.folder().join("fleet");
+    std::fs::create_dir(&folder).expect("the folder is made");
+    std::fs::write(folder.join("all.json"), deployment.settings.to_string())
+        .expect("the settings are written");
+    let lossy = platform::Control {
+        lose_answers: true,
+        ..platform::Control::default()
+    };
+    control(&deployment, &lossy).await;
+    let folder = folder.display().to_string();
+    let platform = format!("http://{}", deployment.platform.address);
+    let base = before.to_string();
+    let arguments = ["--platform", &platform, "publish", &folder, "--base", &base];
+    let mut publish = Process::start(deployment.folder(), "publish", "berylknot", &arguments)
+        .expect("the command starts");
+    let mut code = None;
+    let ended = wait_for("the command ends", || {
+        code = publish.exit_code();
+        std::future::ready(code.is_some())
+    });
+    ended.await.expect("the command ends");
+    assert_eq!(code, Some(0));
+    for host in &deployment.hosts {
+        wait_for_answer(host, 401, "key_withdrawn").await;
+    }
+    let replica = deployment.replica().await.expect("the log is read");
+    let accepted = replica.configuration().version().as_u64();
+    assert!(accepted > before);
+    assert_eq!(version_of(&deployment.hosts[0]).await, Some(accepted));
+}
+
 /// Offset up to which the best snapshot of the log holds, if there is one.
 async fn snapshot_offset(deployment: &Deployment) -> Option<u64> {
     let read = caller::get(deployment.platform.address, "/log/read?from=0").await;
