Send digests to three peers each second and answer them with words

Cause: membership was known from the platform's late list alone, and the questions of freshness had a rotation of their own.

Change: core/gossip.rs keeps a member::View from the platform's list, renewals and messages of peers, and sends its digest to three targets a second. The digest carries the sender's address; the answer is what the peer knows about the log. All configured hosts are asked only while the log cannot be read or the host has just started, so control traffic does not grow with the number of hosts otherwise.

Ruled out: separate questions beside the digests, which doubled the messages.

Conclusion: the view is kept but nothing places work by it yet; strikes and loads are not filled in. A late list may bring back the old address of a replaced host until the host's next message.

--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -11,6 +11,7 @@
 use berylknot_coordination::append::Appender;
 use berylknot_coordination::clock::Instant;
 use berylknot_coordination::lease::{Holder, Seat, Timing};
+use berylknot_coordination::member::{self, View};
 use berylknot_coordination::record::Incarnation;
 use berylknot_coordination::replica::Replica;
 use berylknot_settings::Fleet;
@@ -25,6 +26,7 @@
 mod append;
 pub(crate) mod claims;
 mod follow;
+mod gossip;
 mod hosts;
 mod leases;
 pub(crate) mod quota;
@@ -54,6 +56,7 @@
     follower: follow::Follower,
     snapshots: snapshots::Writer,
     words: words::Words,
+    members: View,
     /// Time at which the last successful read of the log was sent.
     last_read: Instant,
     published: watch::Sender<Configuration>,
@@ -114,6 +117,7 @@
             quota: quota::Buckets::default(),
             claims: claims::Claims::new(incarnation),
             follower: follow::Follower::default(),
+            members: View::new(clock.now(), &identity_host, member::Limits::default()),
             words: words::Words::new(&identity_host, &configured, address, timing.drift),
             snapshots: snapshots::Writer::new(retention, configured),
             last_read: clock.now(),
@@ -174,6 +178,7 @@
         context.run_interval(claims::INTERVAL, Self::step_claims);
         context.run_interval(snapshots::INTERVAL, |core, _| core.step_snapshots());
         context.run_interval(words::INTERVAL, Self::ask_words);
+        context.run_interval(gossip::INTERVAL, Self::gossip);
         context.run_interval(hosts::INTERVAL, Self::list_hosts);
         self.list_hosts(context);
     }
--- a/crates/coordinator/src/core/follow.rs
+++ b/crates/coordinator/src/core/follow.rs
@@ -145,6 +145,7 @@
             match change {
                 Change::Lease(change) => {
                     self.holder.observe(now, change);
+                    self.note_renewal(now, change);
                 }
                 Change::Key { id, verdict } => self.claim_changed(*id, verdict),
                 Change::Gap { expected, found } => {
--- a/crates/coordinator/src/core/hosts.rs
+++ b/crates/coordinator/src/core/hosts.rs
@@ -17,6 +17,7 @@
         let list = async move { platform.hosts().await };
         context.spawn(list.into_actor(self).map(|listed, core, _| match listed {
             Ok(listed) => {
+                core.list_members(&listed);
                 for host in listed.hosts {
                     let Ok(address) = host.address.parse() else {
                         tracing::warn!(host = %host.name, "hosts: address is malformed");
--- a/crates/coordinator/src/core/words.rs
+++ b/crates/coordinator/src/core/words.rs
@@ -18,7 +18,7 @@
 /// Time between two rounds of questions.
 pub(super) const INTERVAL: Duration = Duration::from_secs(1);
 
-/// Peers asked in a round while the log can be read.
+/// Least number of peers asked in a round.
 const PEERS: usize = 3;
 
 /// Entries in one answer.
@@ -36,7 +36,7 @@
     others: Vec<String>,
     /// Place in `others` from which the next round asks.
     turn: usize,
-    address: SocketAddr,
+    pub(super) address: SocketAddr,
     /// Latest answers with the time at which the questions were sent.
     heard: BTreeMap<String, (Instant, Word)>,
     fetching: bool,
@@ -98,10 +98,9 @@
             Verdict::Fresh { until } | Verdict::Outage { until } if self.caught_up() => until,
             _ => now,
         };
-        let tail = self.words.line.word(now, false, applied).tail;
         MessageResult(Knowledge {
             lifetime_ms: until.as_millis().saturating_sub(now.as_millis()),
-            age_ms: tail.map_or(now.as_millis(), |tail| tail.age_ms),
+            age_ms: self.log_age_ms(),
         })
     }
 }
@@ -121,10 +120,15 @@
     fn handle(&mut self, question: Question, _: &mut Self::Context) -> Self::Result {
         let response = match question.request {
             Request::AskWord { address } => {
+                self.members.heard(self.clock.now(), &question.sender);
                 self.learn(question.sender, address);
-                let (now, ready) = (self.clock.now(), self.caught_up());
-                let applied = self.replica.next_offset();
-                Response::Word(self.words.line.word(now, ready, applied))
+                self.word()
+            }
+            Request::Digest { address, digest } => {
+                let now = self.clock.now();
+                self.members.merge(now, &question.sender, &digest);
+                self.learn(question.sender, address);
+                self.word()
             }
             Request::Fetch { next_offset } => self.entries_from(next_offset),
             Request::Relay { records } => {
@@ -161,6 +165,19 @@
         self.words.line.read_tail(sent, tail, applied);
     }
 
+    fn word(&mut self) -> Response {
+        let (now, ready) = (self.clock.now(), self.caught_up());
+        let applied = self.replica.next_offset();
+        Response::Word(self.words.line.word(now, ready, applied))
+    }
+
+    /// Milliseconds since the log was known to end where the replica does.
+    pub(super) fn log_age_ms(&self) -> u64 {
+        let now = self.clock.now();
+        let word = self.words.line.word(now, false, self.replica.next_offset());
+        word.tail.map_or(now.as_millis(), |tail| tail.age_ms)
+    }
+
     /// Remembers the address by which a host can be reached.
     fn learn(&mut self, host: String, address: SocketAddr) {
         if self.addresses.len() < ADDRESS_LIMIT || self.addresses.contains_key(&host) {
@@ -168,29 +185,37 @@
         }
     }
 
-    /// Asks the next peers in turn; all of them within [`ROUND`] while the log cannot be read.
+    /// Asks all configured hosts in turn within [`ROUND`] while the log cannot be read; otherwise
+    /// the answers to the digests suffice.
     pub(super) fn ask_words(&mut self, context: &mut Context<Self>) {
         let now = self.clock.now();
         let count = self.words.others.len();
-        let mut asked = PEERS;
-        if self.lacks_log(now) || !self.caught_up() {
-            let rounds = usize::try_from(ROUND.as_secs()).unwrap_or(1);
-            asked = asked.max(count.div_ceil(rounds));
+        if !self.lacks_log(now) && self.caught_up() {
+            return;
         }
+        let rounds = usize::try_from(ROUND.as_secs()).unwrap_or(1);
+        let asked = PEERS.max(count.div_ceil(rounds));
         for _ in 0..asked.min(count) {
             let host = self.words.others[self.words.turn % count].clone();
             self.words.turn = (self.words.turn + 1) % count;
             if let Some(address) = self.addresses.get(&host).copied() {
-                self.ask_word(host, address, context);
+                let own = self.words.address;
+                self.ask_word(host, address, Request::AskWord { address: own }, context);
             }
         }
     }
 
-    fn ask_word(&mut self, host: String, address: SocketAddr, context: &mut Context<Self>) {
+    /// Sends a message whose answer is a word.
+    pub(super) fn ask_word(
+        &mut self,
+        host: String,
+        address: SocketAddr,
+        question: Request,
+        context: &mut Context<Self>,
+    ) {
         let peers = self.peers.clone();
-        let own = self.words.address;
         let sent = self.clock.now();
-        let ask = async move { peers.ask(address, Request::AskWord { address: own }).await };
+        let ask = async move { peers.ask(address, question).await };
         let asked = ask.into_actor(self).map(move |answer, core, context| {
             let Ok(frame) = answer else {
                 return;
@@ -214,6 +239,11 @@
         word: Word,
         context: &mut Context<Self>,
     ) {
+        self.members.heard(self.clock.now(), &host);
+        // Only configured hosts count towards a majority.
+        if !self.words.others.contains(&host) {
+            return;
+        }
         let applied = self.replica.next_offset();
         let Word {
             ready, next_offset, ..
--- a/crates/coordinator/src/peer.rs
+++ b/crates/coordinator/src/peer.rs
@@ -16,7 +16,10 @@
     };
     let sequence = frame.sequence;
     let response = match frame.body {
-        request @ (Request::AskWord { .. } | Request::Fetch { .. } | Request::Relay { .. }) => {
+        request @ (Request::AskWord { .. }
+        | Request::Digest { .. }
+        | Request::Fetch { .. }
+        | Request::Relay { .. }) => {
             let question = Question {
                 sender: frame.sender,
                 request,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use berylknot_coordination::freshness::Word;
+use berylknot_coordination::member;
 use berylknot_coordination::quota::{Approval, Donation, Handover, Hold, Ticket};
 use berylknot_coordination::record::{Entry, Record};
 use berylknot_coordination::snapshot::Snapshot;
@@ -23,6 +24,13 @@
         /// Address of the sender, which the platform's late list may not name yet.
         address: SocketAddr,
     },
+    /// Tells what the sender knows about hosts and endpoints; the answer is a word.
+    Digest {
+        /// Address of the sender, which the platform's late list may not name yet.
+        address: SocketAddr,
+        /// The knowledge.
+        digest: member::Digest,
+    },
     /// Asks for entries of the log that the sender lacks.
     Fetch {
         /// Offset of the first entry that the sender has not applied.
