--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -11,6 +11,7 @@
 use berylknot_coordination::append::Appender;
 use berylknot_coordination::clock::Instant;
 use berylknot_coordination::lease::{Holder, Seat, Timing};
+use berylknot_coordination::member::{self, View};
 use berylknot_coordination::record::Incarnation;
 use berylknot_coordination::replica::Replica;
 use berylknot_settings::Fleet;
@@ -25,10 +26,13 @@
 mod append;
 pub(crate) mod claims;
 mod follow;
+mod gossip;
 mod hosts;
 mod leases;
 pub(crate) mod quota;
 pub(crate) mod reap;
+mod snapshots;
+pub(crate) mod words;
 
 /// Time between two steps of the lease holder, at most 500 ms.
 const LEASE_INTERVAL: Duration = Duration::from_millis(200);
@@ -51,6 +55,10 @@
     quota: quota::Buckets,
     claims: claims::Claims,
     reaping: reap::Reaping,
+    follower: follow::Follower,
+    snapshots: snapshots::Writer,
+    words: words::Words,
+    members: View,
     /// Time at which the last successful read of the log was sent.
     last_read: Instant,
     published: watch::Sender<Configuration>,
@@ -65,6 +73,12 @@
     pub(crate) platform: P,
     pub(crate) poll: Duration,
     pub(crate) timing: Timing,
+    /// Time for which the log keeps entries.
+    pub(crate) retention: Duration,
+    /// Names of the hosts of the deployment.
+    pub(crate) configured: Vec<String>,
+    /// Address of this host for its peers.
+    pub(crate) address: SocketAddr,
     pub(crate) ready: Arc<AtomicBool>,
     pub(crate) published: watch::Sender<Configuration>,
     pub(crate) metrics: Arc<Metrics>,
@@ -79,11 +93,15 @@
             platform,
             poll,
             timing,
+            retention,
+            configured,
+            address,
             ready,
             published,
             metrics,
         } = parts;
         let (host, incarnation) = (identity.host.clone(), identity.incarnation);
+        let identity_host = host.clone();
         // The number of seats is set when a configuration is in force.
         let holder = Holder::new(clock.now(), incarnation, host, 0, timing);
         Self {
@@ -101,6 +119,10 @@
             quota: quota::Buckets::default(),
             claims: claims::Claims::new(incarnation),
             reaping: reap::Reaping::new(clock.now(), incarnation, &timing),
+            follower: follow::Follower::default(),
+            members: View::new(clock.now(), &identity_host, member::Limits::default()),
+            words: words::Words::new(&identity_host, &configured, address, timing.drift),
+            snapshots: snapshots::Writer::new(retention, configured),
             last_read: clock.now(),
             published,
             metrics,
@@ -114,7 +136,13 @@
     }
 
     /// Puts a newly accepted configuration in force.
+    ///
+    /// A starting host reads old configurations before the one in force, so none counts until the
+    /// host has caught up.
     fn publish(&mut self) {
+        if !self.caught_up() {
+            return;
+        }
         let Some(accepted) = self.replica.configuration().accepted() else {
             return;
         };
@@ -152,6 +180,9 @@
         context.run_interval(LEASE_INTERVAL, |core, _| core.step_leases());
         context.run_interval(claims::INTERVAL, Self::step_claims);
         context.run_interval(reap::INTERVAL, Self::step_reaping);
+        context.run_interval(snapshots::INTERVAL, |core, _| core.step_snapshots());
+        context.run_interval(words::INTERVAL, Self::ask_words);
+        context.run_interval(gossip::INTERVAL, Self::gossip);
         context.run_interval(hosts::INTERVAL, Self::list_hosts);
         self.list_hosts(context);
     }
--- a/crates/coordinator/src/peer.rs
+++ b/crates/coordinator/src/peer.rs
@@ -6,6 +6,7 @@
 
 use crate::core::quota::FromPeer;
 use crate::core::reap::Heartbeat;
+use crate::core::words::Question;
 use crate::state::State;
 
 /// Handles a message of another coordinator.
@@ -15,14 +16,24 @@
         return HttpResponse::Forbidden().finish();
     };
     let sequence = frame.sequence;
-    let answer = match frame.body {
+    let response = match frame.body {
         Request::Heartbeat { report } => {
             let host = frame.sender;
             state.core.send(Heartbeat { host, report }).await
         }
-        body => state.core.send(FromPeer(body)).await,
+        request @ (Request::AskWord { .. }
+        | Request::Digest { .. }
+        | Request::Fetch { .. }
+        | Request::Relay { .. }) => {
+            let question = Question {
+                sender: frame.sender,
+                request,
+            };
+            state.core.send(question).await
+        }
+        request => state.core.send(FromPeer(request)).await,
     };
-    let response = answer.unwrap_or(Response::NotOwner);
+    let response = response.unwrap_or(Response::NotOwner);
     let reply = Frame::new(&identity.host, identity.incarnation.0, sequence, response);
     match reply.seal(&identity.secret) {
         Ok(sealed) => HttpResponse::Ok().body(sealed),
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -16,6 +16,7 @@
 use crate::connection::Connection;
 use crate::control::Control;
 use crate::engine::{self, Cancel, Decode, Events, Prefill};
+use crate::freshness;
 use crate::metrics::Reason;
 use crate::refusal::Refusal;
 use crate::state::State;
@@ -67,6 +68,7 @@
     CallerStalled,
     KeyWithdrawn,
     PermitLapsed,
+    Stale,
 }
 
 impl Interruption {
@@ -76,6 +78,7 @@
             Self::CallerStalled => "caller_stalled",
             Self::KeyWithdrawn => "key_withdrawn",
             Self::PermitLapsed => "permit_lapsed",
+            Self::Stale => freshness::CODE,
         }
     }
 }
@@ -221,6 +224,10 @@
                 let refusal = Refusal::not_run("permit_lapsed", status, message);
                 let _ = sender.try_send(Piece::Failed(partly_run(refusal, progress)));
             }
+            if interruption == Interruption::Stale {
+                let refusal = freshness::refusal(progress.engines.is_empty());
+                let _ = sender.try_send(Piece::Failed(refusal));
+            }
             End::Cancelled
         }
     }
@@ -253,6 +260,7 @@
         () = stalled(sender, stall) => Interruption::CallerStalled,
         () = state.shared.permission.lapsed(ticket) => Interruption::PermitLapsed,
         () = withdrawn(state, &job.key_id) => Interruption::KeyWithdrawn,
+        () = state.shared.stale() => Interruption::Stale,
     }
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::configuration::{self, Configuration};
 use crate::control::{Control, Identity};
+use crate::freshness;
 use crate::metrics::Metrics;
 use crate::options::Options;
 use crate::server;
@@ -56,6 +57,12 @@
     let control = Control::new(options.coordinator, identity.clone());
     let reports = permission.clone().report(control.clone());
     let reports = actix_rt::spawn(reports);
+    let (fresh_sender, fresh_until) = watch::channel(std::time::Instant::now());
+    actix_rt::spawn(freshness::follow(
+        control.clone(),
+        receiver.clone(),
+        fresh_sender,
+    ));
     actix_rt::spawn(configuration::follow(
         control.clone(),
         sender,
@@ -66,6 +73,7 @@
         identity,
         pepper: Pepper::new(pepper),
         configuration: receiver,
+        fresh_until,
         metrics,
         clock,
         permission: permission.clone(),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -91,7 +91,7 @@
 
 async fn ready(shared: web::Data<Shared>) -> HttpResponse {
     let draining = shared.draining.load(std::sync::atomic::Ordering::Relaxed);
-    let usable = shared.permission.is_usable();
+    let usable = shared.permission.is_usable() && shared.honours_keys().is_ok();
     if draining || !usable || shared.configuration.borrow().version == 0 {
         return HttpResponse::ServiceUnavailable().finish();
     }
--- a/crates/wire/src/local.rs
+++ b/crates/wire/src/local.rs
@@ -38,6 +38,8 @@
         /// Version in force at the gateway; zero for none.
         after: u64,
     },
+    /// Asks for how long the caller keys of the configuration may be honoured.
+    AskFreshness,
 }
 
 /// Answer of a coordinator.
@@ -63,6 +65,13 @@
         /// Milliseconds, from before the report was sent, for which no other host cancels them.
         lifetime_ms: u64,
     },
+    /// The caller keys may be honoured for a time.
+    Fresh {
+        /// Version of the configuration that this is about.
+        version: u64,
+        /// Time from before the question was sent, in milliseconds; zero when it has passed.
+        lifetime_ms: u64,
+    },
     /// Nothing to report.
     Done,
 }
