Drain a gateway by counted requests and leave the address to a successor

Cause: on SIGTERM the gateway closed its listener at once, so new callers without a successor process got a refused connection instead of a refusal with Retry-After. The ends of requests were reported to the coordinator after the answer, and the process could exit between the two. A deadline that cut requests left no trace in the log.

Change: gateway/src/shutdown.rs drives drain::Progress with the number of accepted requests whose answers are not completely written (counted by a wrapper of the answer's body). While no other socket listens on the port, new requests are accepted and refused as not run with Retry-After, and their connections are closed; as soon as a successor listens, the listener is closed. The exit waits for the reports to the coordinator. The deadline logs the numbers of finished and cut requests; the exit status is 0 either way.

The worker looks at its connections once a second.

--- a/acceptance/src/deployment.rs
+++ b/acceptance/src/deployment.rs
@@ -87,6 +87,15 @@
         Ok(())
     }
 
+    /// Starts a second gateway beside the first, on the same addresses, and returns the first.
+    ///
+    /// # Errors
+    /// Fails when the process cannot be started.
+    pub fn start_second_gateway(&mut self) -> eyre::Result<Process> {
+        let second = start_daemon(&self.folder, &self.name, "gateway")?;
+        Ok(std::mem::replace(&mut self.gateway, second))
+    }
+
     /// Starts the coordinator again, on the same address.
     ///
     /// # Errors
--- a/crates/coordination/tests/configuration.rs
+++ b/crates/coordination/tests/configuration.rs
@@ -475,7 +475,8 @@
                     sequence: self.now_ms,
                 };
                 let snapshot = one.replica.snapshot().map_err(|error| error.to_string())?;
-                one.chunks = split(id, &snapshot, CHUNK_BYTES).map_err(|error| error.to_string())?;
+                one.chunks =
+                    split(id, &snapshot, CHUNK_BYTES).map_err(|error| error.to_string())?;
             }
         }
         if self.hosts[host].appender.is_idle()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,5 +20,6 @@
 pub(crate) mod refusal;
 pub(crate) mod server;
 pub(crate) mod service;
+pub(crate) mod shutdown;
 pub(crate) mod state;
 pub(crate) mod tls;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -2,8 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use berylknot_coordination::record::Incarnation;
 use berylknot_settings::key::Pepper;
@@ -11,15 +10,17 @@
 use berylknot_wire::Secret;
 use eyre::WrapErr;
 use socket2::{Domain, Socket, Type};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
 use crate::configuration::{self, Configuration};
 use crate::control::{Control, Identity};
 use crate::metrics::Metrics;
 use crate::options::Options;
-use crate::server;
 use crate::state::Shared;
+use crate::{server, shutdown};
+
+/// Time that connections have to close after the last answer; the HTTP server looks once a second.
+const CLOSE_TIME: Duration = Duration::from_secs(3);
 
 /// Runs the gateway until it is told to stop and its requests have finished.
 ///
@@ -63,19 +64,19 @@
         configuration: receiver,
         metrics,
         draining: Arc::default(),
+        open: shutdown::Open::default(),
     };
     let callers = server::callers(callers, &shared)?;
     let operator = server::operator(operator, &shared)?;
-    let handle = callers.handle();
-    let draining = shared.draining.clone();
-    actix_rt::spawn(async move {
-        terminated().await;
-        tracing::info!("server: shutting down");
-        draining.store(true, Ordering::Relaxed);
-        handle.stop(true).await;
-    });
+    let shutdown = shutdown::run(shared, callers.handle());
     actix_rt::spawn(operator);
-    callers.await?;
+    let callers = actix_rt::spawn(callers);
+    shutdown.await;
+    // Connections that have not closed by now belong to requests that were cut.
+    match tokio::time::timeout(CLOSE_TIME, callers).await {
+        Ok(ended) => ended??,
+        Err(_) => tracing::info!("shutdown: connections are still open"),
+    }
     Ok(())
 }
 
@@ -97,16 +98,3 @@
     })();
     bound.wrap_err_with(|| format!("address {address} cannot be bound"))
 }
-
-async fn terminated() {
-    let (Ok(mut terminate), Ok(mut interrupt)) = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    ) else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -11,6 +11,7 @@
 use crate::engine::http::Http;
 use crate::refusal::Refusal;
 use crate::service::Client;
+use crate::shutdown::count::count;
 use crate::state::{Shared, State};
 use crate::{completion, service, tls};
 
@@ -41,7 +42,9 @@
     let limits = shared.options.limits.clone();
     let shared = shared.clone();
     let server = HttpServer::new(move || {
+        let counted = shared.clone();
         App::new()
+            .wrap_fn(move |request, service| count(&counted, request, service))
             .app_data(web::Data::new(state_of(&shared)))
             .route("/v1/completions", web::post().to(completion::completions))
             .route("/v1/chat/completions", web::post().to(completion::chat))
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,6 +23,7 @@
     pub(crate) configuration: watch::Receiver<Configuration>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) draining: Arc<AtomicBool>,
+    pub(crate) open: crate::shutdown::Open,
 }
 
 impl Shared {
