Hand over pools and shards when a coordinator shuts down, and test shutdowns

Cause: a coordinator that got SIGTERM ended its server at once. Its shards stayed unowned until their lease expired, its pools were lost, and the ends of running requests could not be reported.

New admissions and claims are refused as not run; work.rs counts per gateway incarnation what was admitted and not settled. The successor answers NotOwner until it has read the release and renewed, so the message is repeated; it takes the level once. The test deployment takes the lease as a part of its plan and can change the gateway's settings.

Ruled out: sending the level once, as the releases are appended: the successor has no usable lease yet and would drop it.

Conclusion: shutdowns of gateway and coordinator and the reload of a certificate are covered by real processes. Not covered: a deadline that cuts, and a deployment with one host, where the hand-over has no receiver.

--- a/acceptance/src/deployment.rs
+++ b/acceptance/src/deployment.rs
@@ -37,6 +37,8 @@
     pub decodes: usize,
     /// Counter servers.
     pub services: usize,
+    /// Lease of a shard in milliseconds.
+    pub lease_ms: u64,
 }
 
 impl Default for Plan {
@@ -46,6 +48,8 @@
             prefills: 2,
             decodes: 2,
             services: 2,
+            // Shorter than in production, so that a dead host's shards are taken within seconds.
+            lease_ms: 3_000,
         }
     }
 }
@@ -78,6 +82,17 @@
 }
 
 impl Host {
+    /// Adds a section to the settings of the gateway, for its next start.
+    ///
+    /// # Errors
+    /// Fails when the settings cannot be read or written.
+    pub fn set_gateway(&self, section: &str, value: Value) -> eyre::Result<()> {
+        let path = self.folder.join(format!("{}-gateway.json", self.name));
+        let mut settings: Value = serde_json::from_slice(&std::fs::read(&path)?)?;
+        settings[section] = value;
+        Ok(std::fs::write(path, settings.to_string())?)
+    }
+
     /// Starts the gateway again, on the same addresses.
     ///
     /// # Errors
@@ -163,7 +178,13 @@
         list_hosts(platform.address, &places).await?;
         let mut hosts = Vec::new();
         for place in places {
-            hosts.push(start_host(folder.path(), place, &names, platform.address)?);
+            hosts.push(start_host(
+                folder.path(),
+                place,
+                &names,
+                &platform,
+                plan.lease_ms,
+            )?);
         }
         let mut deployment = Self {
             platform,
@@ -378,7 +399,8 @@
     folder: &Path,
     place: Place,
     names: &[String],
-    platform: SocketAddr,
+    platform: &Standin,
+    lease_ms: u64,
 ) -> eyre::Result<Host> {
     let Place {
         name,
@@ -393,9 +415,9 @@
         "listen": coordinator.to_string(),
         "secret_file": file("secret"),
         "configured_hosts": names,
-        "platform": { "url": format!("http://{platform}"), "poll_ms": 50 },
+        "platform": { "url": format!("http://{}", platform.address), "poll_ms": 50 },
         // Shorter than in production, so that a deployment is ready within seconds.
-        "lease": { "shard_ms": 3_000, "renew_ms": 700 },
+        "lease": { "shard_ms": lease_ms, "renew_ms": 700 },
     });
     std::fs::write(
         folder.join(format!("{name}-coordinator.json")),
--- a/acceptance/tests/callers.rs
+++ b/acceptance/tests/callers.rs
@@ -12,6 +12,7 @@
     prefills: 1,
     decodes: 1,
     services: 1,
+    lease_ms: 3_000,
 };
 
 /// Sends raw bytes and returns what the server answers until it closes or falls silent.
--- a/acceptance/tests/shutdown.rs
+++ b/acceptance/tests/shutdown.rs
@@ -3,6 +3,8 @@
 use acceptance::caller::{self, Streamed, send, stream, true_answer};
 use acceptance::deployment::{Deployment, KEY, Plan, wait_for};
 use acceptance::process::Process;
+use berylknot_coordination::lease::{Shard, Subject};
+use berylknot_coordination::replica::Replica;
 use rustix::process::Signal;
 use standins::engine::Control;
 
@@ -16,6 +18,8 @@
 async fn deploy(hosts: usize) -> Deployment {
     let plan = Plan {
         hosts,
+        // No lease can expire while a test runs, so that only a hand-over moves shards.
+        lease_ms: 300_000,
         ..Plan::default()
     };
     let deployment = Deployment::start(plan).await.expect("deployment starts");
@@ -33,9 +37,9 @@
 
 type Running = Vec<actix_rt::task::JoinHandle<eyre::Result<Streamed>>>;
 
-/// Starts streams at the first host and waits until all of them decode.
-async fn start_streams(deployment: &Deployment) -> Running {
-    let host = deployment.hosts[0].address;
+/// Starts streams at a host and waits until all of them decode.
+async fn start_streams(deployment: &Deployment, host: usize) -> Running {
+    let host = deployment.hosts[host].address;
     let streams = (0..STREAMS)
         .map(|_| actix_rt::spawn(stream(host, KEY, PROMPT, TOKENS, None)))
         .collect();
@@ -73,7 +77,7 @@
 #[actix_rt::test]
 async fn a_gateway_that_shuts_down_finishes_its_streams() {
     let mut deployment = deploy(1).await;
-    let streams = start_streams(&deployment).await;
+    let streams = start_streams(&deployment, 0).await;
     let host = &deployment.hosts[0];
     let signalled = host.gateway.signal(Signal::TERM);
     signalled.expect("the gateway runs");
@@ -102,7 +106,7 @@
 #[actix_rt::test]
 async fn a_second_gateway_takes_over_the_address() {
     let mut deployment = deploy(1).await;
-    let streams = start_streams(&deployment).await;
+    let streams = start_streams(&deployment, 0).await;
     let operator = deployment.hosts[0].operator_address;
     let version = "berylknot_gateway_configuration_version";
     let mut old = deployment.hosts[0]
@@ -134,3 +138,122 @@
     assert_whole(streams).await;
     wait_for_exit(&mut old).await;
 }
+
+/// Text without the escape sequences that colour it.
+fn without_colours(text: &str) -> String {
+    let mut parts = text.split('\u{1b}');
+    let mut plain = parts.next().unwrap_or_default().to_owned();
+    for part in parts {
+        plain.push_str(part.split_once('m').map_or("", |(_, rest)| rest));
+    }
+    plain
+}
+
+fn owner_name(replica: &Replica, shard: Shard) -> Option<String> {
+    let table = replica.leases();
+    let owner = table.holding(Subject::Shard(shard)).owner?;
+    table.session(owner).map(|session| session.host.clone())
+}
+
+/// Guards against a shutdown after which shards wait for a lease to expire, pools start empty, or
+/// requests of the host are cut.
+#[actix_rt::test]
+async fn a_coordinator_that_shuts_down_hands_its_shards_over() {
+    let mut deployment = deploy(3).await;
+    let replica = deployment.replica().await.expect("the log is read");
+    let name = owner_name(&replica, Shard::of(b"breeder")).expect("the customer has an owner");
+    let leaving = deployment.hosts.iter().position(|host| host.name == name);
+    let leaving = leaving.expect("the owner is a host");
+    let streams = start_streams(&deployment, leaving).await;
+    let signalled = deployment.hosts[leaving].coordinator.signal(Signal::TERM);
+    signalled.expect("the coordinator runs");
+    wait_for("the host admits nothing", || async {
+        let body = caller::completion(PROMPT, 1, false);
+        let host = deployment.hosts[leaving].address;
+        let path = "/v1/completions";
+        let answer = send(host, "POST", path, Some(KEY), &[], Some(&body)).await;
+        answer.is_ok_and(|answer| answer.status == 503 && answer.outcome == "not_run")
+    })
+    .await
+    .expect("new requests are refused as not run");
+    let running = deployment.hosts[leaving].coordinator.is_running();
+    assert!(running, "the coordinator serves running requests");
+    assert_whole(streams).await;
+    wait_for_exit(&mut deployment.hosts[leaving].coordinator).await;
+    let replica = deployment.replica().await.expect("the log is read");
+    for shard in Shard::all() {
+        let owner = owner_name(&replica, shard).expect("every shard has an owner");
+        assert_ne!(owner, name, "{shard:?}");
+    }
+    let log = deployment.folder().join(format!("{name}-coordinator.log"));
+    let log = std::fs::read_to_string(log).expect("the log file is read");
+    let log = without_colours(&log);
+    let settled = format!("settled={STREAMS} unsettled=0");
+    assert!(log.contains(&settled), "{log}");
+    assert!(log.contains("pools_handed_over=1 pools_lost=0"), "{log}");
+    for (index, host) in deployment.hosts.iter().enumerate() {
+        if index == leaving {
+            continue;
+        }
+        let answer = stream(host.address, KEY, PROMPT, 3, None).await;
+        assert!(answer.expect("the host answers").done);
+    }
+}
+
+/// Writes a new certificate for `localhost` and returns a client that trusts only this one.
+fn new_certificate(folder: &std::path::Path) -> awc::Client {
+    let made = rcgen::generate_simple_self_signed(["localhost".to_owned()]);
+    let made = made.expect("a certificate is made");
+    std::fs::write(folder.join("key.pem"), made.key_pair.serialize_pem()).expect("key is written");
+    std::fs::write(folder.join("certificate.pem"), made.cert.pem()).expect("written");
+    let mut roots = rustls::RootCertStore::empty();
+    roots.add(made.cert.der().clone()).expect("a root");
+    let provider = std::sync::Arc::new(rustls::crypto::ring::default_provider());
+    let config = rustls::ClientConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .expect("protocol versions")
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    let connector = awc::Connector::new().rustls_0_23(std::sync::Arc::new(config));
+    awc::Client::builder().connector(connector).finish()
+}
+
+/// Guards against a replaced certificate that is served only after a restart.
+#[actix_rt::test]
+async fn a_replaced_certificate_is_served_without_a_restart() {
+    let mut deployment = deploy(1).await;
+    let folder = deployment.folder().to_owned();
+    let first = new_certificate(&folder);
+    let files = serde_json::json!({
+        "certificate_file": folder.join("certificate.pem"),
+        "key_file": folder.join("key.pem"),
+    });
+    let host = &mut deployment.hosts[0];
+    host.gateway.kill();
+    host.set_gateway("tls", files)
+        .expect("settings are written");
+    host.restart_gateway().expect("the gateway starts");
+    let address = host.address;
+    let complete = async |client: &awc::Client| {
+        let request = client
+            .post(format!(
+                "https://localhost:{}/v1/completions",
+                address.port()
+            ))
+            .address(address)
+            .insert_header(("authorization", format!("Bearer {KEY}")));
+        let sent = request.send_json(&caller::completion(PROMPT, 3, false));
+        sent.await
+            .is_ok_and(|response| response.status().is_success())
+    };
+    wait_for("a completion over https", || complete(&first))
+        .await
+        .expect("the first certificate is served");
+    let second = new_certificate(&folder);
+    wait_for("a completion under the new certificate", || {
+        complete(&second)
+    })
+    .await
+    .expect("the new certificate is served");
+    assert!(deployment.hosts[0].gateway.is_running());
+}
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -21,6 +21,7 @@
 use crate::peers::Client;
 use crate::platform::Platform;
 use crate::state::{Configuration, Identity};
+use crate::work::Work;
 
 mod append;
 pub(crate) mod claims;
@@ -28,6 +29,7 @@
 mod hosts;
 mod leases;
 pub(crate) mod quota;
+pub(crate) mod shutdown;
 
 /// Time between two steps of the lease holder, at most 500 ms.
 const LEASE_INTERVAL: Duration = Duration::from_millis(200);
@@ -53,6 +55,9 @@
     last_read: Instant,
     published: watch::Sender<Configuration>,
     metrics: Arc<Metrics>,
+    /// Work of the host's gateways that is not settled.
+    work: Arc<Work>,
+    departure: Option<shutdown::Departure>,
 }
 
 /// What a core is made from.
@@ -66,6 +71,7 @@
     pub(crate) ready: Arc<AtomicBool>,
     pub(crate) published: watch::Sender<Configuration>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) work: Arc<Work>,
 }
 
 impl<P: Platform> Core<P> {
@@ -80,6 +86,7 @@
             ready,
             published,
             metrics,
+            work,
         } = parts;
         let (host, incarnation) = (identity.host.clone(), identity.incarnation);
         // The number of seats is set when a configuration is in force.
@@ -101,6 +108,8 @@
             last_read: clock.now(),
             published,
             metrics,
+            work,
+            departure: None,
         }
     }
 
--- a/crates/coordinator/src/core/leases.rs
+++ b/crates/coordinator/src/core/leases.rs
@@ -38,7 +38,7 @@
     fn check_ready(&mut self, now: Instant) {
         let table = self.replica.leases();
         let owned = Shard::all().all(|shard| table.holding(Subject::Shard(shard)).owner.is_some());
-        if !owned || !self.holder.log_lease_usable(now) {
+        if self.is_leaving() || !owned || !self.holder.log_lease_usable(now) {
             self.owned_since = None;
             return;
         }
--- a/crates/coordinator/src/core/quota.rs
+++ b/crates/coordinator/src/core/quota.rs
@@ -63,6 +63,16 @@
         });
     }
 
+    /// Customers whose pools this host has.
+    pub(super) fn customers(&self) -> Vec<String> {
+        self.pools.keys().cloned().collect()
+    }
+
+    /// Takes a customer's pool out, so that it grants nothing any more.
+    pub(super) fn take_pool(&mut self, customer: &str) -> Option<Pool> {
+        self.pools.remove(customer).map(|(_, pool)| pool)
+    }
+
     /// Drops the buckets whose lease has another owner or was granted anew.
     pub(super) fn drop_lost(&mut self, table: &Table) {
         self.pools.retain(|customer, (since, _)| {
@@ -333,9 +343,11 @@
                 let now = self.clock.now();
                 let table = self.replica.leases();
                 let predecessor = table.holding(handover.subject).predecessor;
-                if let Some(pool) = self.quota.pool(now, &customer, &self.holder, table) {
-                    pool.take_over(now, handover, predecessor);
-                }
+                let Some(pool) = self.quota.pool(now, &customer, &self.holder, table) else {
+                    // The sender offers it again: the release may not be read here yet.
+                    return Response::NotOwner;
+                };
+                pool.take_over(now, handover, predecessor);
             }
             _ => {}
         }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -16,4 +16,6 @@
 pub(crate) mod peers;
 pub(crate) mod platform;
 pub(crate) mod server;
+pub(crate) mod signals;
 pub(crate) mod state;
+pub(crate) mod work;
--- a/crates/coordinator/src/local.rs
+++ b/crates/coordinator/src/local.rs
@@ -1,5 +1,6 @@
 //! HTTP interface for the gateway of the same host.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use actix_web::{HttpResponse, web};
@@ -10,6 +11,7 @@
 use crate::core::claims::{Abandon, Claim, Finish};
 use crate::metrics::Reason;
 use crate::state::State;
+use crate::work::Item;
 
 /// Longest wait of a watch for a new configuration.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(5);
@@ -20,7 +22,8 @@
     let Ok(frame) = Frame::<Request>::open(&body, secret) else {
         return HttpResponse::Forbidden().finish();
     };
-    let response = answer(&state, frame.body).await;
+    state.work.heard(frame.incarnation);
+    let response = answer(&state, frame.incarnation, frame.body).await;
     let identity = &state.identity;
     let reply = Frame::new(
         &identity.host,
@@ -37,18 +40,31 @@
     }
 }
 
-async fn answer(state: &State, request: Request) -> Response {
+async fn answer(state: &State, gateway: u64, request: Request) -> Response {
+    let leaving = state.leaving.load(Ordering::Relaxed);
     match request {
+        Request::Admit(_) | Request::ClaimKey(_) if leaving => {
+            let response = refused("coordinator_leaving");
+            count(state, &response);
+            response
+        }
         Request::Admit(admit) => {
+            let item = Item::Request(admit.request.clone());
+            state.work.begin(gateway, item.clone());
             let response = state
                 .admission
                 .send(Ask(admit))
                 .await
                 .unwrap_or_else(|_| unavailable());
+            if !matches!(response, Response::Admitted(_)) {
+                state.work.end(gateway, &item);
+            }
             count(state, &response);
             response
         }
         Request::Settle(settle) => {
+            let item = Item::Request(settle.request.clone());
+            state.work.end(gateway, &item);
             state.admission.do_send(End(settle));
             Response::Done
         }
@@ -56,16 +72,20 @@
             state.admission.do_send(Prefilled(prefilled));
             Response::Done
         }
-        Request::ClaimKey(claim) => state
-            .core
-            .send(Claim(claim))
-            .await
-            .unwrap_or_else(|_| unavailable()),
+        Request::ClaimKey(claim) => {
+            let claimed = state.core.send(Claim(claim)).await;
+            if let Ok(Response::KeyWon { id }) = claimed {
+                state.work.begin(gateway, Item::Key(id));
+            }
+            claimed.unwrap_or_else(|_| unavailable())
+        }
         Request::FinishKey { id, outcome } => {
+            state.work.end(gateway, &Item::Key(id));
             state.core.do_send(Finish { id, outcome });
             Response::Done
         }
         Request::AbandonKey { id } => {
+            state.work.end(gateway, &Item::Key(id));
             state.core.do_send(Abandon(id));
             Response::Done
         }
@@ -90,8 +110,12 @@
 }
 
 fn unavailable() -> Response {
+    refused("coordinator_restarting")
+}
+
+fn refused(code: &str) -> Response {
     Response::Refused(berylknot_wire::local::Refused {
-        code: "coordinator_restarting".to_owned(),
+        code: code.to_owned(),
         retry_after_ms: Some(1_000),
     })
 }
--- a/crates/coordinator/src/options.rs
+++ b/crates/coordinator/src/options.rs
@@ -8,10 +8,12 @@
 mod lease;
 mod log;
 mod platform;
+mod shutdown;
 
 pub use lease::Lease;
 pub use log::Log;
 pub use platform::Platform;
+pub use shutdown::Shutdown;
 
 /// Settings of the coordinator.
 #[derive(Clone, Debug, Deserialize)]
@@ -33,6 +35,9 @@
     /// Durations of leases, equal on all hosts.
     #[serde(default)]
     pub lease: Lease,
+    /// Bounds of a graceful shutdown.
+    #[serde(default)]
+    pub shutdown: Shutdown,
     /// Logging.
     #[serde(default)]
     pub log: Log,
--- a/crates/coordinator/src/run.rs
+++ b/crates/coordinator/src/run.rs
@@ -1,7 +1,7 @@
 //! Start of the coordinator.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use actix::Supervisor;
@@ -17,7 +17,9 @@
 use crate::metrics::Metrics;
 use crate::options::Options;
 use crate::platform::Http;
+use crate::signals;
 use crate::state::{Configuration, Identity, State};
+use crate::work::Work;
 
 /// Runs the coordinator until it is told to stop.
 ///
@@ -61,6 +63,8 @@
     let (clock, counters, owner) = (Clock::start(), metrics.clone(), identity.clone());
     let (ready, timing) = (Arc::new(AtomicBool::new(false)), options.lease.timing());
     let flag = ready.clone();
+    let work = Arc::new(Work::default());
+    let unsettled = work.clone();
     let core = Supervisor::start(move |_| {
         Core::new(Parts {
             clock,
@@ -71,11 +75,14 @@
             ready: flag,
             published: sender,
             metrics: counters,
+            work: unsettled,
         })
     });
     let (decisions, tokens) = (configuration.clone(), core.clone());
     let admission = Supervisor::start(move |_| Admission::new(clock, decisions, tokens));
-    crate::server::serve(
+    let (leaving, work_state) = (Arc::new(AtomicBool::new(false)), work.clone());
+    let (shutdown, departing) = (options.shutdown.clone(), core.clone());
+    let server = crate::server::serve(
         listener,
         State {
             identity,
@@ -84,8 +91,16 @@
             core,
             admission,
             metrics,
+            leaving: leaving.clone(),
+            work: work_state,
         },
-    )
-    .await?;
+    )?;
+    let handle = server.handle();
+    let server = actix_rt::spawn(server);
+    signals::terminated().await;
+    leaving.store(true, Ordering::Relaxed);
+    signals::leave(&departing, shutdown).await;
+    handle.stop(false).await;
+    server.await??;
     Ok(())
 }
--- a/crates/coordinator/src/server.rs
+++ b/crates/coordinator/src/server.rs
@@ -9,10 +9,16 @@
 /// Largest frame in bytes; a configuration has at most 4 MiB.
 const FRAME_LIMIT_BYTES: usize = 8 << 20;
 
-/// Serves on a bound listener until the process is told to stop.
-pub(crate) async fn serve(listener: std::net::TcpListener, state: State) -> std::io::Result<()> {
+/// Makes the server on a bound listener.
+///
+/// # Errors
+/// Fails when the listener cannot be used.
+pub(crate) fn serve(
+    listener: std::net::TcpListener,
+    state: State,
+) -> std::io::Result<actix_web::dev::Server> {
     let state = web::Data::new(state);
-    HttpServer::new(move || {
+    let server = HttpServer::new(move || {
         App::new()
             .app_data(state.clone())
             .app_data(web::PayloadConfig::new(FRAME_LIMIT_BYTES))
@@ -24,9 +30,10 @@
             .route("/metrics", web::get().to(render))
     })
     .workers(1)
+    .disable_signals()
     .listen(listener)?
-    .run()
-    .await
+    .run();
+    Ok(server)
 }
 
 fn is_ready(state: &State) -> bool {
--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -13,6 +13,7 @@
 use crate::core::Core;
 use crate::metrics::Metrics;
 use crate::platform::Http;
+use crate::work::Work;
 
 /// The accepted configuration in checked form.
 #[derive(Clone, Debug, Default)]
@@ -46,4 +47,7 @@
     pub(crate) core: Addr<Core<Http>>,
     pub(crate) admission: Addr<Admission>,
     pub(crate) metrics: Arc<Metrics>,
+    /// Whether the host is shutting down and admits nothing.
+    pub(crate) leaving: Arc<AtomicBool>,
+    pub(crate) work: Arc<Work>,
 }
