Add a bounded load on a real gateway and test a deadline that cuts streams

Cause: nothing measured what the gateway process adds to a call and what it costs, and no test reached the deadline of its shutdown.

Change: `berylknot-experiment load` sends the same call to a service directly and through the gateway in turns, and reads the gateway's processor time and resident memory from /proc.

Ruled out: Histogram::saturating_record, which cut all values at 2,047 µs in the first trial.

--- a/acceptance/src/process.rs
+++ b/acceptance/src/process.rs
@@ -74,6 +74,12 @@
         &self.name
     }
 
+    /// Process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/acceptance/tests/shutdown.rs
+++ b/acceptance/tests/shutdown.rs
@@ -257,3 +257,36 @@
     .expect("the new certificate is served");
     assert!(deployment.hosts[0].gateway.is_running());
 }
+
+/// Guards against a shutdown that waits longer than the operator allows, or hides what it cut.
+#[actix_rt::test]
+async fn a_deadline_cuts_streams_and_counts_them() {
+    let mut deployment = deploy(1).await;
+    let host = &mut deployment.hosts[0];
+    host.gateway.kill();
+    host.set_gateway("limits", serde_json::json!({ "drain_s": 1 }))
+        .expect("settings are written");
+    host.restart_gateway().expect("the gateway starts");
+    let address = host.address;
+    wait_for("the gateway serves", || async {
+        let answer = stream(address, KEY, PROMPT, 1, None).await;
+        answer.is_ok_and(|answer| answer.done)
+    })
+    .await
+    .expect("the gateway serves");
+    let streams = start_streams(&deployment, 0).await;
+    let signalled = deployment.hosts[0].gateway.signal(Signal::TERM);
+    signalled.expect("the gateway runs");
+    for running in streams {
+        let answer = running.await.expect("the caller ends");
+        assert!(
+            !answer.is_ok_and(|answer| answer.done),
+            "a cut answer is whole"
+        );
+    }
+    wait_for_exit(&mut deployment.hosts[0].gateway).await;
+    let log = deployment.folder().join("host-0-gateway.log");
+    let log = std::fs::read_to_string(log).expect("the log file is read");
+    let counted = format!("finished=0 cut={STREAMS}");
+    assert!(without_colours(&log).contains(&counted), "{log}");
+}
--- a/crates/experiment/src/arguments.rs
+++ b/crates/experiment/src/arguments.rs
@@ -5,6 +5,7 @@
     reason = "the macro generates the types without documentation"
 )]
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 xflags::xflags! {
@@ -25,6 +26,23 @@
             /// Number of seeds; 10 by default.
             optional --seeds seeds: u64
         }
+        /// Puts bounded load on a running gateway and prints what it adds and costs.
+        cmd load {
+            /// Address of the gateway for callers.
+            required gateway: SocketAddr
+            /// Address of a service behind the route `counter`.
+            required service: SocketAddr
+            /// Key of a customer.
+            required key: String
+            /// Process id of the gateway.
+            required process: u32
+            /// Number of calls; 20,000 by default.
+            optional --requests requests: usize
+            /// Calls at one time; 16 by default.
+            optional --concurrency concurrency: usize
+            /// Streams open at one time; 100 by default.
+            optional --streams streams: usize
+        }
         /// Writes the plots of both fleets.
         cmd plots {
             /// Folder of the plots.
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod arguments;
 mod engines;
 mod fakes;
+pub mod load;
 mod lookups;
 pub mod measure;
 pub mod model;
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -1,6 +1,8 @@
-//! `berylknot-experiment` compares scheduling policies in virtual time.
+//! `berylknot-experiment` compares scheduling policies in virtual time and puts load on a real
+//! gateway.
 
 use berylknot_experiment::arguments::{BerylknotExperiment, BerylknotExperimentCmd};
+use berylknot_experiment::load::{self, Load};
 use berylknot_experiment::model::{ATELIER, Model, REGISTRY};
 use berylknot_experiment::policy::{all, short};
 use berylknot_experiment::report::{compare, draw, fault_table, sensitivity_table, table};
@@ -11,6 +13,19 @@
 
 fn main() -> eyre::Result<()> {
     let arguments = BerylknotExperiment::from_env_or_exit();
+    if let BerylknotExperimentCmd::Load(options) = arguments.subcommand {
+        let load = Load {
+            gateway: options.gateway,
+            service: options.service,
+            key: options.key,
+            process: options.process,
+            requests: options.requests.unwrap_or(20_000),
+            concurrency: options.concurrency.unwrap_or(16),
+            streams: options.streams.unwrap_or(100),
+        };
+        println!("{}", actix_rt::System::new().block_on(load::run(&load))?);
+        return Ok(());
+    }
     let model = Model::default();
     let policies = all();
     for fleet in [&REGISTRY, &ATELIER] {
@@ -29,6 +44,7 @@
                 let seeds = options.seeds.unwrap_or(SEEDS);
                 println!("{}", sensitivity_table(fleet, &policies, seeds));
             }
+            BerylknotExperimentCmd::Load(_) => {}
             BerylknotExperimentCmd::Plots(options) => {
                 let seeds = options.seeds.unwrap_or(SEEDS);
                 draw(fleet, &model, &options.folder, seeds)
