--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -22,6 +22,7 @@
 use crate::peers::Client;
 use crate::platform::Platform;
 use crate::state::{Configuration, Identity};
+use crate::work::Work;
 
 mod append;
 pub(crate) mod claims;
@@ -31,6 +32,7 @@
 mod leases;
 pub(crate) mod quota;
 pub(crate) mod reap;
+pub(crate) mod shutdown;
 mod snapshots;
 pub(crate) mod words;
 
@@ -63,6 +65,9 @@
     last_read: Instant,
     published: watch::Sender<Configuration>,
     metrics: Arc<Metrics>,
+    /// Work of the host's gateways that is not settled.
+    work: Arc<Work>,
+    departure: Option<shutdown::Departure>,
 }
 
 /// What a core is made from.
@@ -82,6 +87,7 @@
     pub(crate) ready: Arc<AtomicBool>,
     pub(crate) published: watch::Sender<Configuration>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) work: Arc<Work>,
 }
 
 impl<P: Platform> Core<P> {
@@ -99,6 +105,7 @@
             ready,
             published,
             metrics,
+            work,
         } = parts;
         let (host, incarnation) = (identity.host.clone(), identity.incarnation);
         let identity_host = host.clone();
@@ -126,6 +133,8 @@
             last_read: clock.now(),
             published,
             metrics,
+            work,
+            departure: None,
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub(crate) mod refusal;
 pub(crate) mod server;
 pub(crate) mod service;
+pub(crate) mod shutdown;
 pub(crate) mod state;
 pub(crate) mod streams;
 pub(crate) mod tls;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -30,6 +30,7 @@
     pub(crate) clock: Clock,
     pub(crate) permission: Permission,
     pub(crate) draining: Arc<AtomicBool>,
+    pub(crate) open: crate::shutdown::Open,
 }
 
 impl Shared {
