Admit by fair queue, slot ledger and chooser

Cause: admission took the engine with the fewest requests of this host and refused at once when the own count was full.

A grant that expired in the queue is given back and asked for again while the slot stays reserved. Ledgers are local to each host so far.

Ruled out: the chooser's whole lead for the reservation. It contains an estimated wait at the prefill engine, and a prefill that ends before a slot is free is wasted; only the prefill time itself counts.

--- a/acceptance/src/caller.rs
+++ b/acceptance/src/caller.rs
@@ -19,6 +19,8 @@
     pub status: u16,
     /// Value of the outcome header; empty when there is none.
     pub outcome: String,
+    /// Value of the Retry-After header in seconds.
+    pub retry_after: Option<u64>,
     /// Body as JSON; null when it is something else.
     pub body: Value,
 }
@@ -78,6 +80,8 @@
         .and_then(|value| value.to_str().ok())
         .unwrap_or_default()
         .to_owned();
+    let retry_after = response.headers().get("retry-after");
+    let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
     let bytes = response
         .body()
         .await
@@ -86,6 +90,7 @@
     Ok(Answer {
         status: response.status().as_u16(),
         outcome,
+        retry_after,
         body,
     })
 }
--- a/acceptance/src/deployment.rs
+++ b/acceptance/src/deployment.rs
@@ -23,7 +23,8 @@
 /// Key that is withdrawn from the start.
 pub const WITHDRAWN_KEY: &str = "bk-demo-key-withdrawn";
 
-const PEPPER: &[u8] = b"pepper for tests";
+/// Pepper of the key hashes.
+pub const PEPPER: &[u8] = b"pepper for tests";
 const SECRET: &[u8] = b"secret for tests";
 
 /// Sizes of a deployment.
--- /dev/null
+++ b/acceptance/tests/admission.rs
@@ -0,0 +1,155 @@
+//! Admission by real processes: full pools, customers beyond their rate, leaving endpoints.
+
+use acceptance::caller::{self, Answer, completion, send, true_answer};
+use acceptance::deployment::{Deployment, Host, KEY, PEPPER, Plan};
+use berylknot_settings::key::{Hash, Pepper};
+use futures_util::future::join_all;
+use serde_json::json;
+use standins::engine::Control;
+
+const PROMPT: &str = "Rosa 'Nieve Andina': a shrub rose, white, with a myrrh scent.";
+
+async fn ask(host: &Host, key: &str, prompt: &str, max_tokens: u32) -> Answer {
+    let body = completion(prompt, max_tokens, false);
+    let path = "/v1/completions";
+    let sent = send(host.address, "POST", path, Some(key), &[], Some(&body));
+    sent.await.expect("the host answers")
+}
+
+/// Publishes few slots for the decode engines and makes the engines keep to them.
+async fn limit_slots(deployment: &mut Deployment, slots: u32, token_ms: u64) {
+    for decode in &deployment.decodes {
+        let control = Control {
+            slots,
+            token_ms,
+            ..Control::default()
+        };
+        caller::put(decode.address, "/control", &control)
+            .await
+            .expect("the stand-in takes its control");
+        deployment.settings["endpoints"][decode.process.name()]["slots"] = json!(slots);
+    }
+    publish(deployment).await;
+}
+
+async fn publish(deployment: &mut Deployment) {
+    let version = deployment.publish().await.expect("the log accepts");
+    deployment
+        .wait_for_version(version)
+        .await
+        .expect("the version comes in force");
+}
+
+async fn bodies(deployment: &Deployment) -> Vec<usize> {
+    let mut counts = Vec::new();
+    for engine in deployment.prefills.iter().chain(&deployment.decodes) {
+        let stats = caller::get(engine.address, "/stats").await;
+        let stats = stats.expect("the stand-in answers");
+        counts.push(stats["bodies"].as_array().map_or(0, Vec::len));
+    }
+    counts
+}
+
+/// Guards against prefills that are wasted because no decode slot is free, and against requests
+/// that are refused although a slot comes free soon.
+#[actix_rt::test]
+async fn requests_wait_for_a_decode_slot_before_their_prefill() {
+    let plan = Plan {
+        hosts: 1,
+        ..Plan::default()
+    };
+    let mut deployment = Deployment::start(plan).await.expect("deployment starts");
+    limit_slots(&mut deployment, 2, 10).await;
+    let host = &deployment.hosts[0];
+    let prompts: Vec<String> = (0..24).map(|index| format!("{PROMPT} {index}")).collect();
+    let asked = prompts.iter().map(|prompt| ask(host, KEY, prompt, 10));
+    for (answer, prompt) in join_all(asked).await.iter().zip(&prompts) {
+        assert_eq!(answer.status, 200, "{answer:?}");
+        let text = answer.body["choices"][0]["text"].as_str();
+        assert_eq!(text, Some(true_answer(prompt, 10).as_str()));
+    }
+    let counts = bodies(&deployment).await;
+    let [prefills, decodes] = [&counts[..2], &counts[2..]].map(|part| part.iter().sum::<usize>());
+    assert_eq!(prefills, prompts.len(), "one prefill per request");
+    assert_eq!(decodes, prompts.len(), "one decode per request");
+}
+
+/// Guards against requests that wait without end, that are refused without a time to come back, or
+/// that are run and refused.
+#[actix_rt::test]
+async fn a_full_pool_refuses_with_a_time_to_come_back() {
+    let plan = Plan {
+        hosts: 1,
+        prefills: 1,
+        decodes: 1,
+        services: 1,
+    };
+    let mut deployment = Deployment::start(plan).await.expect("deployment starts");
+    // Each answer takes longer than a request may wait.
+    limit_slots(&mut deployment, 2, 400).await;
+    let host = &deployment.hosts[0];
+    let asked = (0..6).map(|_| ask(host, KEY, PROMPT, 20));
+    let answers = join_all(asked).await;
+    let (served, refused): (Vec<_>, Vec<_>) =
+        answers.iter().partition(|answer| answer.status == 200);
+    assert_eq!(served.len(), 2, "{answers:?}");
+    for answer in &refused {
+        assert_eq!((answer.status, answer.code()), (503, "queue_too_long"));
+        assert_eq!(answer.outcome, "not_run");
+        assert!(answer.retry_after.is_some(), "{answer:?}");
+    }
+    let counts = bodies(&deployment).await;
+    assert_eq!(counts, [2, 2], "refused requests reached no engine");
+}
+
+/// Guards against a customer beyond its rate taking the fleet from the others.
+#[actix_rt::test]
+async fn a_customer_beyond_its_rate_is_refused_and_others_are_served() {
+    const GREEDY_KEY: &str = "bk-demo-key-of-a-grower";
+    let mut deployment = Deployment::start(Plan::default())
+        .await
+        .expect("deployment starts");
+    let hash = Hash::of(GREEDY_KEY, &Pepper::new(PEPPER)).to_hex();
+    deployment.settings["customers"]["grower"] = json!({ "rate": 50, "burst": 200 });
+    deployment.settings["keys"]["grower-1"] = json!({ "customer": "grower", "hash": hash });
+    publish(&mut deployment).await;
+    let hosts = &deployment.hosts;
+    let greedy = (0..40).map(|index| ask(&hosts[index % hosts.len()], GREEDY_KEY, PROMPT, 40));
+    let modest = (0..10).map(|index| ask(&hosts[index % hosts.len()], KEY, PROMPT, 40));
+    let (greedy, modest) = futures_util::future::join(join_all(greedy), join_all(modest)).await;
+    for answer in &modest {
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    let refused = greedy.iter().filter(|answer| answer.status == 429);
+    let refused: Vec<&Answer> = refused.collect();
+    assert!(!refused.is_empty(), "{greedy:?}");
+    for answer in refused {
+        assert_eq!(
+            (answer.code(), answer.outcome.as_str()),
+            ("rate_exceeded", "not_run")
+        );
+        assert!(answer.retry_after.is_some(), "{answer:?}");
+    }
+}
+
+/// Guards against new work on an endpoint that operators are about to take away.
+#[actix_rt::test]
+async fn a_leaving_endpoint_gets_no_new_work() {
+    let mut deployment = Deployment::start(Plan::default())
+        .await
+        .expect("deployment starts");
+    for name in ["prefill-0", "decode-0"] {
+        deployment.settings["endpoints"][name]["leaving"] = json!(true);
+    }
+    publish(&mut deployment).await;
+    let before = bodies(&deployment).await;
+    for host in &deployment.hosts {
+        let asked = (0..10).map(|_| ask(host, KEY, PROMPT, 5));
+        for answer in join_all(asked).await {
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+    }
+    let after = bodies(&deployment).await;
+    assert_eq!((before[0], before[2]), (after[0], after[2]));
+    assert_eq!(after[1] - before[1], 10 * deployment.hosts.len());
+}
--- a/crates/coordinator/src/admission.rs
+++ b/crates/coordinator/src/admission.rs
@@ -1,112 +1,424 @@
-//! Actor that decides on the admission of model requests.
+//! Actor that decides on the admission of model requests: tokens, turn, engines, decode slot.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use actix::{
-    Actor, ActorFutureExt, Addr, Context, Handler, Message, ResponseActFuture, Supervised,
-    WrapFuture,
+    Actor, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, Supervised, WrapFuture,
 };
+use berylknot_coordination::clock::Instant;
+use berylknot_coordination::eject::Outcome;
+use berylknot_coordination::queue::{Cause, Refusal, Request, Turn};
 use berylknot_coordination::quota::{GRANT_LIFETIME, Grant, Hold};
-use berylknot_settings::fleet::{Fleet, Kind};
+use berylknot_coordination::record::{Incarnation, Position};
+use berylknot_coordination::slot;
 use berylknot_wire::local::{self, Admit, Admitted, Refused, Response, Settle};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 
 use crate::clock::Clock;
 use crate::core::{Core, quota};
 use crate::platform::Http;
 use crate::state::Configuration;
 
+mod load;
+mod pool;
+
+use pool::{Missing, Placed, Pool, Sent, Slot};
+
 /// Requests whose end has not been reported, at most. A gateway has at most 10,000 open requests.
 const RUNNING_LIMIT: usize = 20_000;
+/// Time between two looks at the queues; equal to the shortest retry of a slot ledger.
+const PUMP_INTERVAL: Duration = Duration::from_millis(10);
+/// Time between two confirmations of running streams (design page, section 5.3).
+const CONFIRM_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest wait for a slot. Together with the quota's deadline it is below the gateway's 8 s.
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+/// Time between the end of a prefill and the first token, as in the experiments.
+const AFTER_PREFILL: Duration = Duration::from_millis(120);
+/// Prefill time of a token, as in the experiments.
+const TOKEN_TIME: Duration = Duration::from_micros(30);
+/// Time after the last request for a model after which its engines are no longer asked.
+const IDLE: Duration = Duration::from_secs(10);
+/// Milliseconds after which a caller may try again when nothing better is known.
+const RETRY_MS: u64 = 1_000;
+
+/// A request that has its tokens and waits for a slot.
+#[derive(Debug)]
+struct Waiting {
+    admit: Admit,
+    grant: Grant,
+    charged: u64,
+    slot: Slot,
+    answer: oneshot::Sender<Response>,
+}
 
 /// An admitted request.
 #[derive(Debug)]
 struct Running {
-    customer: String,
+    admit: Admit,
     hold: Hold,
     charged: u64,
     prompt_tokens: u32,
+    slot: Slot,
     prefill: String,
     decode: String,
+    prefilled_at: Option<Instant>,
+}
+
+impl Running {
+    fn sent(&self) -> Sent<'_> {
+        Sent {
+            slot: self.slot,
+            prefill: &self.prefill,
+            decode: &self.decode,
+            pieces: &self.admit.pieces,
+        }
+    }
 }
 
 /// Decides on admissions.
 #[derive(Debug)]
 pub(crate) struct Admission {
-    clock: Clock,
-    configuration: watch::Receiver<Configuration>,
-    core: Addr<Core<Http>>,
+    parts: Parts,
+    version: Option<Position>,
+    /// Numbers of customers in the queues.
+    customers: HashMap<String, u32>,
+    pools: HashMap<String, Pool>,
     running: HashMap<String, Running>,
-    outstanding: HashMap<String, u32>,
+    next_slot: u64,
+}
+
+/// What an admission actor is made from.
+#[derive(Clone)]
+pub(crate) struct Parts {
+    pub(crate) clock: Clock,
+    pub(crate) host: Incarnation,
+    pub(crate) data_centre: String,
+    pub(crate) configuration: watch::Receiver<Configuration>,
+    pub(crate) core: Addr<Core<Http>>,
+    pub(crate) client: awc::Client,
+}
+
+impl std::fmt::Debug for Parts {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("Parts")
+            .field("host", &self.host)
+            .finish_non_exhaustive()
+    }
 }
 
 impl Admission {
     /// Makes an actor that decides by the published configuration.
-    pub(crate) fn new(
-        clock: Clock,
-        configuration: watch::Receiver<Configuration>,
-        core: Addr<Core<Http>>,
-    ) -> Self {
+    pub(crate) fn new(parts: Parts) -> Self {
         Self {
-            clock,
-            configuration,
-            core,
+            parts,
+            version: None,
+            customers: HashMap::new(),
+            pools: HashMap::new(),
             running: HashMap::new(),
-            outstanding: HashMap::new(),
+            next_slot: 0,
         }
     }
 
-    fn least_outstanding(&self, fleet: &Fleet, kind: Kind, admit: &Admit) -> Option<String> {
-        let mut best: Option<(u32, &str)> = None;
-        for (_, endpoint) in fleet.endpoints() {
-            let suits = endpoint.kind == kind && endpoint.model == admit.model && !endpoint.leaving;
-            if !suits || admit.avoid.contains(&endpoint.name) {
-                continue;
+    fn now(&self) -> Instant {
+        self.parts.clock.now()
+    }
+
+    /// Puts a newer configuration in force. Every decision asks first, so that a leaving endpoint
+    /// gets nothing new from the moment at which this host knows.
+    fn configure(&mut self) {
+        let configuration = self.parts.configuration.borrow().clone();
+        if self.version == Some(configuration.version) {
+            return;
+        }
+        self.version = Some(configuration.version);
+        let (now, fleet) = (self.now(), configuration.fleet);
+        for model in fleet.models().keys() {
+            let pool = self
+                .pools
+                .entry(model.clone())
+                .or_insert_with(|| Pool::new(now));
+            pool.configure(&fleet, model, &self.parts.data_centre);
+            for customer in fleet.customers() {
+                let next = u32::try_from(self.customers.len()).unwrap_or(u32::MAX);
+                let number = *self.customers.entry(customer.name.clone()).or_insert(next);
+                pool.set_weight(number, customer.weight);
             }
-            let outstanding = self
-                .outstanding
-                .get(&endpoint.name)
+        }
+        for (model, pool) in &mut self.pools {
+            if !fleet.models().contains_key(model) {
+                pool.configure(&fleet, model, &self.parts.data_centre);
+            }
+        }
+    }
+
+    /// Queues a request that has its tokens.
+    fn enqueue(&mut self, waiting: Waiting, context: &mut Context<Self>) {
+        self.configure();
+        let now = self.now();
+        let fleet = self.parts.configuration.borrow().fleet.clone();
+        let admit = &waiting.admit;
+        let (Some(pool), Some(model)) =
+            (self.pools.get_mut(&admit.model), fleet.model(&admit.model))
+        else {
+            return self.refuse(waiting, "no_capacity", Some(RETRY_MS));
+        };
+        pool.used_at = now;
+        let prefill = TOKEN_TIME.saturating_mul(admit.prompt_tokens);
+        let target = Duration::from_millis(model.ttft_ms);
+        let request = Request {
+            customer: self
+                .customers
+                .get(&admit.customer)
                 .copied()
-                .unwrap_or_default();
-            if outstanding < endpoint.slots && best.is_none_or(|(least, _)| outstanding < least) {
-                best = Some((outstanding, &endpoint.name));
+                .unwrap_or(u32::MAX),
+            tokens: waiting.charged,
+            start_by: now + target.saturating_sub(prefill + AFTER_PREFILL),
+            deadline: now + LONGEST_WAIT,
+        };
+        match pool.queue.push(now, request) {
+            Ok(ticket) => {
+                let model = admit.model.clone();
+                pool.waiting.insert(ticket, waiting);
+                self.pump(&model, context);
             }
+            Err(refusal) => self.refuse_turn(waiting, &refusal),
         }
-        best.map(|(_, name)| name.to_owned())
     }
-}
 
-impl Actor for Admission {
-    type Context = Context<Self>;
-}
+    /// Starts the requests of a model whose turn it is, as far as there are slots.
+    fn pump(&mut self, model: &str, context: &mut Context<Self>) {
+        let (now, host) = (self.now(), self.parts.host);
+        let mut refused = Vec::new();
+        let mut placed = Vec::new();
+        let Some(pool) = self.pools.get_mut(model) else {
+            return;
+        };
+        for (ticket, refusal) in pool.queue.expire(now) {
+            if let Some(waiting) = pool.waiting.remove(&ticket) {
+                refused.push((waiting, Some(refusal)));
+            }
+        }
+        while now >= pool.blocked_until {
+            let Some(turn) = pool.queue.pop(now) else {
+                break;
+            };
+            let Some(waiting) = pool.waiting.remove(&turn.ticket) else {
+                continue;
+            };
+            let asked = (waiting.slot, host);
+            match pool.reserve(now, asked, &waiting.admit, rand::random()) {
+                Ok(found) => placed.push((waiting, found)),
+                Err(Missing::Endpoint) => refused.push((waiting, None)),
+                Err(Missing::Slot { retry_after }) => {
+                    put_back(pool, now, turn, waiting);
+                    pool.blocked_until = now + retry_after;
+                }
+            }
+        }
+        for (waiting, refusal) in refused {
+            match refusal {
+                Some(refusal) => self.refuse_turn(waiting, &refusal),
+                None => self.refuse(waiting, "no_capacity", Some(RETRY_MS)),
+            }
+        }
+        for (waiting, found) in placed {
+            self.start(waiting, found, context);
+        }
+    }
 
-impl Supervised for Admission {}
+    /// Admits a request that has a slot. A grant that expired while the request waited is given
+    /// back and asked for again; the slot stays reserved meanwhile.
+    fn start(&mut self, waiting: Waiting, placed: Placed, context: &mut Context<Self>) {
+        let Waiting {
+            admit,
+            grant,
+            charged,
+            slot,
+            answer,
+        } = waiting;
+        let Some(pool) = self.pools.get(&admit.model) else {
+            return;
+        };
+        let (prefill, decode) = (pool.name(placed.prefill), pool.name(placed.decode));
+        let now = self.now();
+        let admitted = grant.admit(now);
+        let hold = match admitted {
+            Ok(hold) => hold,
+            Err(expired) => expired.hold(),
+        };
+        let running = Running {
+            prompt_tokens: admit.prompt_tokens,
+            admit,
+            hold,
+            charged,
+            slot,
+            prefill,
+            decode,
+            prefilled_at: None,
+        };
+        if admitted.is_ok() {
+            return self.admit(running, answer);
+        }
+        self.give_back(&running.admit.customer, hold, charged);
+        let ask = quota::Ask {
+            customer: running.admit.customer.clone(),
+            tokens: charged,
+        };
+        let asked = self.parts.core.send(ask).into_actor(self);
+        context.spawn(asked.map(move |granted, actor, _| {
+            actor.asked_again(running, answer, granted);
+        }));
+    }
 
-/// Asks for admission.
-#[derive(Debug)]
-#[derive(Message)]
-#[rtype(result = "Response")]
-pub(crate) struct Ask(pub(crate) Admit);
+    fn asked_again(
+        &mut self,
+        mut running: Running,
+        answer: oneshot::Sender<Response>,
+        granted: Result<quota::Granted, actix::MailboxError>,
+    ) {
+        let refusal = match granted {
+            Ok(Ok(grant)) => match grant.admit(self.now()) {
+                Ok(hold) => {
+                    running.hold = hold;
+                    return self.admit(running, answer);
+                }
+                Err(expired) => {
+                    self.give_back(&running.admit.customer, expired.hold(), running.charged);
+                    refusal("grant_expired", Some(RETRY_MS))
+                }
+            },
+            Ok(Err(denied)) => refuse_tokens(denied),
+            Err(_) => refusal("coordinator_restarting", Some(RETRY_MS)),
+        };
+        self.release(&running, slot::End::Failed);
+        let _ = answer.send(refusal);
+    }
 
-impl Handler<Ask> for Admission {
-    type Result = ResponseActFuture<Self, Response>;
+    fn admit(&mut self, running: Running, answer: oneshot::Sender<Response>) {
+        let admitted = Admitted {
+            prefill: running.prefill.clone(),
+            decode: running.decode.clone(),
+            charged_tokens: running.charged,
+            lifetime_ms: u64::try_from(GRANT_LIFETIME.as_millis()).unwrap_or(u64::MAX),
+            priority: 0,
+        };
+        // The caller may have left while its request waited.
+        if answer.send(Response::Admitted(admitted)).is_err() {
+            self.give_back(&running.admit.customer, running.hold, running.charged);
+            return self.release(&running, slot::End::Released);
+        }
+        let request = running.admit.request.clone();
+        if let Some(earlier) = self.running.insert(request, running) {
+            self.finish(&earlier, 0, slot::End::Released);
+        }
+    }
 
-    fn handle(&mut self, Ask(admit): Ask, _: &mut Self::Context) -> Self::Result {
-        let tokens = u64::from(admit.prompt_tokens) + u64::from(admit.max_tokens);
-        let ask = quota::Ask {
-            customer: admit.customer.clone(),
-            tokens,
+    fn release(&mut self, running: &Running, end: slot::End) {
+        let now = self.now();
+        if let Some(pool) = self.pools.get_mut(&running.admit.model) {
+            pool.ended(now, &running.sent(), running.prefilled_at.is_some(), end);
+        }
+    }
+
+    /// Releases the slot of a request and settles its tokens.
+    fn finish(&mut self, running: &Running, completion_tokens: u32, end: slot::End) {
+        self.release(running, end);
+        self.parts.core.do_send(quota::Settle {
+            customer: running.admit.customer.clone(),
+            hold: running.hold,
+            charged: running.charged,
+            used: u64::from(running.prompt_tokens) + u64::from(completion_tokens),
+        });
+    }
+
+    fn refuse_turn(&self, waiting: Waiting, refusal: &Refusal) {
+        let code = match refusal.cause() {
+            Cause::CustomerFull => "customer_queue_full",
+            Cause::QueueFull => "queue_full",
+            Cause::TooLate => "queue_too_long",
         };
-        let asked = self.core.send(ask).into_actor(self);
-        Box::pin(asked.map(move |granted, actor, _| match granted {
-            Ok(Ok(grant)) => actor.place(admit, grant, tokens),
-            Ok(Err(denied)) => refuse_tokens(denied),
-            Err(_) => refuse("coordinator_restarting", Some(1_000)),
-        }))
+        let millis = u64::try_from(refusal.retry_after().as_millis()).unwrap_or(u64::MAX);
+        self.refuse(waiting, code, Some(millis));
+    }
+
+    /// Refuses a waiting request and returns its tokens.
+    fn refuse(&self, waiting: Waiting, code: &str, retry_after_ms: Option<u64>) {
+        let hold = match waiting.grant.admit(self.now()) {
+            Ok(hold) => hold,
+            Err(expired) => expired.hold(),
+        };
+        self.give_back(&waiting.admit.customer, hold, waiting.charged);
+        let _ = waiting.answer.send(refusal(code, retry_after_ms));
+    }
+
+    fn give_back(&self, customer: &str, hold: Hold, charged: u64) {
+        self.parts.core.do_send(quota::Settle {
+            customer: customer.to_owned(),
+            hold,
+            charged,
+            used: 0,
+        });
+    }
+
+    fn pump_all(&mut self, context: &mut Context<Self>) {
+        let waiting = self.pools.iter().filter(|(_, pool)| !pool.queue.is_empty());
+        let models: Vec<String> = waiting.map(|(model, _)| model.clone()).collect();
+        if !models.is_empty() {
+            self.configure();
+        }
+        for model in models {
+            self.pump(&model, context);
+        }
     }
+
+    /// Asks the engines of the models in use for their load.
+    fn poll(&mut self, context: &mut Context<Self>) {
+        self.configure();
+        let now = self.now();
+        let mut engines = Vec::new();
+        for (model, pool) in &mut self.pools {
+            if now.since(pool.used_at) >= IDLE {
+                pool.rest();
+                continue;
+            }
+            for (name, address) in pool.poll() {
+                engines.push((model.clone(), name, address));
+            }
+        }
+        for (model, name, address) in engines {
+            let asked = load::ask(self.parts.client.clone(), address).into_actor(self);
+            context.spawn(asked.map(move |answer, actor, _| {
+                let now = actor.now();
+                if let Some(pool) = actor.pools.get_mut(&model) {
+                    pool.loaded(now, &name, answer);
+                }
+            }));
+        }
+    }
+
+    fn confirm(&mut self) {
+        let now = self.now();
+        for running in self.running.values() {
+            if running.prefilled_at.is_some()
+                && let Some(pool) = self.pools.get_mut(&running.admit.model)
+            {
+                pool.confirm(now, &running.decode, running.slot);
+            }
+        }
+        for pool in self.pools.values_mut() {
+            pool.tick(now);
+        }
+    }
+}
+
+fn put_back(pool: &mut Pool, now: Instant, turn: Turn<u32>, waiting: Waiting) {
+    pool.waiting.insert(turn.ticket, waiting);
+    pool.queue.put_back(now, turn);
 }
 
-fn refuse(code: &str, retry_after_ms: Option<u64>) -> Response {
+fn refusal(code: &str, retry_after_ms: Option<u64>) -> Response {
     Response::Refused(Refused {
         code: code.to_owned(),
         retry_after_ms,
@@ -117,66 +429,80 @@
     match denied {
         quota::Denied::RateExceeded {
             retry_after_ms: None,
-        } => refuse("request_too_large", None),
-        quota::Denied::RateExceeded { retry_after_ms } => refuse("rate_exceeded", retry_after_ms),
+        } => refusal("request_too_large", None),
+        quota::Denied::RateExceeded { retry_after_ms } => refusal("rate_exceeded", retry_after_ms),
         quota::Denied::Unavailable { retry_after_ms } => {
-            refuse("quota_unavailable", Some(retry_after_ms))
+            refusal("quota_unavailable", Some(retry_after_ms))
         }
     }
 }
 
-impl Admission {
-    /// Chooses endpoints for a request that has its tokens.
-    fn place(&mut self, admit: Admit, grant: Grant, charged: u64) -> Response {
-        let customer = admit.customer.clone();
-        let hold = match grant.admit(self.clock.now()) {
-            Ok(hold) => hold,
-            Err(expired) => {
-                self.give_back(customer, expired.hold(), charged);
-                return refuse("grant_expired", Some(1_000));
-            }
-        };
-        let fleet = self.configuration.borrow().fleet.clone();
-        let prefill = self.least_outstanding(&fleet, Kind::Prefill, &admit);
-        let decode = self.least_outstanding(&fleet, Kind::Decode, &admit);
-        let (Some(prefill), Some(decode)) = (prefill, decode) else {
-            self.give_back(customer, hold, charged);
-            return refuse("no_capacity", Some(1_000));
-        };
-        if self.running.len() >= RUNNING_LIMIT {
-            self.give_back(customer, hold, charged);
-            return refuse("too_many_requests", Some(1_000));
+impl Actor for Admission {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        context.run_interval(PUMP_INTERVAL, Self::pump_all);
+        context.run_interval(load::INTERVAL, Self::poll);
+        context.run_interval(CONFIRM_INTERVAL, |admission, _| admission.confirm());
+    }
+}
+
+impl Supervised for Admission {}
+
+/// Asks for admission. The answer is not wanted any more when its receiver is dropped.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Ask {
+    pub(crate) admit: Admit,
+    pub(crate) answer: oneshot::Sender<Response>,
+}
+
+impl Handler<Ask> for Admission {
+    type Result = ();
+
+    fn handle(&mut self, Ask { admit, answer }: Ask, context: &mut Self::Context) {
+        let now = self.now();
+        // A gateway asks again only after an endpoint failed, and names that endpoint last.
+        if let Some(failed) = admit.avoid.last()
+            && let Some(pool) = self.pools.get_mut(&admit.model)
+        {
+            pool.outcome(now, failed, Outcome::Failed);
         }
-        for endpoint in [&prefill, &decode] {
-            *self.outstanding.entry(endpoint.clone()).or_default() += 1;
+        let waiting = self
+            .pools
+            .values()
+            .map(|pool| pool.waiting.len())
+            .sum::<usize>();
+        if self.running.len() + waiting >= RUNNING_LIMIT {
+            let _ = answer.send(refusal("too_many_requests", Some(RETRY_MS)));
+            return;
         }
-        let admitted = Admitted {
-            prefill: prefill.clone(),
-            decode: decode.clone(),
-            charged_tokens: charged,
-            lifetime_ms: u64::try_from(GRANT_LIFETIME.as_millis()).unwrap_or(u64::MAX),
-            priority: 0,
-        };
-        let prompt_tokens = admit.prompt_tokens;
-        let running = Running {
-            customer,
-            hold,
-            charged,
-            prompt_tokens,
-            prefill,
-            decode,
+        let charged = u64::from(admit.prompt_tokens) + u64::from(admit.max_tokens);
+        let ask = quota::Ask {
+            customer: admit.customer.clone(),
+            tokens: charged,
         };
-        self.running.insert(admit.request, running);
-        Response::Admitted(admitted)
-    }
-
-    fn give_back(&self, customer: String, hold: Hold, charged: u64) {
-        self.core.do_send(quota::Settle {
-            customer,
-            hold,
-            charged,
-            used: 0,
-        });
+        let asked = self.parts.core.send(ask).into_actor(self);
+        context.spawn(asked.map(move |granted, actor, context| {
+            let refused = match granted {
+                Ok(Ok(grant)) => {
+                    let slot = (actor.parts.host, actor.next_slot);
+                    actor.next_slot += 1;
+                    let waiting = Waiting {
+                        admit,
+                        grant,
+                        charged,
+                        slot,
+                        answer,
+                    };
+                    return actor.enqueue(waiting, context);
+                }
+                Ok(Err(denied)) => refuse_tokens(denied),
+                Err(_) => refusal("coordinator_restarting", Some(RETRY_MS)),
+            };
+            let _ = answer.send(refused);
+        }));
     }
 }
 
@@ -190,8 +516,15 @@
     type Result = ();
 
     fn handle(&mut self, Prefilled(prefilled): Prefilled, _: &mut Self::Context) {
-        if let Some(running) = self.running.get_mut(&prefilled.request) {
-            running.prompt_tokens = prefilled.prompt_tokens;
+        let now = self.now();
+        let Some(running) = self.running.get_mut(&prefilled.request) else {
+            return;
+        };
+        running.prompt_tokens = prefilled.prompt_tokens;
+        if running.prefilled_at.replace(now).is_none()
+            && let Some(pool) = self.pools.get_mut(&running.admit.model)
+        {
+            pool.prefilled(now, &running.sent(), prefilled.cached_tokens);
         }
     }
 }
@@ -205,28 +538,25 @@
 impl Handler<End> for Admission {
     type Result = ();
 
-    fn handle(&mut self, End(settle): End, _: &mut Self::Context) {
+    fn handle(&mut self, End(settle): End, context: &mut Self::Context) {
         let Some(running) = self.running.remove(&settle.request) else {
             return;
         };
-        for endpoint in [&running.prefill, &running.decode] {
-            if let Some(outstanding) = self.outstanding.get_mut(endpoint) {
-                *outstanding = outstanding.saturating_sub(1);
-            }
+        let now = self.now();
+        let end = match settle.end {
+            local::End::Failed => slot::End::Failed,
+            _ => slot::End::Released,
+        };
+        if settle.end == local::End::Finished
+            && settle.completion_tokens > 0
+            && let Some(since) = running.prefilled_at
+            && let Some(pool) = self.pools.get_mut(&running.admit.model)
+        {
+            let passed = now.since(since).as_secs_f64() * 1_000.0;
+            let millis = passed / f64::from(settle.completion_tokens);
+            pool.outcome(now, &running.decode, Outcome::Answered { millis });
         }
-        let Running {
-            customer,
-            hold,
-            charged,
-            prompt_tokens,
-            ..
-        } = running;
-        let used = u64::from(prompt_tokens) + u64::from(settle.completion_tokens);
-        self.core.do_send(quota::Settle {
-            customer,
-            hold,
-            charged,
-            used,
-        });
+        self.finish(&running, settle.completion_tokens, end);
+        self.pump(&running.admit.model, context);
     }
 }
--- a/crates/coordinator/src/local.rs
+++ b/crates/coordinator/src/local.rs
@@ -40,11 +40,9 @@
 async fn answer(state: &State, request: Request) -> Response {
     match request {
         Request::Admit(admit) => {
-            let response = state
-                .admission
-                .send(Ask(admit))
-                .await
-                .unwrap_or_else(|_| unavailable());
+            let (answer, response) = tokio::sync::oneshot::channel();
+            state.admission.do_send(Ask { admit, answer });
+            let response = response.await.unwrap_or_else(|_| unavailable());
             count(state, &response);
             response
         }
--- a/crates/coordinator/src/run.rs
+++ b/crates/coordinator/src/run.rs
@@ -11,7 +11,7 @@
 use eyre::WrapErr;
 use tokio::sync::watch;
 
-use crate::admission::Admission;
+use crate::admission::{self, Admission};
 use crate::clock::Clock;
 use crate::core::{Core, Parts};
 use crate::metrics::Metrics;
@@ -73,8 +73,15 @@
             metrics: counters,
         })
     });
-    let (decisions, tokens) = (configuration.clone(), core.clone());
-    let admission = Supervisor::start(move |_| Admission::new(clock, decisions, tokens));
+    let decisions = admission::Parts {
+        clock,
+        host: identity.incarnation,
+        data_centre: options.data_centre.clone(),
+        configuration: configuration.clone(),
+        core: core.clone(),
+        client: awc::Client::default(),
+    };
+    let admission = Supervisor::start(move |_| Admission::new(decisions));
     crate::server::serve(
         listener,
         State {
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -177,6 +177,11 @@
         prompt_tokens: bytes.div_ceil(model.bytes_per_token.max(1)).max(1),
         max_tokens: question.max_tokens.unwrap_or(default),
         fingerprint,
+        pieces: crate::fingerprint::pieces(
+            &question.model,
+            &question.prompt,
+            model.bytes_per_token,
+        ),
     };
     Ok((job, question))
 }
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -36,6 +36,8 @@
     pub(crate) prompt_tokens: u32,
     pub(crate) max_tokens: std::num::NonZeroU32,
     pub(crate) fingerprint: u64,
+    /// Hashes of the prompt's prefixes, one for each complete cache piece.
+    pub(crate) pieces: Vec<u64>,
 }
 
 /// Part of an answer.
@@ -284,7 +286,7 @@
         model: job.model.clone(),
         prompt_tokens: job.prompt_tokens,
         max_tokens: job.max_tokens.get(),
-        pieces: Vec::new(),
+        pieces: job.pieces.clone(),
         fingerprint: job.fingerprint,
         avoid: avoid.to_vec(),
     };
@@ -303,7 +305,7 @@
 }
 
 fn refusal_of(code: &str) -> Refusal {
-    const CODES: [(&str, StatusCode, &str); 6] = [
+    const CODES: [(&str, StatusCode, &str); 9] = [
         (
             "rate_exceeded",
             StatusCode::TOO_MANY_REQUESTS,
@@ -334,6 +336,21 @@
             StatusCode::SERVICE_UNAVAILABLE,
             "this host has too many requests",
         ),
+        (
+            "customer_queue_full",
+            StatusCode::SERVICE_UNAVAILABLE,
+            "too many of the customer's requests wait",
+        ),
+        (
+            "queue_full",
+            StatusCode::SERVICE_UNAVAILABLE,
+            "too many requests wait",
+        ),
+        (
+            "queue_too_long",
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the request would wait for too long",
+        ),
     ];
     for (known, status, message) in CODES {
         if known == code {
