Refuse requests that crash endpoints

Cause: a request that ends the process of its engine could be sent again and take one engine after another.

Change: when a stream breaks and the engine then refuses connections, the gateway reports a strike and waits for the answer before its next attempt. The coordinator hears it, appends it, and tells all listed peers, at most for quarantine::HOLD. Each admission asks for the module's verdict first: a suspect avoids the engines that crashed with it and, among the requests of this host, those where may_join forbids it; a refused one gets request_crashes_endpoints (422). A suspect that finishes is cleared.

Ruled out: a strike for a time-out or for an engine that was unreachable from the start, since neither says anything about the request.

Conclusion: isolation looks at the requests of the own host only. Suspects of several hosts can still meet on one engine.

--- a/acceptance/tests/admission.rs
+++ b/acceptance/tests/admission.rs
@@ -153,3 +153,39 @@
     assert_eq!((before[0], before[2]), (after[0], after[2]));
     assert_eq!(after[1] - before[1], 10 * deployment.hosts.len());
 }
+
+/// Guards against a request that takes one engine after another when all hosts get it again and
+/// again, and against the refusal of other requests.
+#[actix_rt::test]
+async fn a_request_that_crashes_engines_takes_two_at_most() {
+    const CRASH: &str = "a prompt of death";
+    let plan = Plan {
+        prefills: 5,
+        ..Plan::default()
+    };
+    let mut deployment = Deployment::start(plan).await.expect("deployment starts");
+    let control = Control {
+        crash_on: Some(CRASH.to_owned()),
+        ..Control::default()
+    };
+    for prefill in &deployment.prefills {
+        caller::put(prefill.address, "/control", &control)
+            .await
+            .expect("the stand-in takes its control");
+    }
+    for round in 0..3 {
+        for host in &deployment.hosts {
+            let answer = ask(host, KEY, CRASH, 5).await;
+            assert_ne!(answer.status, 200, "{answer:?}");
+            if round > 0 {
+                let found = (answer.code(), answer.outcome.as_str());
+                assert_eq!(found, ("request_crashes_endpoints", "not_run"));
+            }
+            let other = ask(host, KEY, PROMPT, 5).await;
+            assert_eq!(other.status, 200, "{other:?}");
+        }
+    }
+    let ended = deployment.prefills.iter_mut();
+    let ended = ended.filter_map(|prefill| (!prefill.process.is_running()).then_some(()));
+    assert_eq!(ended.count(), 2, "engines that the request took");
+}
--- a/crates/coordinator/src/admission.rs
+++ b/crates/coordinator/src/admission.rs
@@ -8,6 +8,7 @@
 };
 use berylknot_coordination::clock::Instant;
 use berylknot_coordination::eject::Outcome;
+use berylknot_coordination::quarantine::{self, Fingerprint, Kind, Occupant, Verdict, may_join};
 use berylknot_coordination::queue::{Cause, Refusal, Request, Turn};
 use berylknot_coordination::quota::{GRANT_LIFETIME, Grant, Hold};
 use berylknot_coordination::record::{Incarnation, Position};
@@ -16,7 +17,7 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::clock::Clock;
-use crate::core::{Core, quota};
+use crate::core::{Core, quota, strikes};
 use crate::platform::Http;
 use crate::state::Configuration;
 
@@ -49,6 +50,8 @@
     grant: Grant,
     charged: u64,
     slot: Slot,
+    /// Endpoints that crashed with the request; not empty for a suspect.
+    crashed: Vec<String>,
     answer: oneshot::Sender<Response>,
 }
 
@@ -63,6 +66,8 @@
     prefill: String,
     decode: String,
     prefilled_at: Option<Instant>,
+    /// Endpoints that crashed with the request; not empty for a suspect.
+    crashed: Vec<String>,
 }
 
 impl Running {
@@ -208,7 +213,8 @@
                 continue;
             };
             let asked = (waiting.slot, host);
-            match pool.reserve(now, asked, &waiting.admit, rand::random()) {
+            let avoid = avoided(&waiting, &self.running);
+            match pool.reserve(now, asked, &waiting.admit, &avoid, rand::random()) {
                 Ok(found) => placed.push((waiting, found)),
                 Err(Missing::Endpoint) => refused.push((waiting, None)),
                 Err(Missing::Slot { retry_after }) => {
@@ -236,6 +242,7 @@
             grant,
             charged,
             slot,
+            crashed,
             answer,
         } = waiting;
         let Some(pool) = self.pools.get(&admit.model) else {
@@ -257,6 +264,7 @@
             prefill,
             decode,
             prefilled_at: None,
+            crashed,
         };
         if admitted.is_ok() {
             return self.admit(running, answer);
@@ -413,6 +421,42 @@
     }
 }
 
+/// Endpoints that a request must not use: those that failed it, those that crashed with it, and
+/// those where a suspect and another request of this host must not meet.
+fn avoided(waiting: &Waiting, running: &HashMap<String, Running>) -> Vec<String> {
+    let mut avoid = waiting.admit.avoid.clone();
+    avoid.extend(waiting.crashed.iter().cloned());
+    let new = Occupant {
+        customer: &waiting.admit.customer,
+        suspect: !waiting.crashed.is_empty(),
+    };
+    for other in running.values() {
+        let occupant = Occupant {
+            customer: &other.admit.customer,
+            suspect: !other.crashed.is_empty(),
+        };
+        if may_join(new, [occupant]) {
+            continue;
+        }
+        if other.prefilled_at.is_none() {
+            avoid.push(other.prefill.clone());
+        }
+        avoid.push(other.decode.clone());
+    }
+    avoid
+}
+
+/// Identity of a request for strikes. The gateway's hash covers customer, model and body.
+fn fingerprint(admit: &Admit) -> Fingerprint {
+    let mut body = [0; 32];
+    body[..8].copy_from_slice(&admit.fingerprint.to_be_bytes());
+    Fingerprint {
+        customer: admit.customer.clone(),
+        route: admit.model.clone(),
+        body,
+    }
+}
+
 fn put_back(pool: &mut Pool, now: Instant, turn: Turn<u32>, waiting: Waiting) {
     pool.waiting.insert(turn.ticket, waiting);
     pool.queue.put_back(now, turn);
@@ -483,8 +527,20 @@
             customer: admit.customer.clone(),
             tokens: charged,
         };
-        let asked = self.parts.core.send(ask).into_actor(self);
-        context.spawn(asked.map(move |granted, actor, context| {
+        let (core, judge) = (self.parts.core.clone(), strikes::Judge(fingerprint(&admit)));
+        let asked = async move {
+            let crashed = match core.send(judge).await {
+                Ok(Verdict::Refused) => return None,
+                Ok(Verdict::Suspect { avoid }) => avoid,
+                Ok(Verdict::Free) | Err(_) => Vec::new(),
+            };
+            Some((crashed, core.send(ask).await))
+        };
+        context.spawn(asked.into_actor(self).map(move |asked, actor, context| {
+            let Some((crashed, granted)) = asked else {
+                let _ = answer.send(refusal("request_crashes_endpoints", None));
+                return;
+            };
             let refused = match granted {
                 Ok(Ok(grant)) => {
                     let slot = (actor.parts.host, actor.next_slot);
@@ -494,6 +550,7 @@
                         grant,
                         charged,
                         slot,
+                        crashed,
                         answer,
                     };
                     return actor.enqueue(waiting, context);
@@ -556,7 +613,42 @@
             let millis = passed / f64::from(settle.completion_tokens);
             pool.outcome(now, &running.decode, Outcome::Answered { millis });
         }
+        if settle.end == local::End::Finished && !running.crashed.is_empty() {
+            let clear = quarantine::Event::Clear {
+                kind: Kind::Model,
+                endpoints: running.crashed.clone(),
+                fingerprint: fingerprint(&running.admit),
+            };
+            self.parts.core.do_send(strikes::Spread(clear));
+        }
         self.finish(&running, settle.completion_tokens, end);
         self.pump(&running.admit.model, context);
     }
 }
+
+/// Reports that an endpoint crashed while an admitted request was in flight there.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Struck(pub(crate) local::Strike);
+
+impl Handler<Struck> for Admission {
+    type Result = actix::ResponseFuture<()>;
+
+    fn handle(&mut self, Struck(strike): Struck, _: &mut Self::Context) -> Self::Result {
+        let running = self.running.get(&strike.request);
+        let struck = running.map(|running| quarantine::Struck {
+            fingerprint: fingerprint(&running.admit),
+            isolated: !running.crashed.is_empty(),
+        });
+        let end = quarantine::End::Crashed;
+        let event = quarantine::strike(Kind::Model, &strike.endpoint, end, struck);
+        let core = self.parts.core.clone();
+        Box::pin(async move {
+            if let Some(event) = event {
+                tracing::warn!(endpoint = %strike.endpoint, request = %strike.request, "admission: strike");
+                let _ = core.send(strikes::Spread(event)).await;
+            }
+        })
+    }
+}
--- a/crates/coordinator/src/admission/pool.rs
+++ b/crates/coordinator/src/admission/pool.rs
@@ -191,9 +191,10 @@
         now: Instant,
         (slot, host): (Slot, Incarnation),
         admit: &Admit,
+        avoid: &[String],
         draw: u64,
     ) -> Result<Placed, Missing> {
-        let usable = self.mark_available(now, &admit.avoid);
+        let usable = self.mark_available(now, avoid);
         let prompt = Prompt {
             pieces: &admit.pieces,
             tokens: admit.prompt_tokens,
--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -11,6 +11,7 @@
 use berylknot_coordination::append::Appender;
 use berylknot_coordination::clock::Instant;
 use berylknot_coordination::lease::{Holder, Seat, Timing};
+use berylknot_coordination::quarantine::Local;
 use berylknot_coordination::record::Incarnation;
 use berylknot_coordination::replica::Replica;
 use berylknot_settings::Fleet;
@@ -28,6 +29,7 @@
 mod hosts;
 mod leases;
 pub(crate) mod quota;
+pub(crate) mod strikes;
 
 /// Time between two steps of the lease holder, at most 500 ms.
 const LEASE_INTERVAL: Duration = Duration::from_millis(200);
@@ -49,6 +51,7 @@
     appender: Appender,
     quota: quota::Buckets,
     claims: claims::Claims,
+    strikes: Local,
     /// Time at which the last successful read of the log was sent.
     last_read: Instant,
     published: watch::Sender<Configuration>,
@@ -98,6 +101,7 @@
             appender: Appender::new(incarnation, append::limits()),
             quota: quota::Buckets::default(),
             claims: claims::Claims::new(incarnation),
+            strikes: Local::default(),
             last_read: clock.now(),
             published,
             metrics,
--- a/crates/coordinator/src/core/quota.rs
+++ b/crates/coordinator/src/core/quota.rs
@@ -337,6 +337,7 @@
                     pool.take_over(now, handover, predecessor);
                 }
             }
+            Request::Strike(event) => self.strikes.heard(self.clock.now(), &event),
             _ => {}
         }
         Response::Done
--- a/crates/coordinator/src/local.rs
+++ b/crates/coordinator/src/local.rs
@@ -6,7 +6,7 @@
 use berylknot_wire::Frame;
 use berylknot_wire::local::{Configuration, Request, Response};
 
-use crate::admission::{Ask, End, Prefilled};
+use crate::admission::{Ask, End, Prefilled, Struck};
 use crate::core::claims::{Abandon, Claim, Finish};
 use crate::metrics::Reason;
 use crate::state::State;
@@ -54,6 +54,10 @@
             state.admission.do_send(Prefilled(prefilled));
             Response::Done
         }
+        Request::Strike(strike) => {
+            let _ = state.admission.send(Struck(strike)).await;
+            Response::Done
+        }
         Request::ClaimKey(claim) => state
             .core
             .send(Claim(claim))
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -239,6 +239,9 @@
             .retries
             .get_or_create(&Reason { reason })
             .inc();
+        let broken = address(state, &failure.endpoint).ok();
+        let endpoint = &failure.endpoint;
+        crate::strike::report(state, &job.request_id, endpoint, broken, &failure.error).await;
         avoid.push(failure.endpoint);
         settle(state, job, progress.delivered, End::Failed).await;
         progress.admitted = false;
@@ -305,7 +308,7 @@
 }
 
 fn refusal_of(code: &str) -> Refusal {
-    const CODES: [(&str, StatusCode, &str); 9] = [
+    const CODES: [(&str, StatusCode, &str); 10] = [
         (
             "rate_exceeded",
             StatusCode::TOO_MANY_REQUESTS,
@@ -336,6 +339,11 @@
             StatusCode::SERVICE_UNAVAILABLE,
             "this host has too many requests",
         ),
+        (
+            "request_crashes_endpoints",
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "the request crashed endpoints before",
+        ),
         (
             "customer_queue_full",
             StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,4 +21,5 @@
 pub(crate) mod server;
 pub(crate) mod service;
 pub(crate) mod state;
+pub(crate) mod strike;
 pub(crate) mod tls;
--- a/crates/wire/src/local.rs
+++ b/crates/wire/src/local.rs
@@ -17,6 +17,9 @@
     Prefilled(Prefilled),
     /// Reports the end of an admitted request.
     Settle(Settle),
+    /// Reports that an endpoint crashed while an admitted request was in flight there; answered
+    /// when the peers know.
+    Strike(Strike),
     /// Claims an idempotency key for one run of a call.
     ClaimKey(ClaimKey),
     /// Reports the end of a call that ran under a claim.
@@ -128,6 +131,15 @@
     pub cached_tokens: u32,
 }
 
+/// Crash of an endpoint with a request in flight.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Strike {
+    /// Request id.
+    pub request: String,
+    /// Name of the endpoint.
+    pub endpoint: String,
+}
+
 /// End of an admitted request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Settle {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,5 +1,6 @@
 //! Messages between coordinators of different hosts.
 
+use berylknot_coordination::quarantine;
 use berylknot_coordination::quota::{Approval, Donation, Handover, Hold, Ticket};
 use serde::{Deserialize, Serialize};
 
@@ -13,6 +14,8 @@
 pub enum Request {
     /// Tells that the sender lives.
     Heartbeat,
+    /// Tells of a strike, or that one was cleared.
+    Strike(quarantine::Event),
     /// Asks the owner of a customer's pool for tokens.
     AskGrant {
         /// Name of the customer.
