--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -12,6 +12,7 @@
 use berylknot_coordination::clock::Instant;
 use berylknot_coordination::lease::{Holder, Seat, Timing};
 use berylknot_coordination::member::{self, View};
+use berylknot_coordination::quarantine::Local;
 use berylknot_coordination::record::Incarnation;
 use berylknot_coordination::replica::Replica;
 use berylknot_settings::Fleet;
@@ -34,6 +35,7 @@
 pub(crate) mod reap;
 pub(crate) mod shutdown;
 mod snapshots;
+pub(crate) mod strikes;
 pub(crate) mod words;
 
 /// Time between two steps of the lease holder, at most 500 ms.
@@ -61,6 +63,7 @@
     snapshots: snapshots::Writer,
     words: words::Words,
     members: View,
+    strikes: Local,
     /// Time at which the last successful read of the log was sent.
     last_read: Instant,
     published: watch::Sender<Configuration>,
@@ -130,6 +133,7 @@
             members: View::new(clock.now(), &identity_host, member::Limits::default()),
             words: words::Words::new(&identity_host, &configured, address, timing.drift),
             snapshots: snapshots::Writer::new(retention, configured),
+            strikes: Local::default(),
             last_read: clock.now(),
             published,
             metrics,
--- a/crates/coordinator/src/local.rs
+++ b/crates/coordinator/src/local.rs
@@ -7,7 +7,7 @@
 use berylknot_wire::Frame;
 use berylknot_wire::local::{Configuration, Request, Response};
 
-use crate::admission::{Ask, End, Prefilled};
+use crate::admission::{Ask, End, Prefilled, Struck};
 use crate::core::claims::{Abandon, Claim, Finish};
 use crate::core::reap::Streams;
 use crate::core::words::AskKnowledge;
@@ -53,11 +53,9 @@
         Request::Admit(admit) => {
             let item = Item::Request(admit.request.clone());
             state.work.begin(gateway, item.clone());
-            let response = state
-                .admission
-                .send(Ask(admit))
-                .await
-                .unwrap_or_else(|_| unavailable());
+            let (answer, response) = tokio::sync::oneshot::channel();
+            state.admission.do_send(Ask { admit, answer });
+            let response = response.await.unwrap_or_else(|_| unavailable());
             if !matches!(response, Response::Admitted(_)) {
                 state.work.end(gateway, &item);
             }
@@ -74,6 +72,10 @@
             state.admission.do_send(Prefilled(prefilled));
             Response::Done
         }
+        Request::Strike(strike) => {
+            let _ = state.admission.send(Struck(strike)).await;
+            Response::Done
+        }
         Request::ClaimKey(claim) => {
             let claimed = state.core.send(Claim(claim)).await;
             if let Ok(Response::KeyWon { id }) = claimed {
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -200,6 +200,11 @@
         max_tokens: question.max_tokens.unwrap_or(default),
         sampling: question.sampling.clone(),
         fingerprint,
+        pieces: crate::fingerprint::pieces(
+            &question.model,
+            &question.prompt,
+            model.bytes_per_token,
+        ),
     };
     Ok((job, question))
 }
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -43,6 +43,8 @@
     pub(crate) max_tokens: NonZeroU32,
     pub(crate) sampling: serde_json::Map<String, serde_json::Value>,
     pub(crate) fingerprint: u64,
+    /// Hashes of the prompt's prefixes, one for each complete cache piece.
+    pub(crate) pieces: Vec<u64>,
 }
 
 /// Part of an answer.
@@ -310,6 +312,9 @@
         let reason = failure.reason();
         tracing::info!(request = %job.request_id, endpoint = %failure.endpoint, reason, error = %failure.error, "flow: attempt failed");
         count_retry(state, reason);
+        let broken = address(state, &failure.endpoint).ok();
+        let endpoint = &failure.endpoint;
+        crate::strike::report(state, &job.request_id, endpoint, broken, &failure.error).await;
         settle(state, job, progress, End::Failed).await;
         let engines = std::mem::take(&mut progress.engines);
         actix_rt::spawn(release_owned(state.clone(), job.clone(), engines));
@@ -393,7 +398,7 @@
         model: job.model.clone(),
         prompt_tokens: job.prompt_tokens,
         max_tokens: job.max_tokens.get(),
-        pieces: Vec::new(),
+        pieces: job.pieces.clone(),
         fingerprint: job.fingerprint,
         avoid: avoid.to_vec(),
     };
@@ -414,7 +419,12 @@
 }
 
 fn refusal_of(code: &str) -> Refusal {
-    const CODES: [(&str, StatusCode, &str); 6] = [
+    const CODES: [(&str, StatusCode, &str); 11] = [
+        (
+            "overload",
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the fleet is overloaded",
+        ),
         (
             "rate_exceeded",
             StatusCode::TOO_MANY_REQUESTS,
@@ -445,6 +455,26 @@
             StatusCode::SERVICE_UNAVAILABLE,
             "this host has too many requests",
         ),
+        (
+            "request_crashes_endpoints",
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "the request crashed endpoints before",
+        ),
+        (
+            "customer_queue_full",
+            StatusCode::SERVICE_UNAVAILABLE,
+            "too many of the customer's requests wait",
+        ),
+        (
+            "queue_full",
+            StatusCode::SERVICE_UNAVAILABLE,
+            "too many requests wait",
+        ),
+        (
+            "queue_too_long",
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the request would wait for too long",
+        ),
     ];
     for (known, status, message) in CODES {
         if known == code {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,4 +25,5 @@
 pub(crate) mod shutdown;
 pub(crate) mod state;
 pub(crate) mod streams;
+pub(crate) mod strike;
 pub(crate) mod tls;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -4,6 +4,7 @@
 
 use berylknot_coordination::freshness::Word;
 use berylknot_coordination::member;
+use berylknot_coordination::quarantine;
 use berylknot_coordination::quota::{Approval, Donation, Handover, Hold, Ticket};
 use berylknot_coordination::reap::Report;
 use berylknot_coordination::record::{Entry, Record};
@@ -45,6 +46,8 @@
         /// Records of one entry, the first of which names the batch.
         records: Vec<Record>,
     },
+    /// Tells of a strike, or that one was cleared.
+    Strike(quarantine::Event),
     /// Asks the owner of a customer's pool for tokens.
     AskGrant {
         /// Name of the customer.
