Give each test process an address of its own

Ports were found free, released and bound later; tests run side by side, and gateways bind with port reuse, so a port could go to two processes. Each address now has its own loopback IP number, made from the process id and a counter. Ruled out: load, since both failures name the wrong peer.

--- a/acceptance/src/process.rs
+++ b/acceptance/src/process.rs
@@ -2,9 +2,10 @@
 
 use std::fs::File;
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use eyre::{OptionExt, WrapErr};
 use rustix::process::{Pid, Signal, kill_process};
@@ -130,10 +131,18 @@
     ))
 }
 
-/// A loopback address that was free a moment ago.
+/// An address for a process that is about to start.
+///
+/// Each address has a loopback IP number of its own. On a shared one, the port could be taken by
+/// another test before the process binds it, and two gateways can share a port.
 ///
 /// # Errors
 /// Fails when no port is free.
 pub fn free_address() -> eyre::Result<SocketAddr> {
-    Ok(std::net::TcpListener::bind(("127.0.0.1", 0))?.local_addr()?)
+    static RESERVED: AtomicU32 = AtomicU32::new(0);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let number = RESERVED.fetch_add(1, Ordering::Relaxed) % 250;
+    let host = u8::try_from(number + 1).unwrap_or(u8::MAX);
+    let ip = [127, 64 + high % 64, low, host];
+    Ok(std::net::TcpListener::bind((IpAddr::from(ip), 0))?.local_addr()?)
 }
