Bound retries by a budget

Cause: every failed attempt was repeated up to the attempt limit, so that failing endpoints multiplied the load.

Change: retry::Budget for model requests and one for plain services, shared by the gateway's threads. A new gateway starts with ten saved retries, since its first failed stream should resume. The counter retries_denied has the reason of each retry that was not made.

Ruled out: one budget for both kinds, because a failing engine would take the retries of plain services.

Conclusion: the counter of model retries still counts each failed attempt.

--- a/acceptance/tests/admission.rs
+++ b/acceptance/tests/admission.rs
@@ -189,3 +189,31 @@
     let ended = ended.filter_map(|prefill| (!prefill.process.is_running()).then_some(()));
     assert_eq!(ended.count(), 2, "engines that the request took");
 }
+
+/// Guards against retries that multiply the load of a fleet whose endpoints fail.
+#[actix_rt::test]
+async fn retries_end_when_their_budget_is_used_up() {
+    let plan = Plan {
+        hosts: 1,
+        ..Plan::default()
+    };
+    let mut deployment = Deployment::start(plan).await.expect("deployment starts");
+    for service in &mut deployment.services {
+        service.process.kill();
+    }
+    let host = &deployment.hosts[0];
+    let calls: u32 = 60;
+    for _ in 0..calls {
+        let path = "/services/counter/stock";
+        let sent = send(host.address, "GET", path, Some(KEY), &[], None);
+        assert_ne!(sent.await.expect("the host answers").status, 200);
+    }
+    let count = |name: &'static str| caller::metric(host.operator_address, name, "");
+    let retries = count("berylknot_gateway_retries_total").await;
+    let denied = count("berylknot_gateway_retries_denied_total").await;
+    // Ten retries are saved up at first, and ten calls save up one more.
+    let allowed = 10 + calls / 10;
+    let retries = retries.expect("the gateway answers");
+    assert!(retries > 0.0 && retries <= f64::from(allowed), "{retries}");
+    assert!(denied.expect("the gateway answers") > 0.0);
+}
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -220,6 +220,7 @@
 ) -> Ended {
     let started = Instant::now();
     let mut avoid = Vec::new();
+    state.shared.budgets.model.request();
     for attempt in 0..ATTEMPT_LIMIT {
         let admitted = match admit(state, job, &avoid).await {
             Ok(admitted) => admitted,
@@ -247,11 +248,16 @@
         progress.admitted = false;
         let engines = std::mem::take(&mut progress.engines);
         actix_rt::spawn(release_owned(state.clone(), job.clone(), engines));
+        if attempt + 1 < ATTEMPT_LIMIT && !state.shared.budgets.model.retry() {
+            let denied = &state.shared.metrics.retries_denied;
+            denied.get_or_create(&Reason { reason }).inc();
+            break;
+        }
     }
     let refusal = Refusal::may_have_run(
         "endpoints_failed",
         StatusCode::BAD_GATEWAY,
-        "the endpoints failed and the attempts are used up",
+        "the endpoints failed and no attempt is left",
     );
     Ended::Refused(refusal)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod run;
 
 pub(crate) mod body;
+pub(crate) mod budget;
 pub(crate) mod caller;
 pub(crate) mod completion;
 pub(crate) mod configuration;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,7 @@
     pub(crate) finished: Counter,
     pub(crate) refusals: Family<Reason, Counter>,
     pub(crate) retries: Family<Reason, Counter>,
+    pub(crate) retries_denied: Family<Reason, Counter>,
     pub(crate) cancelled: Family<Reason, Counter>,
     pub(crate) service_calls: Counter,
     pub(crate) tokens: Counter,
@@ -44,6 +45,7 @@
             finished: Counter::default(),
             refusals: Family::default(),
             retries: Family::default(),
+            retries_denied: Family::default(),
             cancelled: Family::default(),
             service_calls: Counter::default(),
             tokens: Counter::default(),
@@ -72,6 +74,11 @@
             "Attempts after the first, by reason",
             self.retries.clone(),
         );
+        registry.register(
+            "retries_denied",
+            "Attempts for which the retry budget had nothing left, by reason",
+            self.retries_denied.clone(),
+        );
         registry.register(
             "cancelled",
             "Model requests cancelled, by reason",
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -63,6 +63,7 @@
         configuration: receiver,
         metrics,
         draining: Arc::default(),
+        budgets: Arc::new(crate::budget::Budgets::new()),
     };
     let callers = server::callers(callers, &shared)?;
     let operator = server::operator(operator, &shared)?;
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -169,6 +169,8 @@
     route: &Route,
     call: &Call,
 ) -> Result<HttpResponse, Failure> {
+    let budget = &state.shared.budgets.service;
+    budget.request();
     let mut tried = 0;
     loop {
         let endpoint = choose(fleet, route, tried).ok_or(Failure::NoEndpoint)?;
@@ -183,6 +185,11 @@
         if !may_repeat || tried >= route.endpoints.len() {
             return Err(failure);
         }
+        if !budget.retry() {
+            let denied = &state.shared.metrics.retries_denied;
+            denied.get_or_create(&Reason { reason }).inc();
+            return Err(failure);
+        }
         state
             .shared
             .metrics
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,7 @@
 use berylknot_settings::key::Pepper;
 use tokio::sync::watch;
 
+use crate::budget::Budgets;
 use crate::configuration::Configuration;
 use crate::control::{Control, Identity};
 use crate::engine::http::Http;
@@ -23,6 +24,7 @@
     pub(crate) configuration: watch::Receiver<Configuration>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) draining: Arc<AtomicBool>,
+    pub(crate) budgets: Arc<Budgets>,
 }
 
 impl Shared {
