Do not count refusals of engines as faults

Cause: an engine that refused a request, for instance because it was full, counted as failed, and five refusals on end ejected it. With ledgers that are local to each host, several hosts can fill an engine beyond its slots.

Change: a repeated Admit says whether its last endpoint refused the request.

Ruled out: the end in Settle, which does not name the endpoint.

No test fills an engine from two hosts yet.

--- a/crates/coordinator/src/admission.rs
+++ b/crates/coordinator/src/admission.rs
@@ -507,8 +507,9 @@
 
     fn handle(&mut self, Ask { admit, answer }: Ask, context: &mut Self::Context) {
         let now = self.now();
-        // A gateway asks again only after an endpoint failed, and names that endpoint last.
-        if let Some(failed) = admit.avoid.last()
+        // A gateway asks again only after an attempt ended, and names its endpoint last.
+        if !admit.refused
+            && let Some(failed) = admit.avoid.last()
             && let Some(pool) = self.pools.get_mut(&admit.model)
         {
             pool.outcome(now, failed, Outcome::Failed);
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -219,10 +219,10 @@
     progress: &mut Progress,
 ) -> Ended {
     let started = Instant::now();
-    let mut avoid = Vec::new();
+    let (mut avoid, mut refused) = (Vec::new(), false);
     state.shared.budgets.model.request();
     for attempt in 0..ATTEMPT_LIMIT {
-        let admitted = match admit(state, job, &avoid).await {
+        let admitted = match admit(state, job, &avoid, refused).await {
             Ok(admitted) => admitted,
             Err(refusal) => return Ended::Refused(partly_run(refusal, progress)),
         };
@@ -243,6 +243,7 @@
         let broken = address(state, &failure.endpoint).ok();
         let endpoint = &failure.endpoint;
         crate::strike::report(state, &job.request_id, endpoint, broken, &failure.error).await;
+        refused = matches!(failure.error, engine::Error::Refused { .. });
         avoid.push(failure.endpoint);
         settle(state, job, progress.delivered, End::Failed).await;
         progress.admitted = false;
@@ -288,7 +289,12 @@
     }
 }
 
-async fn admit(state: &State, job: &Job, avoid: &[String]) -> Result<Admitted, Refusal> {
+async fn admit(
+    state: &State,
+    job: &Job,
+    avoid: &[String],
+    refused: bool,
+) -> Result<Admitted, Refusal> {
     let admit = Admit {
         request: job.request_id.clone(),
         customer: job.customer.clone(),
@@ -298,6 +304,7 @@
         pieces: job.pieces.clone(),
         fingerprint: job.fingerprint,
         avoid: avoid.to_vec(),
+        refused,
     };
     match state.control.send(Request::Admit(admit)).await {
         Ok(Response::Admitted(admitted)) => Ok(admitted),
--- a/crates/wire/src/local.rs
+++ b/crates/wire/src/local.rs
@@ -82,6 +82,8 @@
     pub fingerprint: u64,
     /// Endpoints that failed this request before.
     pub avoid: Vec<String>,
+    /// Whether the last of them refused the request, which is no fault, for instance when full.
+    pub refused: bool,
 }
 
 /// Claim of an idempotency key.
