--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -299,9 +299,10 @@
     progress: &mut Progress,
 ) -> Ended {
     let started = Instant::now();
-    let mut avoid = Vec::new();
-    for _ in 0..ATTEMPT_LIMIT.get() {
-        let admitted = match admit_in_time(state, job, &avoid, progress).await {
+    let (mut avoid, mut refused) = (Vec::new(), false);
+    state.shared.budgets.model.request();
+    for attempt in 0..ATTEMPT_LIMIT.get() {
+        let admitted = match admit_in_time(state, job, &avoid, refused, progress).await {
             Ok(admitted) => admitted,
             Err(refusal) => return Ended::Refused(partly_run(refusal, progress)),
         };
@@ -315,16 +316,22 @@
         let broken = address(state, &failure.endpoint).ok();
         let endpoint = &failure.endpoint;
         crate::strike::report(state, &job.request_id, endpoint, broken, &failure.error).await;
+        refused = matches!(failure.error, engine::Error::Refused { .. });
         settle(state, job, progress, End::Failed).await;
         let engines = std::mem::take(&mut progress.engines);
         actix_rt::spawn(release_owned(state.clone(), job.clone(), engines));
         if progress.assembler.ended() {
             break;
         }
+        if attempt + 1 < ATTEMPT_LIMIT.get() && !state.shared.budgets.model.retry() {
+            let denied = &state.shared.metrics.retries_denied;
+            denied.get_or_create(&Reason { reason }).inc();
+            break;
+        }
         avoid.push(failure.endpoint);
     }
     let status = StatusCode::BAD_GATEWAY;
-    let message = "the endpoints failed and the attempts are used up";
+    let message = "the endpoints failed and no attempt is left";
     let refusal = Refusal::not_run("endpoints_failed", status, message);
     Ended::Refused(partly_run(refusal, progress))
 }
@@ -366,13 +373,14 @@
     state: &State,
     job: &Job,
     avoid: &[String],
+    refused: bool,
     progress: &mut Progress,
 ) -> Result<Admitted, Refusal> {
     const ASK_LIMIT: u32 = 2;
     for _ in 0..ASK_LIMIT {
         // The lifetime counts from before the question, which is the earliest possible grant.
         let asked = Instant::now();
-        let question = admit(state.control.clone(), job, avoid);
+        let question = admit(state.control.clone(), job, avoid, refused);
         let asking = progress.asking.insert(actix_rt::spawn(question));
         let answer = asking.await.unwrap_or_else(|_| Err(refusal_of("refused")));
         progress.asking = None;
@@ -391,6 +399,7 @@
     control: Control,
     job: &Job,
     avoid: &[String],
+    refused: bool,
 ) -> impl Future<Output = Result<Admitted, Refusal>> + use<> {
     let admit = Admit {
         request: job.request_id.clone(),
@@ -401,6 +410,7 @@
         pieces: job.pieces.clone(),
         fingerprint: job.fingerprint,
         avoid: avoid.to_vec(),
+        refused,
     };
     async move {
         match control.send(Request::Admit(admit)).await {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -81,6 +81,7 @@
         permission: permission.clone(),
         draining: Arc::default(),
         open: shutdown::Open::default(),
+        budgets: Arc::new(crate::budget::Budgets::new()),
     };
     let callers = server::callers(callers, &shared)?;
     let operator = server::operator(operator, &shared)?;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,6 +8,7 @@
 use berylknot_settings::key::Pepper;
 use tokio::sync::watch;
 
+use crate::budget::Budgets;
 use crate::clock::Clock;
 use crate::configuration::Configuration;
 use crate::control::{Control, Identity};
@@ -31,6 +32,7 @@
     pub(crate) permission: Permission,
     pub(crate) draining: Arc<AtomicBool>,
     pub(crate) open: crate::shutdown::Open,
+    pub(crate) budgets: Arc<Budgets>,
 }
 
 impl Shared {
