--- a/crates/coordinator/src/core.rs
+++ b/crates/coordinator/src/core.rs
@@ -31,6 +31,7 @@
 mod gossip;
 mod hosts;
 mod leases;
+mod orders;
 pub(crate) mod quota;
 pub(crate) mod reap;
 pub(crate) mod shutdown;
@@ -71,6 +72,7 @@
     /// Work of the host's gateways that is not settled.
     work: Arc<Work>,
     departure: Option<shutdown::Departure>,
+    orders: orders::Orders,
 }
 
 /// What a core is made from.
@@ -139,6 +141,7 @@
             metrics,
             work,
             departure: None,
+            orders: orders::Orders::default(),
         }
     }
 
@@ -196,6 +199,7 @@
         context.run_interval(snapshots::INTERVAL, |core, _| core.step_snapshots());
         context.run_interval(words::INTERVAL, Self::ask_words);
         context.run_interval(gossip::INTERVAL, Self::gossip);
+        context.run_interval(orders::INTERVAL, Self::step_orders);
         context.run_interval(hosts::INTERVAL, Self::list_hosts);
         self.list_hosts(context);
     }
