Test a start without the log and the end of streams on a stale host

Change: a host restarts while its own log access is blocked and the platform lists it alone; it must report the version in force, serve and hold leases. The test of a host that is cut off also expects its running stream to end as stale_configuration.

--- a/acceptance/tests/log.rs
+++ b/acceptance/tests/log.rs
@@ -1,8 +1,9 @@
 //! Faults of the platform's log: outages, blocked hosts, expired entries, lost answers.
 
-use acceptance::caller::{self, completion, send};
+use acceptance::caller::{self, completion, send, stream};
 use acceptance::deployment::{Deployment, Host, KEY, Plan, wait_for};
 use acceptance::process::Process;
+use berylknot_border::platform::{HostList, HostState, ListedHost};
 use berylknot_coordination::record::{Id, Incarnation, Position, Publish, Record};
 use berylknot_wire::entry;
 use rustix::process::Signal;
@@ -103,8 +104,8 @@
     }
 }
 
-/// Guards against a host that honours keys although it can hear neither of their withdrawal by the
-/// log nor by its peers.
+/// Guards against a host that honours keys, or goes on with their streams, although it can hear
+/// neither of their withdrawal by the log nor by its peers.
 #[actix_rt::test]
 async fn a_host_without_log_and_peers_refuses_keys() {
     let deployment = start().await;
@@ -112,12 +113,21 @@
         blocked_hosts: vec![deployment.hosts[0].name.clone()],
         ..platform::Control::default()
     };
+    let alone = &deployment.hosts[0];
+    let running = actix_rt::spawn(stream(alone.address, KEY, "a long prompt", 50_000, None));
+    let started = wait_for("the stream runs", || async {
+        deployment.running().await.is_ok_and(|running| running > 0)
+    });
+    started.await.expect("the stream starts");
     control(&deployment, &blocked).await;
     for host in &deployment.hosts[1..] {
         host.coordinator.signal(Signal::STOP).expect("it runs");
     }
-    let alone = &deployment.hosts[0];
     wait_for_answer(alone, 503, "stale_configuration").await;
+    let ended = running.await.expect("the stream ends");
+    let ended = ended.expect("the host answers");
+    assert!(!ended.done);
+    assert_eq!(ended.error, "stale_configuration");
     assert_eq!(ask(alone).await.2, "not_run");
     for host in &deployment.hosts[1..] {
         host.coordinator.signal(Signal::CONT).expect("it runs");
@@ -152,6 +162,49 @@
     wait_for_answer(&deployment.hosts[0], 401, "key_withdrawn").await;
 }
 
+/// Guards against a host that cannot serve after a start without the log, although its peers could
+/// tell it everything and append for it, and against peers that only the platform's list makes
+/// known.
+#[actix_rt::test]
+async fn a_host_that_starts_without_the_log_serves_through_its_peers() {
+    let mut deployment = start().await;
+    let version = version_of(&deployment.hosts[0]).await.expect("it answers");
+    let blocked = platform::Control {
+        blocked_hosts: vec![deployment.hosts[2].name.clone()],
+        ..platform::Control::default()
+    };
+    control(&deployment, &blocked).await;
+    kill(&mut deployment.hosts[2]);
+    let listed = ListedHost {
+        name: deployment.hosts[2].name.clone(),
+        address: deployment.hosts[2].coordinator_address.to_string(),
+        state: HostState::Live,
+    };
+    let list = HostList {
+        hosts: vec![listed],
+    };
+    caller::put(deployment.platform.address, "/hosts", &list)
+        .await
+        .expect("the list is set");
+    restart(&mut deployment.hosts[2]);
+    expect_version(&deployment.hosts[2], version).await;
+    let ready = wait_for("the gateway is ready", || async {
+        let address = deployment.hosts[2].operator_address;
+        let answer = send(address, "GET", "/ready", None, &[], None).await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    });
+    ready.await.expect("the gateway is ready");
+    wait_for_answer(&deployment.hosts[2], 200, "").await;
+    let leased = wait_for("the host has a lease", || async {
+        let address = deployment.hosts[2].coordinator_address;
+        let name = "berylknot_coordinator_leases";
+        caller::metric(address, name, "")
+            .await
+            .is_ok_and(|count| count > 0.0)
+    });
+    leased.await.expect("its appends reach the log");
+}
+
 /// Guards against an old configuration that comes back after its successor has expired from the
 /// log, also when no host remembers it.
 #[actix_rt::test]
