Send keep-alive comments on paused streams and test sampling

Cause: a caller of a started stream heard nothing while its engine paused, and no test showed that sampling parameters reach the engine.

Change: after a pause of 5 s a started stream carries a comment. An acceptance test looks for temperature, top_p and seed in what the decode engine received.

Conclusion: the keep-alive comment has no test of its own.

--- a/acceptance/tests/streams.rs
+++ b/acceptance/tests/streams.rs
@@ -145,3 +145,26 @@
     );
     assert_eq!(cancelled.await.expect("metrics are served"), 2.0);
 }
+
+/// Guards against the caller's sampling parameters being dropped on the way to the engine.
+#[actix_rt::test]
+async fn sampling_parameters_reach_the_decode_engine() {
+    let plan = Plan {
+        decodes: 1,
+        hosts: 1,
+        ..Plan::default()
+    };
+    let deployment = Deployment::start(plan).await.expect("deployment starts");
+    let mut body = caller::completion(PROMPT, 3, false);
+    body["temperature"] = serde_json::json!(0.5);
+    body["top_p"] = serde_json::json!(0.9);
+    body["seed"] = serde_json::json!(7);
+    let host = deployment.hosts[0].address;
+    let answer = caller::send(host, "POST", "/v1/completions", Some(KEY), &[], Some(&body));
+    assert_eq!(answer.await.expect("the host answers").status, 200);
+    let stats = caller::get(deployment.decodes[0].address, "/stats").await;
+    let stats = stats.expect("the engine answers").to_string();
+    for parameter in ["temperature", "top_p", "seed"] {
+        assert!(stats.contains(parameter), "{parameter} is missing: {stats}");
+    }
+}
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -19,6 +19,13 @@
 /// Pieces of an answer that wait for a slow caller.
 const WAITING_PIECES: usize = 64;
 
+/// Pause of a started stream after which the caller gets a comment, so that no proxy on the way
+/// takes the connection for dead.
+const KEEP_ALIVE: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// Comment of server-sent events, which clients ignore.
+const COMMENT: &[u8] = b": keep-alive\n\n";
+
 /// What a caller asks for, whichever path it came by.
 #[derive(Clone, Debug)]
 struct Question {
@@ -240,7 +247,10 @@
         async move {
             let piece = match first {
                 Some(piece) => piece,
-                None => receiver.recv().await?,
+                None => match actix_rt::time::timeout(KEEP_ALIVE, receiver.recv()).await {
+                    Ok(piece) => piece,
+                    Err(_) => return Some((Ok(Bytes::from_static(COMMENT)), (None, receiver))),
+                }?,
             };
             let text = body::event(&request_id, &question, &piece);
             Some((
