--- a/crates/border/src/event.rs
+++ b/crates/border/src/event.rs
@@ -32,7 +32,8 @@
 }
 
 /// Data that is not an event of a decode stream.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// The data is not JSON of the expected form.
     #[error("event is malformed: {0}")]
--- a/crates/border/src/sse.rs
+++ b/crates/border/src/sse.rs
@@ -4,7 +4,8 @@
 pub const EVENT_LIMIT_BYTES: usize = 1 << 20;
 
 /// An event is longer than [`EVENT_LIMIT_BYTES`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("event is longer than {EVENT_LIMIT_BYTES} bytes")]
 pub struct TooLong;
 
--- a/crates/command/src/config.rs
+++ b/crates/command/src/config.rs
@@ -12,12 +12,14 @@
 const DEFAULT_FILE: &str = "berylknot.jsonc";
 
 /// Wrong use of the command.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[error("{0}")]
 pub(crate) struct Usage(pub(crate) String);
 
 /// Settings file of the command.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 struct File {
     platform: Option<String>,
--- a/crates/command/src/difference.rs
+++ b/crates/command/src/difference.rs
@@ -6,7 +6,8 @@
 use serde_json::{Map, Value};
 
 /// Changed value.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub(crate) struct Change {
     /// Path of the value, such as `customers.acme.rate`.
     path: String,
--- a/crates/command/src/host.rs
+++ b/crates/command/src/host.rs
@@ -18,7 +18,8 @@
 const ROUND_PAUSE: Duration = Duration::from_millis(250);
 
 /// Answer of a coordinator to GET /status; other fields are left out.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub(crate) struct Status {
     host: String,
     version: u64,
@@ -27,7 +28,8 @@
 }
 
 /// A coordinator and what it answered.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub(crate) struct Host {
     address: String,
     #[serde(flatten)]
--- a/crates/command/src/platform.rs
+++ b/crates/command/src/platform.rs
@@ -29,7 +29,8 @@
 const MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
 
 /// The platform does not answer as agreed.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[error("{0}")]
 pub(crate) struct Unreachable(pub(crate) String);
 
--- a/crates/coordination/src/append.rs
+++ b/crates/coordination/src/append.rs
@@ -23,7 +23,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Reasons for which a record is not taken for an append.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[non_exhaustive]
 pub enum Error {
     /// Too many records wait already.
@@ -43,7 +44,8 @@
 }
 
 /// Last batch of an appender.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Last {
     /// Number of the batch.
     pub sequence: u64,
@@ -57,7 +59,8 @@
 /// An appender has one batch in flight and numbers them upwards, so one number per incarnation
 /// recognises every repeat. A batch that its appender gave up and that takes effect after a later
 /// one is ignored as well.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Table {
     last: BTreeMap<Incarnation, Last>,
 }
--- a/crates/coordination/src/claim.rs
+++ b/crates/coordination/src/claim.rs
@@ -25,7 +25,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Reasons for which no claim is made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[non_exhaustive]
 pub enum Error {
     /// Too many claims of this host are open.
@@ -37,17 +38,8 @@
 }
 
 /// An idempotency key of a customer.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Key {
     /// Name of the customer.
     pub customer: String,
@@ -56,7 +48,8 @@
 }
 
 /// Answer of a finished call.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Outcome {
     /// HTTP status.
     pub status: u16,
@@ -65,7 +58,8 @@
 }
 
 /// Record about a key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Event {
     /// Claims the key for one run.
     Claim {
@@ -105,7 +99,8 @@
 }
 
 /// Answer to a call with a key that was claimed before.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Answer {
     /// The call ran, with this outcome.
     Stored(Outcome),
@@ -137,7 +132,8 @@
 }
 
 /// Limits of the replicated table, equal in all replicas.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Limits {
     /// Keys.
     pub keys: usize,
@@ -158,14 +154,16 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 enum Stage {
     Claimed,
     Finished(Option<Outcome>),
     Abandoned,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct Owned {
     id: Id,
     fingerprint: u64,
@@ -175,7 +173,8 @@
 }
 
 /// Replicated table of keys.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Table {
     limits: Limits,
     keys: BTreeMap<Key, Owned>,
--- a/crates/coordination/src/clock.rs
+++ b/crates/coordination/src/clock.rs
@@ -8,19 +8,8 @@
 /// Point on a host's monotonic clock, in milliseconds since an arbitrary origin.
 ///
 /// Instants of different hosts must not be compared.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Instant(u64);
 
 impl Instant {
--- a/crates/coordination/src/configuration.rs
+++ b/crates/coordination/src/configuration.rs
@@ -15,7 +15,8 @@
 pub const REPORT_AGE: Duration = Duration::from_secs(10);
 
 /// An accepted configuration.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Accepted {
     /// Position of the accepted proposal.
     pub version: Position,
@@ -40,7 +41,8 @@
 }
 
 /// Register of the accepted configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Register {
     accepted: Option<Accepted>,
 }
@@ -95,7 +97,8 @@
 }
 
 /// What a peer tells a starting host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Report {
     /// Whether the peer itself is ready.
     pub ready: bool,
--- a/crates/coordination/src/freshness.rs
+++ b/crates/coordination/src/freshness.rs
@@ -30,7 +30,8 @@
 const MAX_PENDING: usize = 16;
 
 /// What a host tells a peer that asks it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Word {
     /// Whether the host has become ready since its start.
     pub ready: bool,
@@ -43,7 +44,8 @@
 }
 
 /// Knowledge that the log ended before an offset some time ago.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Tail {
     /// Milliseconds since the read that showed it was sent.
     pub age_ms: u64,
--- a/crates/coordination/src/lease.rs
+++ b/crates/coordination/src/lease.rs
@@ -15,18 +15,8 @@
 pub use table::{Holding, Session, Table};
 
 /// A part of the key space that one host owns at a time.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Shard(u16);
 
 impl Shard {
@@ -56,18 +46,8 @@
 }
 
 /// A host's right to admit from a fixed part of each customer's rate.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Seat(pub u16);
 
 impl Seat {
@@ -91,18 +71,8 @@
 }
 
 /// What a lease is about.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Subject {
     /// A shard.
     Shard(Shard),
--- a/crates/coordination/src/lease/table.rs
+++ b/crates/coordination/src/lease/table.rs
@@ -8,7 +8,8 @@
 use crate::record::{Claim, Incarnation, Position, Release, Renew};
 
 /// Owner of a subject.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Holding {
     /// Incarnation that holds the subject, if any.
     pub owner: Option<Incarnation>,
@@ -20,7 +21,8 @@
 }
 
 /// What the log says about an incarnation.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Session {
     /// Name of the host.
     pub host: String,
@@ -45,7 +47,8 @@
 }
 
 /// Owners of all shards and seats, equal on all replicas at the same position.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Table {
     shards: Vec<Holding>,
     seats: Vec<Holding>,
--- a/crates/coordination/src/member/digest.rs
+++ b/crates/coordination/src/member/digest.rs
@@ -39,7 +39,8 @@
 }
 
 /// Load of an endpoint, as its engine reported it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Load {
     /// Running requests.
     pub running: u16,
@@ -50,7 +51,8 @@
 }
 
 /// State of other modules that digests carry.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Cargo {
     /// Accepted configuration version.
     pub configuration: u64,
@@ -63,7 +65,8 @@
 }
 
 /// A digest. Ages are in tenths of a second, so that clocks of two hosts are never compared.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Digest {
     /// State of other modules.
     pub cargo: Cargo,
--- a/crates/coordination/src/order.rs
+++ b/crates/coordination/src/order.rs
@@ -20,18 +20,8 @@
 pub const LOST: Duration = Duration::from_secs(10);
 
 /// Role of an engine.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Role {
     /// Reads prompts.
     Prefill,
@@ -40,17 +30,8 @@
 }
 
 /// Group of engines that can replace each other.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Route {
     /// Name of the model.
     pub model: String,
@@ -59,17 +40,8 @@
 }
 
 /// Absolute state of an engine.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct State {
     /// Model and role.
     pub route: Route,
--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -26,18 +26,8 @@
 pub const HOLD: Duration = Duration::from_secs(1);
 
 /// Kind of service. Strikes and the bound on their number are separate for each.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Kind {
     /// Prefill and decode engines.
     Model,
@@ -46,17 +36,8 @@
 }
 
 /// Identity of a request, equal when its caller sends it again.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Fingerprint {
     /// Name of the customer; empty on open routes.
     pub customer: String,
@@ -67,17 +48,8 @@
 }
 
 /// A request in flight when its endpoint crashed.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Struck {
     /// The request.
     pub fingerprint: Fingerprint,
@@ -86,7 +58,8 @@
 }
 
 /// Record and immediate word about strikes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Event {
     /// An endpoint crashed while these requests were in flight.
     Strike {
@@ -176,7 +149,8 @@
         })
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct Strikes {
     /// Endpoints, and whether the request ran there in isolation.
     endpoints: BTreeMap<String, bool>,
@@ -184,7 +158,8 @@
 }
 
 /// Table of strikes, by the log's clock in replicas and by the host's clock in [`Local`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Table {
     kinds: BTreeMap<Kind, BTreeMap<Fingerprint, Strikes>>,
     by_time: BTreeSet<(u64, Kind, Fingerprint)>,
--- a/crates/coordination/src/queue.rs
+++ b/crates/coordination/src/queue.rs
@@ -95,7 +95,8 @@
 }
 
 /// Refusal of a request that was not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("request refused ({cause:?}), retry after {} ms", retry_after.as_millis())]
 pub struct Refusal {
     cause: Cause,
--- a/crates/coordination/src/quota.rs
+++ b/crates/coordination/src/quota.rs
@@ -37,7 +37,8 @@
 pub const HOLD_LIFETIME: Duration = Duration::from_secs(10);
 
 /// A request for tokens that a bucket does not have.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("not enough tokens")]
 pub struct Refused {
     retry_after: Option<Duration>,
--- a/crates/coordination/src/quota/grant.rs
+++ b/crates/coordination/src/quota/grant.rs
@@ -8,18 +8,8 @@
 use crate::record::Position;
 
 /// Name of tokens that were taken from a bucket, by which their unused part is returned.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Hold {
     /// Shard or seat under whose lease the tokens were given.
     pub subject: Subject,
@@ -30,7 +20,8 @@
 }
 
 /// Answer of a bucket's owner: the tokens are debited.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Approval {
     /// Name of the debited tokens.
     pub hold: Hold,
@@ -75,7 +66,8 @@
 }
 
 /// A grant that came too late to be used.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("the grant expired before it was used")]
 pub struct Expired {
     hold: Hold,
@@ -99,7 +91,8 @@
 /// A pool's invitation to donate once, sent with its answers.
 ///
 /// The pool measures the age of a donation by its ticket; a sender's clock cannot be compared.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Ticket {
     /// Shard of the pool.
     pub subject: Subject,
@@ -110,7 +103,8 @@
 }
 
 /// Tokens that a floor debited and sends to a pool.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Donation {
     /// The invitation.
     pub ticket: Ticket,
@@ -119,7 +113,8 @@
 }
 
 /// Level of a pool that its owner gave up, for the successor that the owner named.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Handover {
     /// Shard of the pool.
     pub subject: Subject,
--- a/crates/coordination/src/quota/limits.rs
+++ b/crates/coordination/src/quota/limits.rs
@@ -12,7 +12,8 @@
 pub(super) const NANOS: i64 = 1_000_000_000;
 
 /// A rate or division that cannot be kept.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[non_exhaustive]
 pub enum Error {
     /// The rate is zero.
--- a/crates/coordination/src/reap.rs
+++ b/crates/coordination/src/reap.rs
@@ -49,7 +49,8 @@
 }
 
 /// What a coordinator's heartbeat says about the gateways of its host.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Report {
     /// Gateways that live.
     pub live: Vec<Incarnation>,
--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -6,18 +6,8 @@
 use crate::{claim, quarantine, snapshot};
 
 /// Number that identifies one start of a daemon process; a later start of a host has a higher one.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
 
 impl Incarnation {
@@ -33,18 +23,8 @@
 }
 
 /// Unique id that an appender gives to a record, to recognise it after a lost answer.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Id {
     /// Process start that appended the record.
     pub incarnation: Incarnation,
@@ -53,19 +33,8 @@
 }
 
 /// Place of a record in the log: the offset of its entry and its index in the entry.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Position(u64);
 
 impl Position {
@@ -101,7 +70,8 @@
 }
 
 /// An entry of the log, as read back.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Entry {
     /// Offset in the log; the first entry has offset 1 or later, so that no position is zero.
     pub offset: u64,
@@ -112,7 +82,8 @@
 }
 
 /// A record of the log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[non_exhaustive]
 pub enum Record {
     /// Proposes a configuration.
@@ -134,7 +105,8 @@
 }
 
 /// Proposal of a configuration by an operator.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Publish {
     /// Id by which the operator's command finds the record again.
     pub id: Id,
@@ -145,7 +117,8 @@
 }
 
 /// Renewal of the seat and all shards that the appender holds at the record's position.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Renew {
     /// Id; a renewal is ignored unless its sequence exceeds that of the incarnation's last one.
     pub id: Id,
@@ -156,7 +129,8 @@
 }
 
 /// Claim of shards or a seat.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Claim {
     /// Id of the record; the claimer is its incarnation.
     pub id: Id,
@@ -166,7 +140,8 @@
 }
 
 /// Release of shards or a seat.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Release {
     /// Id of the record; the releaser is its incarnation.
     pub id: Id,
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -42,7 +42,8 @@
 }
 
 /// State derived from the log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Replica {
     next_offset: u64,
     log_time_ms: u64,
--- a/crates/coordination/src/request/id.rs
+++ b/crates/coordination/src/request/id.rs
@@ -21,7 +21,8 @@
 }
 
 /// Reasons for rejecting the text of a request id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum Error {
     /// The host name is empty, too long or has a character other than letters, digits, `-`, `_`
--- a/crates/coordination/src/slot.rs
+++ b/crates/coordination/src/slot.rs
@@ -38,7 +38,8 @@
 }
 
 /// Refusal of a reservation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("no decode slot, ask again after {} ms", retry_after.as_millis())]
 pub struct Full {
     retry_after: Duration,
--- a/crates/coordination/src/snapshot.rs
+++ b/crates/coordination/src/snapshot.rs
@@ -29,7 +29,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Reasons for which a snapshot cannot be written or restored.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[non_exhaustive]
 pub enum Error {
     /// The state cannot be encoded.
@@ -55,7 +56,8 @@
 }
 
 /// Replicated state before an offset, in encoded form.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Snapshot {
     /// Offset of the first entry that the state does not contain.
     pub next_offset: u64,
@@ -64,7 +66,8 @@
 }
 
 /// Part of a snapshot in the log. Chunks of a snapshot appear in order of their index.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Chunk {
     /// Id of the snapshot.
     pub id: Id,
@@ -107,21 +110,24 @@
 }
 
 /// Replicated table of the snapshots in the log; it lets hosts agree when the next one is due.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Table {
     open: VecDeque<Progress>,
     chunks: u64,
     latest: Latest,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct Progress {
     id: Id,
     next_index: u16,
 }
 
 /// Latest complete snapshot in the log.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Latest {
     /// Offset of the first entry that it does not contain; zero when there is none.
     pub next_offset: u64,
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -7,7 +7,8 @@
 use prometheus_client::registry::Registry;
 
 /// Label with the reason of a refusal or retry.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
 pub(crate) struct Reason {
     /// Machine-readable reason.
     pub(crate) reason: String,
--- a/crates/coordinator/src/options.rs
+++ b/crates/coordinator/src/options.rs
@@ -16,7 +16,8 @@
 pub use shutdown::Shutdown;
 
 /// Settings of the coordinator.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Options {
     /// Name of the host.
--- a/crates/coordinator/src/options/log.rs
+++ b/crates/coordinator/src/options/log.rs
@@ -3,7 +3,8 @@
 use serde::Deserialize;
 
 /// Log output.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Log {
     /// Whether events are written as JSON objects.
--- a/crates/coordinator/src/options/platform.rs
+++ b/crates/coordinator/src/options/platform.rs
@@ -3,7 +3,8 @@
 use serde::Deserialize;
 
 /// Addresses of the platform.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Platform {
     /// Base URL of the log, the host list and the weight store.
--- a/crates/coordinator/src/platform.rs
+++ b/crates/coordinator/src/platform.rs
@@ -18,7 +18,8 @@
 pub(crate) type Result<T> = std::result::Result<T, Error>;
 
 /// Failures of the platform.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub(crate) enum Error {
     /// The call failed; an append may still have taken effect.
     #[error("platform does not answer: {0}")]
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -21,7 +21,8 @@
 pub(crate) type Result<T> = std::result::Result<T, Error>;
 
 /// Failures of calls to the coordinator.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub(crate) enum Error {
     /// No process listens at the coordinator's address.
     #[error("coordinator does not run")]
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -11,7 +11,8 @@
 pub(crate) type Result<T> = std::result::Result<T, Error>;
 
 /// Failures of engine calls.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub(crate) enum Error {
     /// No connection could be made, so that the engine has seen nothing of the request.
     #[error("engine cannot be reached: {0}")]
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,7 +14,8 @@
 const TPOT_BUCKETS_S: [f64; 9] = [0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.1, 0.5, 2.0];
 
 /// Label with the reason of a refusal, retry or cancellation.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
 pub(crate) struct Reason {
     /// Machine-readable reason.
     pub(crate) reason: &'static str,
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -14,7 +14,8 @@
 pub use tls::Tls;
 
 /// Settings of the gateway.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Options {
     /// Name of the host.
--- a/crates/gateway/src/options/limits.rs
+++ b/crates/gateway/src/options/limits.rs
@@ -3,7 +3,8 @@
 use serde::Deserialize;
 
 /// Bounds on callers.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
     /// Largest request body in bytes.
--- a/crates/gateway/src/options/tls.rs
+++ b/crates/gateway/src/options/tls.rs
@@ -5,7 +5,8 @@
 use serde::Deserialize;
 
 /// Files of the certificate; both are read again when they change.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Tls {
     /// Certificate chain in PEM.
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -10,7 +10,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// A fault in the settings, with its place.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize)]
 pub struct Finding {
     /// File name, empty for a merged document.
     pub file: String,
--- a/crates/settings/src/raw.rs
+++ b/crates/settings/src/raw.rs
@@ -22,7 +22,8 @@
 pub use route::{Operation, Route};
 
 /// Settings of a fleet, merged from all files of a folder.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Document {
     /// Customers by name.
--- a/crates/settings/src/raw/customer.rs
+++ b/crates/settings/src/raw/customer.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A customer.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Customer {
     /// Tokens per second over all hosts.
--- a/crates/settings/src/raw/endpoint.rs
+++ b/crates/settings/src/raw/endpoint.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Kind of an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// Model engine that runs prefills.
@@ -28,7 +29,8 @@
 }
 
 /// An endpoint.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Endpoint {
     /// Kind of the endpoint at start.
--- a/crates/settings/src/raw/key.rs
+++ b/crates/settings/src/raw/key.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A key of a customer.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Key {
     /// Name of the customer.
--- a/crates/settings/src/raw/quota.rs
+++ b/crates/settings/src/raw/quota.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Division of rates over hosts.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Quota {
     /// Percentage of each rate and burst that is divided into floors.
--- a/crates/settings/src/raw/route.rs
+++ b/crates/settings/src/raw/route.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A route from callers to a plain service.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
     /// Names of the endpoints, which are of the kind `service`.
@@ -38,7 +39,8 @@
 }
 
 /// An operation of a plain service.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Operation {
     /// HTTP method in capitals.
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -4,7 +4,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Reasons for which a frame cannot be written or is not accepted.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[non_exhaustive]
 pub enum Error {
     /// The body cannot be represented in MessagePack.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -38,7 +38,8 @@
 }
 
 /// Envelope of a message between two processes of the system.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Frame<B> {
     /// Protocol version of the sender.
     pub version: u16,
--- a/crates/wire/src/local.rs
+++ b/crates/wire/src/local.rs
@@ -8,7 +8,8 @@
 pub const PATH: &str = "/v1/local";
 
 /// Message of a gateway.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[non_exhaustive]
 pub enum Request {
     /// Asks for tokens, a decode slot and endpoints for a model request.
@@ -46,7 +47,8 @@
 }
 
 /// Answer of a coordinator.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[non_exhaustive]
 pub enum Response {
     /// The request may run as described.
@@ -80,7 +82,8 @@
 }
 
 /// Description of a model request for admission.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Admit {
     /// Request id, unique over all hosts.
     pub request: String,
@@ -115,7 +118,8 @@
 }
 
 /// Permission to run a model request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Admitted {
     /// Name of the prefill endpoint.
     pub prefill: String,
@@ -130,7 +134,8 @@
 }
 
 /// Refusal of a request that was not run.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Refused {
     /// Machine-readable reason, also the label of the refusal counter.
     pub code: String,
@@ -139,7 +144,8 @@
 }
 
 /// Exact prompt size of a running request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Prefilled {
     /// Request id.
     pub request: String,
@@ -150,7 +156,8 @@
 }
 
 /// Crash of an endpoint with a request in flight.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Strike {
     /// Request id.
     pub request: String,
@@ -159,7 +166,8 @@
 }
 
 /// End of an admitted request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Settle {
     /// Request id.
     pub request: String,
@@ -170,7 +178,8 @@
 }
 
 /// Ways in which an admitted request ends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[non_exhaustive]
 pub enum End {
     /// The whole answer was delivered.
@@ -184,7 +193,8 @@
 }
 
 /// Report of a gateway about itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Streams {
     /// Incarnation in the ids of the gateway's requests.
     pub gateway: Incarnation,
@@ -193,7 +203,8 @@
 }
 
 /// A configuration in force.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Configuration {
     /// Log offset of the accepted publish.
     pub version: u64,
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -26,7 +26,8 @@
 const BYTES_PER_TOKEN: usize = 4;
 
 /// Behaviour and faults, set by POST /control.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Control {
     /// Requests that run at one time.
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -19,7 +19,8 @@
 const READ_LIMIT: usize = 1_000;
 
 /// Faults, set by POST /control.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Control {
     /// Appends fail without effect.
@@ -144,7 +145,8 @@
     HttpResponse::Ok().json(AppendResponse { offset })
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ReadQuery {
     from: u64,
     limit: Option<usize>,
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -9,7 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Faults, set by POST /control.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Control {
     /// Delay of every answer in milliseconds.
@@ -21,7 +22,8 @@
 }
 
 /// What the service saw.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Stats {
     /// Runs by method and path, with the body's text for calls that have one.
     pub runs: BTreeMap<String, u64>,
