--- a/crates/coordinator/src/args.rs
+++ b/crates/coordinator/src/args.rs
@@ -8,8 +8,8 @@
     ///
     /// Example: berylknot-coordinator --settings /etc/berylknot/coordinator.json
     cmd args {
-        /// Settings file in JSON with comments.
-        required --settings file: PathBuf
+        /// Settings file in JSON with comments; required except for --version.
+        optional --settings file: PathBuf
         /// Check the settings and exit.
         optional --check
         /// Print the version and exit.
--- a/crates/coordinator/src/main.rs
+++ b/crates/coordinator/src/main.rs
@@ -1,6 +1,7 @@
 //! Binary of the coordinator.
 
 use berylknot_coordinator::{args::Args, options::Options, run};
+use eyre::OptionExt;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -11,9 +12,10 @@
         println!("berylknot-coordinator {}", env!("CARGO_PKG_VERSION"));
         return Ok(());
     }
-    let options = Options::read(&args.settings)?;
+    let settings = args.settings.ok_or_eyre("--settings FILE is required")?;
+    let options = Options::read(&settings)?;
     if args.check {
-        println!("{}: no findings", args.settings.display());
+        println!("{}: no findings", settings.display());
         return Ok(());
     }
     run::run(options)
--- a/crates/coordinator/src/options.rs
+++ b/crates/coordinator/src/options.rs
@@ -6,12 +6,11 @@
 use serde::Deserialize;
 
 mod lease;
-mod log;
 mod platform;
 mod shutdown;
 
+pub use berylknot_telemetry::log::Log;
 pub use lease::Lease;
-pub use log::Log;
 pub use platform::Platform;
 pub use shutdown::Shutdown;
 
--- a/crates/coordinator/src/run.rs
+++ b/crates/coordinator/src/run.rs
@@ -6,7 +6,6 @@
 
 use actix::Supervisor;
 use berylknot_coordination::record::Incarnation;
-use berylknot_telemetry::log::Format;
 use berylknot_wire::Secret;
 use eyre::WrapErr;
 use tokio::sync::watch;
@@ -26,12 +25,7 @@
 /// # Errors
 /// Fails when the settings name files or addresses that cannot be used.
 pub fn run(options: Options) -> eyre::Result<()> {
-    let format = if options.log.json {
-        Format::Json
-    } else {
-        Format::Text
-    };
-    berylknot_telemetry::log::install(format, &options.log.filter)?;
+    options.log.install()?;
     actix_rt::System::new().block_on(serve(options))
 }
 
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -6,11 +6,10 @@
 use serde::Deserialize;
 
 mod limits;
-mod log;
 mod tls;
 
+pub use berylknot_telemetry::log::Log;
 pub use limits::Limits;
-pub use log::Log;
 pub use tls::Tls;
 
 /// Settings of the gateway.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use berylknot_settings::key::Pepper;
-use berylknot_telemetry::log::Format;
 use berylknot_wire::Secret;
 use eyre::WrapErr;
 use socket2::{Domain, Socket, Type};
@@ -29,12 +28,7 @@
 /// # Errors
 /// Fails when the settings name files or addresses that cannot be used.
 pub fn run(options: Options) -> eyre::Result<()> {
-    let format = if options.log.json {
-        Format::Json
-    } else {
-        Format::Text
-    };
-    berylknot_telemetry::log::install(format, &options.log.filter)?;
+    options.log.install()?;
     actix_rt::System::new().block_on(serve(options))
 }
 
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -1,29 +1,43 @@
-//! Structured logs.
+//! Structured logs, and the settings section that describes them.
 
+use serde::Deserialize;
 use tracing_subscriber::EnvFilter;
 
-/// Output formats of the log.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Format {
-    /// One line of text per event.
-    #[default]
-    Text,
-    /// One JSON object per event.
-    Json,
+/// Log section of a daemon's settings.
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// Whether events are written as JSON objects, one per line, instead of lines of text.
+    pub json: bool,
+    /// Filter with the syntax of `tracing-subscriber`.
+    pub filter: String,
 }
 
-/// Installs the log for the whole process; `filter` has the syntax of `tracing-subscriber`.
-///
-/// # Errors
-/// Fails when the filter is malformed or a log was installed before.
-pub fn install(format: Format, filter: &str) -> eyre::Result<()> {
-    let filter = EnvFilter::try_new(filter)?;
-    let builder = tracing_subscriber::fmt()
-        .with_env_filter(filter)
-        .with_writer(std::io::stderr);
-    let installed = match format {
-        Format::Text => builder.try_init(),
-        Format::Json => builder.json().try_init(),
-    };
-    installed.map_err(|error| eyre::eyre!("log cannot be installed: {error}"))
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            json: false,
+            filter: "info".to_owned(),
+        }
+    }
+}
+
+impl Log {
+    /// Installs the log for the whole process; events go to standard error.
+    ///
+    /// # Errors
+    /// Fails when the filter is malformed or a log was installed before.
+    pub fn install(&self) -> eyre::Result<()> {
+        let filter = EnvFilter::try_new(&self.filter)?;
+        let builder = tracing_subscriber::fmt()
+            .with_env_filter(filter)
+            .with_writer(std::io::stderr);
+        let installed = if self.json {
+            builder.json().try_init()
+        } else {
+            builder.try_init()
+        };
+        installed.map_err(|error| eyre::eyre!("log cannot be installed: {error}"))
+    }
 }
