--- /dev/null
+++ b/crates/entry/src/budget.rs
@@ -0,0 +1,126 @@
+//! Retry budget that all hosts share: repeated sends in a sliding window stay below a share of the
+//! requests for the service plus a slack.
+
+use std::collections::HashMap;
+
+use berylknot_coordination::clock::Instant;
+
+/// Length of a counting period in milliseconds; a window is a whole number of them.
+const PERIOD_MS: u64 = 500;
+/// Part of the bound that is used, since counts of peers arrive late.
+const USED_SHARE: f64 = 0.7;
+
+/// Requests and repeated sends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    /// Requests of callers.
+    pub requests: u64,
+    /// Sends beyond the first of a request.
+    pub repeats: u64,
+}
+
+#[derive(Debug, Default)]
+struct Window {
+    periods: Vec<(u64, Count)>,
+    own: Count,
+}
+
+/// Budgets of all services.
+#[derive(Debug)]
+pub struct Budgets {
+    ratio: f64,
+    slack: f64,
+    window_periods: u64,
+    services: HashMap<String, Window>,
+    /// Peers that are not heard are taken to have used their equal share of the slack.
+    hosts: usize,
+    unheard: usize,
+}
+
+impl Budgets {
+    /// Makes budgets with the users' bound: ratio, slack and window in milliseconds.
+    #[must_use]
+    pub fn new(ratio: f64, slack: f64, window_ms: u64) -> Self {
+        Self {
+            ratio,
+            slack,
+            window_periods: window_ms.div_ceil(PERIOD_MS) + 1,
+            services: HashMap::new(),
+            hosts: 1,
+            unheard: 0,
+        }
+    }
+
+    /// Sets how many hosts there are and how many of them are not heard.
+    pub fn set_hosts(&mut self, hosts: usize, unheard: usize) {
+        self.hosts = hosts.max(1);
+        self.unheard = unheard.min(self.hosts - 1);
+    }
+
+    /// Counts a request of a caller at this host.
+    pub fn request(&mut self, now: Instant, service: &str) {
+        self.count(now, service, Count { requests: 1, repeats: 0 }, true);
+    }
+
+    /// Takes a repeated send from the budget; false when none is left.
+    pub fn repeat(&mut self, now: Instant, service: &str) -> bool {
+        let total = self.total(now, service);
+        let unheard = self.unheard as f64 / self.hosts as f64;
+        let slack = self.slack * (1.0 - unheard);
+        let bound = (self.ratio * total.requests as f64 + slack) * USED_SHARE;
+        if total.repeats as f64 + 1.0 > bound {
+            return false;
+        }
+        self.count(now, service, Count { requests: 0, repeats: 1 }, true);
+        true
+    }
+
+    /// Counts what a peer reported since its last report.
+    pub fn counted_elsewhere(&mut self, now: Instant, service: &str, count: Count) {
+        self.count(now, service, count, false);
+    }
+
+    fn count(&mut self, now: Instant, service: &str, count: Count, own: bool) {
+        let period = now.as_millis() / PERIOD_MS;
+        if !self.services.contains_key(service) {
+            self.services.insert(service.to_owned(), Window::default());
+        }
+        let Some(window) = self.services.get_mut(service) else {
+            return;
+        };
+        let oldest = period.saturating_sub(self.window_periods);
+        window.periods.retain(|(at, _)| *at > oldest);
+        match window.periods.last_mut() {
+            Some((at, sum)) if *at == period => {
+                sum.requests += count.requests;
+                sum.repeats += count.repeats;
+            }
+            _ => window.periods.push((period, count)),
+        }
+        if own {
+            window.own.requests += count.requests;
+            window.own.repeats += count.repeats;
+        }
+    }
+
+    fn total(&self, now: Instant, service: &str) -> Count {
+        let oldest = (now.as_millis() / PERIOD_MS).saturating_sub(self.window_periods);
+        let mut total = Count::default();
+        let Some(window) = self.services.get(service) else {
+            return total;
+        };
+        for (at, count) in &window.periods {
+            if *at <= oldest {
+                continue;
+            }
+            total.requests += count.requests;
+            total.repeats += count.repeats;
+        }
+        total
+    }
+
+    /// Counts of this host since its start, by service.
+    pub fn report(&self) -> impl Iterator<Item = (&str, Count)> {
+        self.services.iter().map(|(service, window)| (service.as_str(), window.own))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/call.rs
@@ -0,0 +1,245 @@
+//! Calls to plain services: attempts, repeats and true refusals.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use berylknot_coordination::clock::Instant;
+use berylknot_coordination::eject::Outcome;
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+
+use crate::directory::{Endpoint, Key};
+use crate::fleet::Kind;
+use crate::http::{Error, Patience};
+use crate::platform::{Dialect, Outbound, Store};
+use crate::refusal::Reason;
+use crate::request::{Call, Reply, answer_headers};
+use crate::state::{Host, Place, jitter, now};
+
+/// Time until a connection stands. Links take a few milliseconds; a lost packet is sent again after
+/// a second, and another endpoint is tried before that.
+pub(crate) const CONNECT: Duration = Duration::from_millis(250);
+/// Largest body of a plain answer in bytes.
+const LARGEST_BODY: usize = 8 * 1_024 * 1_024;
+/// Idle time up to which a connection carries a request that cannot be repeated.
+const FRESH_CONNECTION: Duration = Duration::from_millis(1_500);
+/// Part of the latency objective after which a lookup is sent to another endpoint.
+const LOOKUP_PATIENCE: f64 = 2.5;
+/// Sends of one attempt of a caller, refused ones included.
+const SENDS: usize = 4;
+/// Random cost in a choice, as a share of an endpoint's slots.
+const JITTER: f64 = 0.05;
+
+/// How one send ended.
+enum Attempt {
+    /// The endpoint answered.
+    Answered { status: StatusCode, headers: HeaderMap, body: Bytes },
+    /// It states that the request did not run.
+    Refused,
+    /// Nothing was sent.
+    NotSent,
+    /// It may have run.
+    Lost(Error),
+    /// The answer is not one to this request.
+    Foreign,
+}
+
+impl Attempt {
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::Answered { .. } => "answered",
+            Self::Refused => "refused",
+            Self::NotSent => "not_sent",
+            Self::Lost(_) => "lost",
+            Self::Foreign => "foreign_answer",
+        }
+    }
+}
+
+/// Serves a call to a plain service.
+pub(crate) async fn serve<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, call: &Call) -> Reply {
+    let idempotent = call.route().kind == Kind::Idempotent;
+    let mut tried: Vec<Key> = Vec::new();
+    let mut runs = 0;
+    let mut sent = 0;
+    let mut last = None;
+    let mut reason = Reason::NoEndpoint;
+    for _ in 0..SENDS {
+        let now = now();
+        let left = call.deadline().since(now);
+        if left.is_zero() {
+            return late(runs);
+        }
+        let Some((key, endpoint)) = choose(host, call, &tried) else {
+            break;
+        };
+        if sent > 0 && !host.budgets.borrow_mut().repeat(now, &call.service) {
+            host.metrics.retry("denied");
+            break;
+        }
+        tried.push(key);
+        let more = idempotent && runs + 1 < call.route().attempts;
+        let patience = if more {
+            left.min(call.route().target.mul_f64(LOOKUP_PATIENCE)).min(left / 2)
+        } else {
+            left
+        };
+        let attempt = attempt(host, call, key, &endpoint, patience).await;
+        tracing::debug!(id = call.head.id, endpoint = endpoint.id, outcome = attempt.name(), "call: attempt");
+        match attempt {
+            Attempt::Answered { status, headers, body } => {
+                runs += 1;
+                sent += 1;
+                let failed = status.is_server_error();
+                let reply = Reply::Whole { status, headers, body };
+                if !failed || !idempotent || runs >= call.route().attempts {
+                    return reply;
+                }
+                host.metrics.retry("endpoint_error");
+                last = Some(reply);
+            }
+            Attempt::Refused => {
+                sent += 1;
+                host.metrics.retry("refused");
+                reason = Reason::EndpointsRefused;
+            }
+            Attempt::NotSent => {
+                host.metrics.retry("not_sent");
+                reason = Reason::EndpointsRefused;
+            }
+            Attempt::Lost(_) | Attempt::Foreign => {
+                runs += 1;
+                sent += 1;
+                host.metrics.retry(attempt.name());
+                if !idempotent || runs >= call.route().attempts {
+                    return last.unwrap_or_else(|| late(runs));
+                }
+            }
+        }
+    }
+    if let Some(last) = last {
+        return last;
+    }
+    if runs > 0 {
+        return Reason::EndpointLost.reply(None);
+    }
+    host.metrics.refusals.get_or_create(&crate::metrics::Label { reason: reason.code() }).inc();
+    let left = call.deadline().since(now());
+    reason.reply(Some(spread(RETRY_SOON).min(left / 3)))
+}
+
+/// Time after which a refused call may find room; plain calls take tens of milliseconds.
+const RETRY_SOON: Duration = Duration::from_millis(150);
+
+/// A random time around a mean, so that refused callers do not return together.
+pub(crate) fn spread(mean: Duration) -> Duration {
+    mean.mul_f64(0.5 + jitter(1.0))
+}
+
+fn late(runs: u32) -> Reply {
+    if runs > 0 { Reason::TimedOut.reply(None) } else { Reason::Hopeless.reply(None) }
+}
+
+fn choose<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    call: &Call,
+    tried: &[Key],
+) -> Option<(Key, Endpoint)> {
+    if tried.is_empty()
+        && call.route().kind == Kind::Idempotent
+        && let Some(key) = host.probe(&call.service, None)
+        && let Some(endpoint) = host.directory.borrow().get(key)
+        && endpoint.state == crate::directory::State::Ready
+    {
+        return Some((key, endpoint.clone()));
+    }
+    let ledger = host.ledger.borrow();
+    let cost = |key, endpoint: &Endpoint| {
+        let load = ledger.load(key);
+        let share = f64::from(load.requests) / f64::from(endpoint.slots.max(1));
+        Some(share + host.distance(endpoint) + jitter(JITTER))
+    };
+    let fresh = host.choose(&call.service, None, tried, cost);
+    // A second send may go to the same endpoint when there is no other.
+    fresh.or_else(|| {
+        let last = tried.last().copied();
+        host.choose(&call.service, None, &[], cost).filter(|(key, _)| Some(*key) != last || tried.len() == 1)
+    })
+}
+
+async fn attempt<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    call: &Call,
+    key: Key,
+    endpoint: &Endpoint,
+    patience: Duration,
+) -> Attempt {
+    let started = now();
+    let outbound = Outbound {
+        deadline: call.caller_deadline.since(started),
+        endpoint: &endpoint.id,
+        customer: call.customer_name(),
+        prefill: false,
+        cache: None,
+        after_event: None,
+    };
+    let Ok(request) = call.outbound::<D>(&outbound) else {
+        return Attempt::NotSent;
+    };
+    let reuse = if call.route().kind == Kind::Idempotent { Duration::MAX } else { FRESH_CONNECTION };
+    let patience = Patience { connect: CONNECT.min(patience), head: patience, reuse };
+    let _place = Place::take(host, key, 0);
+    let attempt = exchange::<D, S>(host, call, endpoint, request, patience, started).await;
+    let outcome = match &attempt {
+        Attempt::Answered { status, .. } if status.is_server_error() => None,
+        Attempt::Answered { .. } => {
+            Some(Outcome::Answered { millis: now().since(started).as_secs_f64() * 1_000.0 })
+        }
+        Attempt::Refused => None,
+        Attempt::NotSent | Attempt::Lost(_) | Attempt::Foreign => Some(Outcome::Failed),
+    };
+    if let Some(outcome) = outcome {
+        host.outcome(key, outcome);
+    }
+    attempt
+}
+
+async fn exchange<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    call: &Call,
+    endpoint: &Endpoint,
+    request: http::Request<http_body_util::Full<Bytes>>,
+    patience: Patience,
+    started: Instant,
+) -> Attempt {
+    let mut exchange = match host.pool.send(endpoint.address, request, patience).await {
+        Ok(exchange) => exchange,
+        Err(Error::NotSent(_)) => return Attempt::NotSent,
+        Err(error) => return Attempt::Lost(error),
+    };
+    let answer = D::answer(exchange.status, &exchange.headers);
+    if answer.id.as_deref().is_some_and(|id| id != call.head.id) {
+        return Attempt::Foreign;
+    }
+    if answer.not_run {
+        let left = patience.head.saturating_sub(now().since(started));
+        // The body is read so that the connection can be used again.
+        drop(exchange.read(LARGEST_BODY, left).await);
+        return Attempt::Refused;
+    }
+    if answer.id.is_none() || exchange.headers.contains_key(http::header::CONTENT_ENCODING) {
+        return Attempt::Foreign;
+    }
+    if exchange.status.is_success() && !answer.signed {
+        return Attempt::Foreign;
+    }
+    let left = patience.head.saturating_sub(now().since(started));
+    match exchange.read(LARGEST_BODY, left).await {
+        Ok(body) => Attempt::Answered {
+            status: exchange.status,
+            headers: answer_headers(&exchange.headers),
+            body,
+        },
+        Err(error) => Attempt::Lost(error),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/completion.rs
@@ -0,0 +1,618 @@
+//! Generations: room at a decode engine, prefill, decode, and resume of a broken stream.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use berylknot_coordination::clock::Instant;
+use berylknot_coordination::eject::Outcome;
+use http::HeaderMap;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+use crate::call::{CONNECT, spread};
+use crate::directory::{Endpoint, Key, Stage, State};
+use crate::events::Events;
+use crate::fleet::Engine;
+use crate::http::{Error, Exchange, Patience};
+use crate::ledger::{Room, reservation};
+use crate::metrics::Label;
+use crate::platform::{Cache, Dialect, Outbound, Store, Tokens};
+use crate::refusal::Reason;
+use crate::request::{Call, Cut, Reply, answer_headers};
+use crate::state::{Host, Place, jitter, now};
+use crate::waiting::{LATE_FILL, Queue, Refusal, Ticket, Waiter};
+
+/// Generations that may wait at one host and service.
+const WAITING: usize = 64;
+/// Time of one output token at a busy engine, in milliseconds (sheets: 0.6 to 0.9).
+const TOKEN_MS: f64 = 0.85;
+/// Time that an engine needs to read a prompt token, in milliseconds (sheets: 1/55.6).
+const PROMPT_TOKEN_MS: f64 = 0.018;
+/// Part of the latency objective kept for prefill and transfer once room is found.
+const START_SHARE: f64 = 0.35;
+/// Backlog of prompts, in milliseconds, beyond which the decode engine reads the prompt itself.
+const LONGEST_BACKLOG_MS: f64 = 1_200.0;
+/// Backlog that a prefill engine in the data centre of the decode engine may have beyond that of
+/// others, in milliseconds: a transfer between data centres is priced several times as high.
+const NEAR_MS: f64 = 120.0;
+/// Longest time for a prefill beyond its backlog.
+const PREFILL_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Longest time from a decode request to the head of its answer, and longest pause between events,
+/// after which a resumable stream goes on elsewhere. Callers leave after 3.6 s.
+const PAUSE: Duration = Duration::from_millis(1_500);
+/// Sends to decode engines for one attempt of a caller, refused ones included.
+const SENDS: usize = 4;
+/// Random cost in a choice, as a share of an engine.
+const JITTER: f64 = 0.06;
+/// Margin before a handle expires within which it is not used any more.
+const HANDLE_MARGIN: Duration = Duration::from_millis(60);
+/// Largest answer of a prefill in bytes.
+const PREFILL_ANSWER_BYTES: usize = 64 * 1_024;
+/// Events that wait for a slow caller.
+const BUFFERED_EVENTS: usize = 16;
+/// Output tokens of a request that does not say how many, and prompt tokens likewise.
+const UNSTATED: Tokens = Tokens { prompt: 1_000, output: 1_000 };
+
+/// Waiting generations of one service.
+pub(crate) struct Line<D, S> {
+    queue: Queue,
+    turns: HashMap<Ticket, oneshot::Sender<Place<D, S>>>,
+}
+
+impl<D, S> Line<D, S> {
+    fn new() -> Self {
+        Self { queue: Queue::new(WAITING), turns: HashMap::new() }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+}
+
+/// Removes a waiting generation whose caller is gone.
+struct Waiting<'a, D, S> {
+    host: &'a Rc<Host<D, S>>,
+    service: &'a str,
+    ticket: Ticket,
+}
+
+impl<D, S> Drop for Waiting<'_, D, S> {
+    fn drop(&mut self) {
+        if let Some(line) = self.host.lines.borrow_mut().get_mut(self.service) {
+            line.queue.remove(self.ticket);
+            line.turns.remove(&self.ticket);
+        }
+    }
+}
+
+/// Tokens of a generation, with the expected output.
+fn expected(call: &Call) -> Tokens {
+    let stated = call.head.tokens.unwrap_or(UNSTATED);
+    let output = call.head.output_hint.map_or(stated.output * 6 / 10, |hint| hint.min(stated.output));
+    Tokens { prompt: stated.prompt, output }
+}
+
+/// Serves a generation.
+pub(crate) async fn serve<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, call: Rc<Call>) -> Reply {
+    match start(host, &call).await {
+        Ok(Started { run, headers, status }) => {
+            let (sender, events) = mpsc::channel(BUFFERED_EVENTS);
+            actix_rt::spawn(relay(Rc::clone(host), call, run, sender));
+            Reply::Stream { status, headers, events }
+        }
+        Err(Failed::Answer(reply)) => reply,
+        Err(Failed::Reason(reason, after)) => {
+            host.metrics.refusals.get_or_create(&Label { reason: reason.code() }).inc();
+            let left = call.deadline().since(now());
+            reason.reply(after.map(|after| spread(after).min(left / 3)))
+        }
+    }
+}
+
+/// A run at a decode engine.
+struct Run<D, S> {
+    exchange: Exchange,
+    endpoint: Endpoint,
+    place: Place<D, S>,
+    runs: u32,
+}
+
+struct Started<D, S> {
+    run: Run<D, S>,
+    status: http::StatusCode,
+    headers: HeaderMap,
+}
+
+enum Failed {
+    Answer(Reply),
+    Reason(Reason, Option<Duration>),
+}
+
+/// Finds room, reads the prompt and starts the stream.
+async fn start<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    call: &Call,
+) -> Result<Started<D, S>, Failed> {
+    let tokens = expected(call);
+    let mut tried = Vec::new();
+    let mut runs = 0;
+    let mut sends = 0;
+    let mut cache: Option<Kept<D, S>> = None;
+    let mut prefilled = false;
+    while sends < SENDS {
+        if call.deadline() <= now() {
+            break;
+        }
+        let place = match room_now(host, call, tokens, &tried) {
+            Some(place) => place,
+            None if tried.is_empty() => wait_for_room(host, call, tokens).await?,
+            None => break,
+        };
+        if sends > 0 && !host.budgets.borrow_mut().repeat(now(), &call.service) {
+            host.metrics.retry("denied");
+            break;
+        }
+        let Some(endpoint) = host.directory.borrow().get(place.key).cloned() else {
+            continue;
+        };
+        if !prefilled {
+            prefilled = true;
+            cache = prefill(host, call, tokens, &endpoint).await;
+        }
+        if !is_ready(host, place.key) {
+            tried.push(place.key);
+            continue;
+        }
+        tried.push(place.key);
+        let usable = cache.take().filter(|cache| cache.is_usable());
+        match decode(host, call, &endpoint, usable.as_ref().map(|kept| &kept.cache), call.head.after_event).await {
+            Decoded::Started(exchange) => {
+                if let Some(kept) = usable {
+                    kept.taken();
+                }
+                let status = exchange.status;
+                let headers = answer_headers(&exchange.headers);
+                let run = Run { exchange, endpoint, place, runs: runs + 1 };
+                return Ok(Started { run, status, headers });
+            }
+            Decoded::Answered(reply) => return Err(Failed::Answer(reply)),
+            Decoded::Refused => {
+                sends += 1;
+                cache = usable;
+                host.metrics.retry("refused");
+            }
+            Decoded::NotSent => {
+                cache = usable;
+                host.outcome(place.key, Outcome::Failed);
+                host.metrics.retry("not_sent");
+            }
+            Decoded::Lost => {
+                sends += 1;
+                runs += 1;
+                host.outcome(place.key, Outcome::Failed);
+                host.metrics.retry("lost");
+                if !call.route().resumable || runs >= call.route().attempts {
+                    return Err(Failed::Reason(Reason::EndpointLost, None));
+                }
+            }
+        }
+    }
+    if runs > 0 {
+        return Err(Failed::Reason(Reason::EndpointLost, None));
+    }
+    Err(Failed::Reason(Reason::EndpointsRefused, Some(RETRY)))
+}
+
+/// Time after which a refused generation may find room.
+const RETRY: Duration = Duration::from_millis(800);
+
+fn is_ready<D, S>(host: &Host<D, S>, key: Key) -> bool {
+    host.directory.borrow().get(key).is_some_and(|endpoint| endpoint.state == State::Ready)
+}
+
+fn engine<D, S>(host: &Host<D, S>, service: &str) -> Option<Engine> {
+    host.fleet.borrow().as_ref()?.services.get(service)?.engine
+}
+
+/// The decode engine with the most room for a generation, filled to at most `fill`.
+fn best<D, S>(
+    host: &Host<D, S>,
+    service: &str,
+    tokens: u64,
+    tried: &[Key],
+    fill: f64,
+) -> Option<Key> {
+    let engine = engine(host, service)?;
+    let ledger = host.ledger.borrow();
+    let cost = |key, endpoint: &Endpoint| {
+        let room = Room { slots: engine.slots.min(endpoint.slots), capacity: u64::from(engine.capacity) };
+        let share = room.after(ledger.load(key), tokens).filter(|share| *share <= fill)?;
+        Some(share + jitter(JITTER))
+    };
+    host.choose(service, Some(Stage::Decode), tried, cost).map(|(key, _)| key)
+}
+
+/// Room without waiting, unless others wait already.
+fn room_now<D, S>(
+    host: &Rc<Host<D, S>>,
+    call: &Call,
+    tokens: Tokens,
+    tried: &[Key],
+) -> Option<Place<D, S>> {
+    let waiting = host.lines.borrow().get(&call.service).is_some_and(|line| !line.queue.is_empty());
+    if waiting && tried.is_empty() {
+        return None;
+    }
+    let tokens = reservation(tokens.prompt, tokens.output);
+    let key = best(host, &call.service, tokens, tried, f64::INFINITY)?;
+    Some(Place::take(host, key, tokens))
+}
+
+async fn wait_for_room<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    call: &Call,
+    tokens: Tokens,
+) -> Result<Place<D, S>, Failed> {
+    let started = now();
+    let duration = Duration::from_secs_f64(f64::from(tokens.output) * TOKEN_MS / 1_000.0);
+    let reserved = reservation(tokens.prompt, tokens.output);
+    let waiter = Waiter {
+        priority: call.priority(),
+        start_by: call.arrived + call.route().target.mul_f64(1.0 - START_SHARE),
+        hopeless_at: earlier(call.deadline(), duration + call.route().target.mul_f64(START_SHARE)),
+        tokens: reserved,
+    };
+    let (sender, turn) = oneshot::channel();
+    let pushed = {
+        let mut lines = host.lines.borrow_mut();
+        let line = lines.entry(call.service.clone()).or_insert_with(Line::new);
+        let pushed = line.queue.push(started, waiter);
+        if let Ok(ticket) = pushed {
+            line.turns.insert(ticket, sender);
+        }
+        pushed
+    };
+    let ticket = pushed.map_err(|refusal| {
+        tracing::info!(id = call.head.id, ?refusal, waiting = waiting(host, &call.service), "queue: refused");
+        match refusal {
+            Refusal::Full(wait) => Failed::Reason(Reason::QueueFull, Some(wait.max(RETRY))),
+            Refusal::Hopeless => Failed::Reason(Reason::Hopeless, None),
+        }
+    })?;
+    let waiting = Waiting { host, service: &call.service, ticket };
+    host.room.notify_one();
+    let place = turn.await.map_err(|_| Failed::Reason(Reason::Hopeless, None))?;
+    drop(waiting);
+    Ok(place)
+}
+
+fn waiting<D, S>(host: &Host<D, S>, service: &str) -> usize {
+    host.lines.borrow().get(service).map_or(0, |line| line.queue.len())
+}
+
+fn earlier(instant: Instant, by: Duration) -> Instant {
+    Instant::from_millis(instant.as_millis().saturating_sub(by.as_millis() as u64))
+}
+
+/// Gives room to waiting generations, in the order of the queue.
+pub(crate) fn dispatch<D, S>(host: &Rc<Host<D, S>>) {
+    let now = now();
+    let services: Vec<String> = host.lines.borrow().keys().cloned().collect();
+    for service in services {
+        loop {
+            let first = {
+                let mut lines = host.lines.borrow_mut();
+                let Some(line) = lines.get_mut(&service) else {
+                    break;
+                };
+                for ticket in line.queue.expire(now) {
+                    line.turns.remove(&ticket);
+                }
+                line.queue.first(now)
+            };
+            let Some((ticket, waiter, timely)) = first else {
+                break;
+            };
+            let fill = if timely { f64::INFINITY } else { LATE_FILL };
+            let Some(key) = best(host, &service, waiter.tokens, &[], fill) else {
+                break;
+            };
+            let mut lines = host.lines.borrow_mut();
+            let Some(line) = lines.get_mut(&service) else {
+                break;
+            };
+            line.queue.start(now, ticket);
+            let Some(turn) = line.turns.remove(&ticket) else {
+                continue;
+            };
+            // A place that nobody waits for is freed by its guard.
+            drop(turn.send(Place::take(host, key, waiter.tokens)));
+        }
+    }
+}
+
+/// KV cache at a prefill engine; it is freed there unless it was taken.
+struct Kept<D: Dialect, S: Store> {
+    host: Rc<Host<D, S>>,
+    cache: Cache,
+    until: Instant,
+    taken: bool,
+}
+
+impl<D: Dialect, S: Store> Kept<D, S> {
+    fn is_usable(&self) -> bool {
+        now() + HANDLE_MARGIN < self.until
+    }
+
+    fn taken(mut self) {
+        self.taken = true;
+    }
+}
+
+impl<D: Dialect, S: Store> Drop for Kept<D, S> {
+    fn drop(&mut self) {
+        if self.taken || now() >= self.until {
+            return;
+        }
+        let (method, target) = D::release(&self.cache.handle);
+        let request =
+            http::Request::builder().method(method).uri(target).body(http_body_util::Full::default());
+        let Ok(request) = request else {
+            return;
+        };
+        let (pool, address) = (self.host.pool.clone(), self.cache.address);
+        actix_rt::spawn(async move {
+            let patience = Patience { connect: CONNECT, head: CONNECT, reuse: Duration::MAX };
+            let freed = async {
+                let mut exchange = pool.send(address, request, patience).await?;
+                exchange.read(PREFILL_ANSWER_BYTES, CONNECT).await
+            };
+            if let Err(error) = freed.await {
+                // The handle expires by itself.
+                tracing::debug!(%error, "prefill: handle not freed");
+            }
+        });
+    }
+}
+
+/// Has the prompt read at a prefill engine near the decode engine.
+async fn prefill<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    call: &Call,
+    tokens: Tokens,
+    decode: &Endpoint,
+) -> Option<Kept<D, S>> {
+    let hold = engine(host, &call.service)?.hold;
+    let (key, endpoint) = {
+        let ledger = host.ledger.borrow();
+        let cost = |key, endpoint: &Endpoint| {
+            let backlog = ledger.load(key).tokens as f64 * PROMPT_TOKEN_MS;
+            let distance = if endpoint.data_centre == decode.data_centre { 0.0 } else { NEAR_MS };
+            (backlog <= LONGEST_BACKLOG_MS).then(|| backlog + distance + jitter(10.0))
+        };
+        host.choose(&call.service, Some(Stage::Prefill), &[], cost)?
+    };
+    let place = Place::take(host, key, u64::from(tokens.prompt));
+    let started = now();
+    let outbound = Outbound {
+        deadline: call.caller_deadline.since(started),
+        endpoint: &endpoint.id,
+        customer: call.customer_name(),
+        prefill: true,
+        cache: None,
+        after_event: call.head.after_event,
+    };
+    let request = call.outbound::<D>(&outbound).ok()?;
+    let head = PREFILL_PATIENCE.min(call.deadline().since(started));
+    let patience = Patience { connect: CONNECT, head, reuse: Duration::MAX };
+    let sent = async {
+        let mut exchange = host.pool.send(endpoint.address, request, patience).await?;
+        let body = exchange.read(PREFILL_ANSWER_BYTES, head).await?;
+        Ok::<_, Error>((exchange.status, D::answer(exchange.status, &exchange.headers), body))
+    };
+    let result = sent.await;
+    drop(place);
+    let (status, answer, body) = match result {
+        Ok(result) => result,
+        Err(error) => {
+            host.outcome(key, Outcome::Failed);
+            tracing::info!(id = call.head.id, endpoint = endpoint.id, %error, "prefill: failed");
+            return None;
+        }
+    };
+    if !status.is_success() || answer.id.is_some_and(|id| id != call.head.id) {
+        tracing::info!(id = call.head.id, endpoint = endpoint.id, status = status.as_u16(), "prefill: refused");
+        return None;
+    }
+    let handle = match D::prefilled(&body) {
+        Ok(handle) => handle,
+        Err(error) => {
+            tracing::warn!(id = call.head.id, endpoint = endpoint.id, %error, "prefill: malformed answer");
+            return None;
+        }
+    };
+    host.outcome(key, Outcome::Answered { millis: 1.0 });
+    let cache = Cache { address: endpoint.address, handle };
+    Some(Kept { host: Rc::clone(host), cache, until: now() + hold, taken: false })
+}
+
+/// How a decode request ended up to the head of its answer.
+enum Decoded {
+    Started(Exchange),
+    Answered(Reply),
+    Refused,
+    NotSent,
+    Lost,
+}
+
+async fn decode<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    call: &Call,
+    endpoint: &Endpoint,
+    cache: Option<&Cache>,
+    after_event: Option<u64>,
+) -> Decoded {
+    let started = now();
+    let outbound = Outbound {
+        deadline: call.caller_deadline.since(started),
+        endpoint: &endpoint.id,
+        customer: call.customer_name(),
+        prefill: false,
+        cache,
+        after_event,
+    };
+    let Ok(request) = call.outbound::<D>(&outbound) else {
+        return Decoded::NotSent;
+    };
+    let left = call.deadline().since(started);
+    let head = if call.route().resumable { left.min(PAUSE * 2) } else { left };
+    let reuse = if call.route().resumable { Duration::MAX } else { PAUSE };
+    let patience = Patience { connect: CONNECT.min(left), head, reuse };
+    let mut exchange = match host.pool.send(endpoint.address, request, patience).await {
+        Ok(exchange) => exchange,
+        Err(Error::NotSent(_)) => return Decoded::NotSent,
+        Err(error) => {
+            tracing::info!(id = call.head.id, endpoint = endpoint.id, %error, "decode: lost");
+            return Decoded::Lost;
+        }
+    };
+    let answer = D::answer(exchange.status, &exchange.headers);
+    if answer.id.as_deref().is_some_and(|id| id != call.head.id) {
+        return Decoded::Lost;
+    }
+    tracing::info!(
+        id = call.head.id,
+        endpoint = endpoint.id,
+        status = exchange.status.as_u16(),
+        cached = cache.is_some(),
+        after_event,
+        waited_ms = started.since(call.arrived).as_millis() as u64,
+        "decode: answered"
+    );
+    if answer.not_run {
+        drop(exchange.read(PREFILL_ANSWER_BYTES, CONNECT).await);
+        return Decoded::Refused;
+    }
+    if answer.id.is_none() || exchange.headers.contains_key(http::header::CONTENT_ENCODING) {
+        return Decoded::Lost;
+    }
+    if exchange.status.is_success() {
+        return if answer.signed { Decoded::Started(exchange) } else { Decoded::Lost };
+    }
+    let status = exchange.status;
+    let headers = answer_headers(&exchange.headers);
+    match exchange.read(PREFILL_ANSWER_BYTES, left).await {
+        Ok(body) => Decoded::Answered(Reply::Whole { status, headers, body }),
+        Err(_) => Decoded::Lost,
+    }
+}
+
+type Sender = mpsc::Sender<Result<bytes::Bytes, Cut>>;
+
+/// Passes the events on until the stream ends or its caller leaves.
+async fn relay<D: Dialect, S: Store>(
+    host: Rc<Host<D, S>>,
+    call: Rc<Call>,
+    run: Run<D, S>,
+    sender: Sender,
+) {
+    let gone = sender.clone();
+    tokio::select! {
+        () = gone.closed() => tracing::info!(id = call.head.id, "stream: caller left"),
+        end = pump(&host, &call, run, &sender) => match end {
+            Ok(()) => {}
+            Err(cut) => {
+                host.metrics.cuts.get_or_create(&Label { reason: cut.0 }).inc();
+                tracing::info!(id = call.head.id, reason = cut.0, "stream: cut");
+                // The caller may have left as well.
+                drop(sender.send(Err(cut)).await);
+            }
+        }
+    }
+}
+
+async fn pump<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    call: &Call,
+    mut run: Run<D, S>,
+    sender: &Sender,
+) -> Result<(), Cut> {
+    let mut events = Events::after(call.head.after_event);
+    loop {
+        let left = call.deadline().since(now());
+        if left.is_zero() {
+            return Err(Cut("route timeout"));
+        }
+        let patience = if call.route().resumable { left.min(PAUSE) } else { left };
+        let broken = match timeout(patience, run.exchange.next()).await {
+            Ok(Ok(Some(data))) => match events.push(&data) {
+                Ok(whole) if whole.is_empty() => continue,
+                Ok(whole) => {
+                    if sender.send(Ok(whole)).await.is_err() {
+                        return Ok(());
+                    }
+                    continue;
+                }
+                Err(_) => "malformed events",
+            },
+            Ok(Ok(None)) if events.is_whole() => {
+                host.outcome(run.place.key, Outcome::Answered { millis: 1.0 });
+                return Ok(());
+            }
+            Ok(Ok(None)) => "incomplete event",
+            Ok(Err(_)) => "connection lost",
+            Err(_) => "no event",
+        };
+        tracing::info!(
+            id = call.head.id,
+            endpoint = run.endpoint.id,
+            reason = broken,
+            after_event = events.last(),
+            "stream: broken"
+        );
+        if call.deadline() <= now() {
+            return Err(Cut("route timeout"));
+        }
+        host.outcome(run.place.key, Outcome::Failed);
+        events.discard_tail();
+        run = resume(host, call, run, events.last()).await.ok_or(Cut(broken))?;
+    }
+}
+
+/// Goes on with a broken stream at another engine.
+async fn resume<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    call: &Call,
+    broken: Run<D, S>,
+    after_event: Option<u64>,
+) -> Option<Run<D, S>> {
+    let Run { exchange, endpoint, place, runs } = broken;
+    // The engine stops when the connection closes.
+    drop(exchange);
+    let mut tried = vec![place.key];
+    drop(place);
+    if !call.route().resumable || runs >= call.route().attempts {
+        return None;
+    }
+    for _ in 0..SENDS {
+        let tokens = expected(call);
+        let place = room_now(host, call, tokens, &tried)?;
+        if !host.budgets.borrow_mut().repeat(now(), &call.service) {
+            host.metrics.retry("denied");
+            return None;
+        }
+        let next = host.directory.borrow().get(place.key).cloned()?;
+        tried.push(place.key);
+        match decode(host, call, &next, None, after_event).await {
+            Decoded::Started(exchange) => {
+                host.metrics.retry("resumed");
+                tracing::info!(id = call.head.id, from = endpoint.id, to = next.id, after_event, "stream: resumed");
+                return Some(Run { exchange, endpoint: next, place, runs: runs + 1 });
+            }
+            Decoded::Refused | Decoded::NotSent => {}
+            Decoded::Answered(_) | Decoded::Lost => return None,
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/entry/src/follow.rs
@@ -0,0 +1,228 @@
+//! Follows the platform's records: configuration, endpoints and the system's own hosts.
+
+use std::collections::HashSet;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::platform::{Dialect, Error, Feed, Record, Result, Store};
+use crate::state::{Host, now};
+
+/// Longest wait of a read for a change of the configuration. A silent connection shows within it by
+/// its keep-alive probes.
+const CONFIGURATION_WAIT: Duration = Duration::from_secs(10);
+/// Pause between reads of the endpoints' entries. They change state rarely but are written again at
+/// every heartbeat, so waiting reads would return at once each time.
+const ENDPOINT_PERIOD: Duration = Duration::from_millis(800);
+/// First and longest pause after a failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Puts a configuration in force unless a newer one is.
+pub(crate) fn configure<D: Dialect, S: Store>(host: &Host<D, S>, document: Bytes, source: &str) {
+    match D::fleet(&document) {
+        Ok(fleet) => {
+            if host.configure(fleet, document) {
+                tracing::info!(source, "config: read");
+            }
+        }
+        Err(error) => tracing::error!(%error, source, "config: malformed, the one before stays"),
+    }
+}
+
+/// Applies endpoint entries of a peer; a complete list also tells which are gone.
+pub(crate) fn merge_endpoints<D: Dialect, S: Store>(
+    host: &Host<D, S>,
+    entries: Vec<(String, Bytes)>,
+    complete: bool,
+) {
+    if entries.is_empty() {
+        return;
+    }
+    let listed: HashSet<String> = entries.iter().map(|(id, _)| id.clone()).collect();
+    for (id, value) in entries {
+        put::<D, S>(host, id, value);
+    }
+    if complete {
+        retain(host, &listed);
+    }
+    host.directory_known.set(true);
+}
+
+fn put<D: Dialect, S: Store>(host: &Host<D, S>, id: String, value: Bytes) {
+    match D::endpoint(&id, &value) {
+        Ok(endpoint) => {
+            let change = host.directory.borrow_mut().put(endpoint);
+            host.directory_changed(change);
+            host.entries.borrow_mut().insert(id, value);
+        }
+        Err(error) => {
+            // Each malformed record is reported once.
+            if host.entries.borrow_mut().insert(id.clone(), value).is_none() {
+                tracing::warn!(key = id, %error, "directory: malformed entry");
+            }
+        }
+    }
+}
+
+fn remove<D, S>(host: &Host<D, S>, id: &str) {
+    let change = host.directory.borrow_mut().remove(now(), id);
+    host.directory_changed(change);
+    host.entries.borrow_mut().remove(id);
+}
+
+fn retain<D, S>(host: &Host<D, S>, listed: &HashSet<String>) {
+    let changes = host.directory.borrow_mut().retain(now(), |id| listed.contains(id));
+    for change in changes {
+        host.directory_changed(change);
+    }
+    host.entries.borrow_mut().retain(|id, _| listed.contains(id));
+}
+
+/// Notes the outcome of a call to the store; returns the pause before the next one.
+fn answered<D, S, T>(host: &Host<D, S>, feed: Feed, result: &Result<T>, failures: &mut u32) -> Option<Duration> {
+    let now = now();
+    match result {
+        Ok(_) | Err(Error::Expired) => {
+            if *failures > 0 {
+                tracing::info!(?feed, failures = *failures, "store: regained");
+                host.directory.borrow_mut().store_returned(now);
+            }
+            *failures = 0;
+            host.store_answered.set(Some(now));
+            host.confirmed.set(Some(now));
+            None
+        }
+        Err(error) => {
+            if *failures == 0 {
+                tracing::warn!(?feed, %error, "store: lost");
+            }
+            *failures += 1;
+            Some(LONGEST_PAUSE.min(FIRST_PAUSE * (1 << (*failures).min(4))))
+        }
+    }
+}
+
+/// Reads the newest record of every key.
+async fn newest<S: Store>(store: &S, feed: Feed) -> Result<(Vec<Record>, u64)> {
+    let mut page = store.newest(feed, None).await?;
+    let mut records = std::mem::take(&mut page.records);
+    // Pages are no snapshot: what changes meanwhile is read again from the first page's end.
+    let end = page.end;
+    while let Some(after) = page.next.take() {
+        page = store.newest(feed, Some(&after)).await?;
+        records.append(&mut page.records);
+    }
+    Ok((records, end))
+}
+
+/// Follows the operator's configuration.
+pub(crate) async fn configuration<D: Dialect, S: Store>(host: Rc<Host<D, S>>) {
+    let mut position = None;
+    let mut failures = 0;
+    loop {
+        let result = match position {
+            None => newest(&host.store, Feed::Configuration).await,
+            Some(from) => {
+                let read = host.store.read(Feed::Configuration, from, CONFIGURATION_WAIT).await;
+                read.map(|batch| (batch.records, batch.next))
+            }
+        };
+        let pause = answered(&host, Feed::Configuration, &result, &mut failures);
+        match result {
+            Ok((records, next)) => {
+                for record in records {
+                    if let Some(document) = record.value.filter(|_| record.key == CONFIGURATION_KEY) {
+                        configure::<D, S>(&host, document, "store");
+                    }
+                }
+                let none_yet = position.is_none() && host.fleet.borrow().is_none();
+                position = Some(next);
+                if none_yet {
+                    tracing::info!("config: none published yet");
+                }
+            }
+            Err(Error::Expired) => position = None,
+            Err(_) => {}
+        }
+        if let Some(pause) = pause {
+            tokio::time::sleep(pause).await;
+        }
+    }
+}
+
+/// Key of the configuration's record.
+const CONFIGURATION_KEY: &str = "config";
+
+/// Follows the entries of the endpoints.
+pub(crate) async fn endpoints<D: Dialect, S: Store>(host: Rc<Host<D, S>>) {
+    let mut position = None;
+    let mut failures = 0;
+    loop {
+        let result = match position {
+            None => newest(&host.store, Feed::Endpoints).await.map(|(records, end)| (records, end, true)),
+            Some(from) => host
+                .store
+                .read(Feed::Endpoints, from, Duration::ZERO)
+                .await
+                .map(|batch| (batch.records, batch.next, false)),
+        };
+        let pause = answered(&host, Feed::Endpoints, &result, &mut failures);
+        match result {
+            Ok((records, next, complete)) => {
+                position = Some(next);
+                apply::<D, S>(&host, records, complete);
+                host.directory_known.set(true);
+            }
+            Err(Error::Expired) => {
+                position = None;
+                continue;
+            }
+            Err(_) => {}
+        }
+        tokio::time::sleep(pause.unwrap_or(ENDPOINT_PERIOD)).await;
+    }
+}
+
+fn apply<D: Dialect, S: Store>(host: &Host<D, S>, records: Vec<Record>, complete: bool) {
+    let listed: HashSet<String> = records.iter().map(|record| record.key.clone()).collect();
+    for record in records {
+        match record.value {
+            Some(value) => put::<D, S>(host, record.key, value),
+            None => remove(host, &record.key),
+        }
+    }
+    if complete {
+        retain(host, &listed);
+    }
+}
+
+/// Announces this host and finds the others.
+pub(crate) async fn hosts<D: Dialect, S: Store>(host: Rc<Host<D, S>>) {
+    let own = SocketAddr::new(host.options.address, host.options.listen.peer_port);
+    let mut failures = 0;
+    loop {
+        let result = meet(&host, own).await;
+        let pause = answered(&host, Feed::Hosts, &result, &mut failures);
+        match pause {
+            Some(pause) => tokio::time::sleep(pause).await,
+            None => return,
+        }
+    }
+}
+
+async fn meet<D, S: Store>(host: &Rc<Host<D, S>>, own: SocketAddr) -> Result<()> {
+    host.store.announce(&host.options.host, own.ip().to_string().as_bytes()).await?;
+    let (records, _) = newest(&host.store, Feed::Hosts).await?;
+    for record in records {
+        let text = record.value.as_deref().and_then(|value| std::str::from_utf8(value).ok());
+        let address: Option<IpAddr> = text.and_then(|text| text.parse().ok());
+        let Some(address) = address.filter(|address| *address != own.ip()) else {
+            continue;
+        };
+        host.view.borrow_mut().announce(now(), SocketAddr::new(address, own.port()));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/gossip.rs
@@ -0,0 +1,206 @@
+//! Reports between the hosts of the system, and what each host believes of its peers.
+//!
+//! A report carries totals since the sender's start, so a lost or repeated datagram changes nothing
+//! that the next one does not repair.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use berylknot_coordination::clock::Instant;
+use serde::{Deserialize, Serialize};
+
+use crate::budget::Count;
+use crate::ledger::Load;
+
+/// Version of the report; another one is ignored.
+const VERSION: u8 = 1;
+/// Time without a report after which a peer counts as not heard.
+pub const SILENT_AFTER: Duration = Duration::from_millis(1_200);
+/// Time without a report after which a peer is forgotten. It exceeds the longest partition that the
+/// deployments rehearse (12 s), in which the peer goes on admitting requests.
+pub const FORGOTTEN_AFTER: Duration = Duration::from_secs(20);
+/// Peers that are remembered.
+const PEERS: usize = 1_024;
+
+/// Report of a host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Report {
+    /// Format version.
+    pub version: u8,
+    /// Number of the sender's start; a later start has a higher one.
+    pub incarnation: u64,
+    /// Number of the report since the start.
+    pub sequence: u64,
+    /// Version of the configuration in force.
+    pub configuration: u64,
+    /// Age of the sender's last answer from the store in milliseconds.
+    pub store_age_ms: u64,
+    /// Whether the sender stops.
+    pub leaving: bool,
+    /// Tokens admitted since the start, by customer.
+    pub customers: Vec<(String, u64)>,
+    /// Requests and repeated sends since the start, by service.
+    pub services: Vec<(String, u64, u64)>,
+    /// Requests and reserved tokens now, by endpoint.
+    pub endpoints: Vec<(String, u32, u64)>,
+}
+
+/// A malformed report or one of another version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+#[error("malformed report")]
+pub struct Malformed;
+
+impl Report {
+    /// Makes a report of the current format.
+    #[must_use]
+    pub const fn new(incarnation: u64, sequence: u64) -> Self {
+        Self {
+            version: VERSION,
+            incarnation,
+            sequence,
+            configuration: 0,
+            store_age_ms: 0,
+            leaving: false,
+            customers: Vec::new(),
+            services: Vec::new(),
+            endpoints: Vec::new(),
+        }
+    }
+}
+
+impl TryFrom<&[u8]> for Report {
+    type Error = Malformed;
+
+    fn try_from(bytes: &[u8]) -> Result<Self, Malformed> {
+        let report: Self = rmp_serde::from_slice(bytes).map_err(|_| Malformed)?;
+        if report.version == VERSION { Ok(report) } else { Err(Malformed) }
+    }
+}
+
+/// What a report adds to what was known of its sender.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Delta {
+    /// Tokens admitted since the previous report, by customer.
+    pub customers: Vec<(String, u64)>,
+    /// Counts since the previous report, by service.
+    pub services: Vec<(String, Count)>,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    heard: Option<Instant>,
+    added: Instant,
+    report: Report,
+}
+
+/// All peers of this host.
+#[derive(Debug, Default)]
+pub struct View {
+    peers: HashMap<SocketAddr, Peer>,
+}
+
+impl View {
+    /// Adds a peer that was announced; it is not heard yet.
+    pub fn announce(&mut self, now: Instant, address: SocketAddr) {
+        if self.peers.len() >= PEERS {
+            return;
+        }
+        self.peers.entry(address).or_insert_with(|| Peer {
+            heard: None,
+            added: now,
+            report: Report::new(0, 0),
+        });
+    }
+
+    /// Applies a report; `None` if it is older than the last one of its sender.
+    pub fn hear(&mut self, now: Instant, from: SocketAddr, report: Report) -> Option<Delta> {
+        self.announce(now, from);
+        let peer = self.peers.get_mut(&from)?;
+        let known = &peer.report;
+        if (report.incarnation, report.sequence) <= (known.incarnation, known.sequence) {
+            return None;
+        }
+        let first = known.incarnation == 0;
+        let same_start = known.incarnation == report.incarnation;
+        let mut delta = Delta::default();
+        // The totals of a peer that was not known before are history that this host was not part of.
+        if !first {
+            for (customer, total) in &report.customers {
+                let before = same_start
+                    .then(|| known.customers.iter().find(|(name, _)| name == customer))
+                    .flatten()
+                    .map_or(0, |(_, total)| *total);
+                if *total > before {
+                    delta.customers.push((customer.clone(), total - before));
+                }
+            }
+            for (service, requests, repeats) in &report.services {
+                let before = same_start
+                    .then(|| known.services.iter().find(|(name, _, _)| name == service))
+                    .flatten();
+                let (seen_requests, seen_repeats) =
+                    before.map_or((0, 0), |(_, requests, repeats)| (*requests, *repeats));
+                let count = Count {
+                    requests: requests.saturating_sub(seen_requests),
+                    repeats: repeats.saturating_sub(seen_repeats),
+                };
+                if count != Count::default() {
+                    delta.services.push((service.clone(), count));
+                }
+            }
+        }
+        peer.report = report;
+        peer.heard = Some(now);
+        Some(delta)
+    }
+
+    /// Forgets peers that have been silent for long or that left.
+    pub fn expire(&mut self, now: Instant) {
+        self.peers.retain(|_, peer| {
+            let since = now.since(peer.heard.unwrap_or(peer.added));
+            let gone = peer.report.leaving && since >= SILENT_AFTER;
+            !gone && since < FORGOTTEN_AFTER
+        });
+    }
+
+    /// Addresses to send reports to.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.peers.keys().copied()
+    }
+
+    /// Peers that are heard.
+    pub fn heard(&self, now: Instant) -> impl Iterator<Item = (SocketAddr, &Report)> {
+        self.peers.iter().filter_map(move |(address, peer)| {
+            let recent = now.since(peer.heard?) < SILENT_AFTER;
+            recent.then_some((*address, &peer.report))
+        })
+    }
+
+    /// Number of peers that were heard once and are silent now, and number of peers heard once.
+    #[must_use]
+    pub fn silent(&self, now: Instant) -> (usize, usize) {
+        let known = self.peers.values().filter_map(|peer| peer.heard);
+        let (mut silent, mut all) = (0, 0);
+        for heard in known {
+            all += 1;
+            silent += usize::from(now.since(heard) >= SILENT_AFTER);
+        }
+        (silent, all)
+    }
+
+    /// Loads that peers reported recently, by endpoint id.
+    pub fn loads(&self, now: Instant) -> impl Iterator<Item = (&str, Load)> {
+        self.peers
+            .values()
+            .filter(move |peer| {
+                peer.heard.is_some_and(|heard| crate::ledger::is_recent(now, heard))
+            })
+            .flat_map(|peer| &peer.report.endpoints)
+            .map(|(id, requests, tokens)| {
+                (id.as_str(), Load { requests: *requests, tokens: *tokens })
+            })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,28 @@
+//! Entry daemon: routes requests that are described by their head to engines and plain services.
+//!
+//! Decision code ([`directory`], [`ledger`], [`waiting`], [`quota`], [`budget`], [`gossip`]) takes a
+//! time and an event and has no I/O. The platform it runs on is a type parameter ([`platform`]).
+
+pub mod args;
+pub mod budget;
+pub mod directory;
+pub mod events;
+pub mod fleet;
+pub mod gossip;
+pub mod http;
+pub mod ledger;
+pub mod options;
+pub mod platform;
+pub mod quota;
+pub mod run;
+pub mod waiting;
+
+pub(crate) mod call;
+pub(crate) mod completion;
+pub(crate) mod follow;
+pub(crate) mod metrics;
+pub(crate) mod peer;
+pub(crate) mod refusal;
+pub(crate) mod request;
+pub(crate) mod server;
+pub(crate) mod state;
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,58 @@
+//! Counters and latency histograms.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub(crate) struct Label {
+    pub(crate) reason: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub(crate) struct Kind {
+    pub(crate) kind: &'static str,
+}
+
+/// Bounds of the latency histograms in seconds; the objectives of the deployments lie inside.
+const SECONDS: [f64; 12] =
+    [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.6, 0.9, 2.0, 5.0, 15.0];
+
+/// Metrics of the daemon.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    pub(crate) registry: Registry,
+    pub(crate) refusals: Family<Label, Counter>,
+    pub(crate) retries: Family<Label, Counter>,
+    pub(crate) answers: Family<Kind, Counter>,
+    pub(crate) cuts: Family<Label, Counter>,
+    pub(crate) latency: Family<Kind, Histogram>,
+    pub(crate) dropped_lines: Counter,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("berylknot");
+        let refusals = Family::default();
+        let retries = Family::default();
+        let answers = Family::default();
+        let cuts = Family::default();
+        let latency = Family::<Kind, Histogram>::new_with_constructor(|| Histogram::new(SECONDS));
+        let dropped_lines = Counter::default();
+        registry.register("refusals", "Answers of the system's own by reason", refusals.clone());
+        registry.register("retries", "Repeated sends by reason", retries.clone());
+        registry.register("answers", "Answers of endpoints by kind of route", answers.clone());
+        registry.register("cuts", "Streams that ended early by reason", cuts.clone());
+        registry.register("latency_seconds", "Time to the first byte by kind", latency.clone());
+        registry.register("dropped_log_lines", "Log lines that were not written", dropped_lines.clone());
+        Self { registry, refusals, retries, answers, cuts, latency, dropped_lines }
+    }
+
+    pub(crate) fn retry(&self, reason: &'static str) {
+        self.retries.get_or_create(&Label { reason }).inc();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/options.rs
@@ -0,0 +1,97 @@
+//! Settings of the entry daemon's process, one struct per section.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+pub use berylknot_telemetry::log::Log;
+
+/// Settings of the entry daemon.
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Options {
+    /// Name of the host.
+    pub host: String,
+    /// Data centre of the host.
+    pub data_centre: String,
+    /// Address of the host.
+    pub address: IpAddr,
+    /// Whether the whole deployment starts for the first time.
+    pub first_start: bool,
+    /// Listening addresses.
+    pub listen: Listen,
+    /// Addresses of some other hosts; they may be stale.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The store of the platform.
+    pub store: Store,
+    /// Bounds that the users set.
+    pub bounds: Bounds,
+    /// Logging.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// Listening addresses.
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for readiness checks.
+    pub ready: SocketAddr,
+    /// UDP and TCP port for other hosts, the same on all hosts.
+    pub peer_port: u16,
+    /// TCP port for metrics.
+    pub metrics_port: u16,
+}
+
+/// The store of the platform.
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Store {
+    /// Address of the store.
+    pub address: SocketAddr,
+}
+
+/// Bounds that the users set for the deployment.
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// Repeated sends per request, over all hosts.
+    pub retry_ratio: f64,
+    /// Window of the retry bound, in seconds.
+    pub retry_window_s: f64,
+    /// Repeated sends in a window that are allowed beyond the ratio.
+    pub retry_slack: f64,
+    /// Time after which a leaving endpoint must not get requests, in milliseconds.
+    pub drain_ms: u64,
+    /// Time from SIGTERM to SIGKILL, in seconds.
+    pub grace_s: f64,
+    /// Lease of the holder that gives orders to engines, in milliseconds.
+    pub lease_ms: u64,
+}
+
+impl Bounds {
+    /// Time that a graceful shutdown may take.
+    #[must_use]
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_s)
+    }
+}
+
+impl Options {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    /// Fails with the findings about the file.
+    pub fn read(path: &Path) -> berylknot_settings::Result<Self> {
+        berylknot_settings::document::read_file(path)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peer.rs
@@ -0,0 +1,226 @@
+//! Talk between hosts: reports over UDP, and the newest records over HTTP for hosts that the store
+//! does not answer.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+use crate::completion::dispatch;
+use crate::follow;
+use crate::gossip::Report;
+use crate::http::Patience;
+use crate::platform::{Dialect, Store};
+use crate::state::{Host, now};
+
+/// Pause between reports with few peers. An engine's place is held for seconds and found again in
+/// this time by the other hosts.
+const REPORT_PERIOD: Duration = Duration::from_millis(120);
+/// Reports that a host sends per second at most; with more peers the pause grows.
+const REPORTS_PER_S: f64 = 100.0;
+/// Largest report in bytes; a datagram on Ethernet carries about this much unfragmented.
+const DATAGRAM_BYTES: usize = 8 * 1_024;
+/// Reports after which the rare upkeep is done.
+const UPKEEP: u64 = 8;
+/// Age of the store's last answer, or lag behind a peer's configuration, from which records are
+/// asked of peers.
+const ASK_AFTER: Duration = Duration::from_millis(900);
+/// Longest time for a peer's answer.
+const ASK_PATIENCE: Duration = Duration::from_millis(500);
+/// Largest answer of a peer in bytes.
+const ANSWER_BYTES: usize = 16 * 1_024 * 1_024;
+
+/// Question for newer records.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct Question {
+    configuration: u64,
+}
+
+/// Newest records of a peer.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct Answer {
+    /// Age of the peer's last sign that its configuration is current, in milliseconds.
+    age_ms: u64,
+    /// The configuration, if it is newer than the asker's.
+    configuration: Option<Bytes>,
+    /// Endpoint entries by id.
+    endpoints: Vec<(String, Bytes)>,
+}
+
+/// Answers a peer's question; `None` if it is malformed.
+pub(crate) fn answer<D: Dialect, S: Store>(host: &Host<D, S>, body: &[u8]) -> Option<Bytes> {
+    let question: Question = rmp_serde::from_slice(body).ok()?;
+    let version = host.fleet.borrow().as_ref().map_or(0, |fleet| fleet.version);
+    let newer = version > question.configuration;
+    let answer = Answer {
+        age_ms: store_age(host),
+        configuration: newer.then(|| host.document.borrow().clone()),
+        endpoints: host.entries.borrow().iter().map(|(id, value)| (id.clone(), value.clone())).collect(),
+    };
+    rmp_serde::to_vec(&answer).ok().map(Bytes::from)
+}
+
+fn store_age<D, S>(host: &Host<D, S>) -> u64 {
+    host.store_answered.get().map_or(u64::MAX, |at| now().since(at).as_millis() as u64)
+}
+
+/// Receives reports.
+pub(crate) async fn receive<D: Dialect, S: Store>(host: Rc<Host<D, S>>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                // A closed port at a peer comes back as an error of this socket.
+                tracing::debug!(%error, "peer: receive failed");
+                tokio::task::yield_now().await;
+                continue;
+            }
+        };
+        let Ok(report) = Report::try_from(&buffer[..length]) else {
+            tracing::warn!(%from, "peer: malformed report");
+            continue;
+        };
+        hear(&host, from, report);
+    }
+}
+
+fn hear<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, from: SocketAddr, report: Report) {
+    let now = now();
+    let started = report.incarnation;
+    let Some(delta) = host.view.borrow_mut().hear(now, from, report) else {
+        return;
+    };
+    if started == host.incarnation {
+        return;
+    }
+    for (customer, tokens) in &delta.customers {
+        host.quotas.borrow_mut().admitted_elsewhere(now, customer, *tokens);
+    }
+    for (service, count) in &delta.services {
+        host.budgets.borrow_mut().counted_elsewhere(now, service, *count);
+    }
+    {
+        let view = host.view.borrow();
+        let directory = host.directory.borrow();
+        let loads = view.loads(now).filter_map(|(id, load)| Some((directory.key(id)?, load)));
+        host.ledger.borrow_mut().replace_peers(loads);
+    }
+    if host.lines.borrow().values().any(|line| !line.is_empty()) {
+        dispatch(host);
+    }
+}
+
+/// Sends reports, forgets silent peers, and asks peers for records while the store is away.
+pub(crate) async fn report<D: Dialect, S: Store>(host: Rc<Host<D, S>>, socket: Rc<UdpSocket>) {
+    let mut sequence = 0;
+    loop {
+        sequence += 1;
+        let peers: Vec<SocketAddr> = host.view.borrow().addresses().collect();
+        let pause = REPORT_PERIOD.max(Duration::from_secs_f64(peers.len() as f64 / REPORTS_PER_S));
+        match rmp_serde::to_vec(&current(&host, sequence)) {
+            Ok(bytes) => {
+                for peer in peers {
+                    // A lost report is made good by the next one.
+                    if let Err(error) = socket.try_send_to(&bytes, peer) {
+                        tracing::debug!(%peer, %error, "peer: report not sent");
+                    }
+                }
+            }
+            Err(error) => tracing::error!(%error, "peer: report not encoded"),
+        }
+        if sequence % UPKEEP == 0 {
+            upkeep(&host).await;
+        }
+        tokio::time::sleep(pause).await;
+    }
+}
+
+fn current<D, S>(host: &Host<D, S>, sequence: u64) -> Report {
+    let mut report = Report::new(host.incarnation, sequence);
+    report.configuration = host.fleet.borrow().as_ref().map_or(0, |fleet| fleet.version);
+    report.store_age_ms = store_age(host);
+    report.leaving = host.stopping.get();
+    report.customers =
+        host.quotas.borrow().report().map(|(name, total)| (name.to_owned(), total)).collect();
+    report.services = host
+        .budgets
+        .borrow()
+        .report()
+        .map(|(name, count)| (name.to_owned(), count.requests, count.repeats))
+        .collect();
+    let directory = host.directory.borrow();
+    report.endpoints = host
+        .ledger
+        .borrow()
+        .report()
+        .filter_map(|(key, load)| Some((directory.get(key)?.id.clone(), load.requests, load.tokens)))
+        .collect();
+    report
+}
+
+async fn upkeep<D: Dialect, S: Store>(host: &Rc<Host<D, S>>) {
+    let now = now();
+    let (silent, known) = {
+        let mut view = host.view.borrow_mut();
+        view.expire(now);
+        view.silent(now)
+    };
+    let share = silent as f64 / (known + 1) as f64;
+    host.quotas.borrow_mut().set_unheard(now, share);
+    host.budgets.borrow_mut().set_hosts(known + 1, silent);
+    host.pool.sweep();
+    let lapsed = host.directory.borrow_mut().expire(now);
+    for change in lapsed {
+        host.directory_changed(change);
+    }
+    let version = host.fleet.borrow().as_ref().map_or(0, |fleet| fleet.version);
+    let silent_store = host.store_answered.get().is_none_or(|at| now.since(at) > ASK_AFTER);
+    let source = host
+        .view
+        .borrow()
+        .heard(now)
+        .filter(|(_, report)| report.configuration > version || silent_store)
+        .min_by_key(|(_, report)| (std::cmp::Reverse(report.configuration), report.store_age_ms))
+        .map(|(address, _)| address);
+    let Some(source) = source else {
+        return;
+    };
+    if let Err(error) = ask(host, source, version).await {
+        tracing::info!(peer = %source, %error, "peer: no answer");
+    }
+}
+
+async fn ask<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    peer: SocketAddr,
+    configuration: u64,
+) -> eyre::Result<()> {
+    let asked = now();
+    let body = rmp_serde::to_vec(&Question { configuration })?;
+    let request = http::Request::post("/v1/records")
+        .header(http::header::HOST, "peer")
+        .body(http_body_util::Full::new(Bytes::from(body)))?;
+    let patience = Patience { connect: ASK_PATIENCE, head: ASK_PATIENCE, reuse: Duration::MAX };
+    let mut exchange = host.pool.send(peer, request, patience).await?;
+    let body = exchange.read(ANSWER_BYTES, ASK_PATIENCE).await?;
+    let answer: Answer = rmp_serde::from_slice(&body)?;
+    if let Some(document) = answer.configuration {
+        follow::configure::<D, S>(host, document, "peer");
+    }
+    let age = Duration::from_millis(answer.age_ms.min(u64::from(u32::MAX)));
+    let as_of = asked.as_millis().saturating_sub(age.as_millis() as u64);
+    let as_of = berylknot_coordination::clock::Instant::from_millis(as_of);
+    if host.confirmed.get().is_none_or(|known| known < as_of) {
+        host.confirmed.set(Some(as_of));
+    }
+    // A peer that the store answers knows removals as well.
+    let complete = age < ASK_AFTER;
+    follow::merge_endpoints::<D, S>(host, answer.endpoints, complete);
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/refusal.rs
@@ -0,0 +1,77 @@
+//! Answers of the system's own.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{HeaderMap, HeaderValue, RETRY_AFTER};
+use http::StatusCode;
+
+use crate::request::Reply;
+
+/// Why a request gets an answer of the system's own. Its name is the label of the counter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Reason {
+    Unreadable,
+    TooLarge,
+    UnknownRoute,
+    UnknownKey,
+    NoConfiguration,
+    StaleConfiguration,
+    OverQuota,
+    QueueFull,
+    Hopeless,
+    NoEndpoint,
+    EndpointsRefused,
+    EndpointLost,
+    TimedOut,
+}
+
+impl Reason {
+    /// Label of the counter and code in the logs.
+    pub(crate) const fn code(self) -> &'static str {
+        match self {
+            Self::Unreadable => "unreadable",
+            Self::TooLarge => "too_large",
+            Self::UnknownRoute => "unknown_route",
+            Self::UnknownKey => "unknown_key",
+            Self::NoConfiguration => "no_configuration",
+            Self::StaleConfiguration => "stale_configuration",
+            Self::OverQuota => "over_quota",
+            Self::QueueFull => "queue_full",
+            Self::Hopeless => "hopeless",
+            Self::NoEndpoint => "no_endpoint",
+            Self::EndpointsRefused => "endpoints_refused",
+            Self::EndpointLost => "endpoint_lost",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
+    /// Status. 408, 421, 429 and 503 state that the request has not run and never will.
+    pub(crate) const fn status(self) -> StatusCode {
+        match self {
+            Self::Unreadable => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::UnknownRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
+            Self::NoConfiguration
+            | Self::StaleConfiguration
+            | Self::QueueFull
+            | Self::Hopeless
+            | Self::NoEndpoint
+            | Self::EndpointsRefused => StatusCode::SERVICE_UNAVAILABLE,
+            Self::EndpointLost => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// The answer, with the time after which a new attempt may succeed.
+    pub(crate) fn reply(self, retry_after: Option<Duration>) -> Reply {
+        let mut headers = HeaderMap::new();
+        let seconds = retry_after.map(|after| format!("{:.2}", after.as_secs_f64()));
+        if let Some(value) = seconds.and_then(|text| HeaderValue::from_str(&text).ok()) {
+            headers.insert(RETRY_AFTER, value);
+        }
+        Reply::Whole { status: self.status(), headers, body: Bytes::from_static(self.code().as_bytes()) }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/request.rs
@@ -0,0 +1,140 @@
+//! A caller's request and the reply to it, independent of the HTTP libraries.
+
+use std::rc::Rc;
+
+use berylknot_coordination::clock::Instant;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, Method, StatusCode};
+use tokio::sync::mpsc;
+
+use crate::fleet::{Fleet, Route};
+use crate::platform::{Dialect, Head, Outbound};
+
+/// A request as it came.
+#[derive(Debug)]
+pub(crate) struct Request {
+    pub(crate) method: Method,
+    /// Path and query, not normalised.
+    pub(crate) target: String,
+    pub(crate) host: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// The body of a streamed reply; an error cuts the caller's connection.
+pub(crate) type Events = mpsc::Receiver<std::result::Result<Bytes, Cut>>;
+
+/// A stream that ends before its last event.
+#[derive(Clone, Copy, Debug)]
+#[derive(thiserror::Error)]
+#[error("{0}")]
+pub(crate) struct Cut(pub(crate) &'static str);
+
+/// A reply.
+pub(crate) enum Reply {
+    /// With its whole body.
+    Whole { status: StatusCode, headers: HeaderMap, body: Bytes },
+    /// With a series of events.
+    Stream { status: StatusCode, headers: HeaderMap, events: Events },
+}
+
+/// An accepted request on its way.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) request: Request,
+    pub(crate) head: Head,
+    pub(crate) fleet: Rc<Fleet>,
+    pub(crate) route: usize,
+    pub(crate) service: String,
+    pub(crate) customer: Option<usize>,
+    pub(crate) arrived: Instant,
+    /// Time at which the caller leaves.
+    pub(crate) caller_deadline: Instant,
+    /// Time at which the route requires a final answer.
+    pub(crate) route_deadline: Instant,
+}
+
+impl Call {
+    pub(crate) fn route(&self) -> &Route {
+        &self.fleet.routes[self.route]
+    }
+
+    pub(crate) fn customer_name(&self) -> Option<&str> {
+        Some(&self.fleet.customers[self.customer?].name)
+    }
+
+    pub(crate) fn deadline(&self) -> Instant {
+        self.caller_deadline.min(self.route_deadline)
+    }
+
+    /// Rank of the request; the customer's goes before the route's.
+    pub(crate) fn priority(&self) -> u8 {
+        let customer = self.customer.and_then(|index| self.fleet.customers[index].priority);
+        customer.unwrap_or(self.route().priority)
+    }
+
+    /// The request as an endpoint gets it.
+    pub(crate) fn outbound<D: Dialect>(
+        &self,
+        outbound: &Outbound<'_>,
+    ) -> std::result::Result<http::Request<http_body_util::Full<Bytes>>, http::Error> {
+        let mut request = http::Request::builder()
+            .method(self.request.method.clone())
+            .uri(self.request.target.as_str())
+            .body(http_body_util::Full::new(self.request.body.clone()))?;
+        let headers = request.headers_mut();
+        let connection_names = named_by_connection(&self.request.headers);
+        for (name, value) in &self.request.headers {
+            if is_hop_by_hop(name) || D::is_reserved(name) || connection_names.contains(name) {
+                continue;
+            }
+            headers.append(name.clone(), value.clone());
+        }
+        D::outbound(outbound, headers);
+        Ok(request)
+    }
+}
+
+/// Headers that concern one connection only, or that are set anew for the next one.
+const HOP_BY_HOP: [HeaderName; 12] = [
+    http::header::AUTHORIZATION,
+    http::header::CONNECTION,
+    http::header::CONTENT_LENGTH,
+    http::header::EXPECT,
+    HeaderName::from_static("keep-alive"),
+    http::header::PROXY_AUTHENTICATE,
+    http::header::PROXY_AUTHORIZATION,
+    HeaderName::from_static("proxy-connection"),
+    http::header::TE,
+    http::header::TRAILER,
+    http::header::TRANSFER_ENCODING,
+    http::header::UPGRADE,
+];
+
+fn is_hop_by_hop(name: &HeaderName) -> bool {
+    HOP_BY_HOP.contains(name)
+}
+
+/// Headers that `Connection` names.
+fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
+    headers
+        .get_all(http::header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect()
+}
+
+/// Headers of an endpoint's answer as the caller gets them.
+pub(crate) fn answer_headers(headers: &HeaderMap) -> HeaderMap {
+    let connection_names = named_by_connection(headers);
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        if is_hop_by_hop(name) || connection_names.contains(name) {
+            continue;
+        }
+        kept.append(name.clone(), value.clone());
+    }
+    kept
+}
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,131 @@
+//! Starts the daemon's tasks and ends them on a signal.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::signal::unix::{SignalKind, signal};
+use rand::Rng;
+use tokio::net::UdpSocket;
+
+use crate::completion::dispatch;
+use crate::http::Pool;
+use crate::options::Options;
+use crate::platform::{Dialect, Store};
+use crate::server::{self, Audience};
+use crate::state::{Host, now};
+use crate::{follow, peer};
+
+/// Time after SIGTERM in which the balancer notices that the host is not ready: two checks, one
+/// second apart, and their answers.
+const NOTICE: Duration = Duration::from_millis(2_500);
+/// Time that is left before the platform kills the process.
+const MARGIN: Duration = Duration::from_millis(600);
+const SHUTDOWN_POLL: Duration = Duration::from_millis(50);
+/// Pause between looks at the waiting generations when nothing else wakes the dispatcher.
+const DISPATCH_PERIOD: Duration = Duration::from_millis(50);
+
+/// Runs the daemon on a platform until it is told to stop.
+///
+/// # Errors
+/// Fails when a listening address cannot be bound.
+pub fn run<D: Dialect, S: Store>(
+    options: Options,
+    store: impl FnOnce(Pool, SocketAddr) -> S,
+) -> eyre::Result<()> {
+    actix_rt::System::new().block_on(serve::<D, S>(options, store))
+}
+
+async fn serve<D: Dialect, S: Store>(
+    options: Options,
+    store: impl FnOnce(Pool, SocketAddr) -> S,
+) -> eyre::Result<()> {
+    let pool = Pool::default();
+    let store = store(pool.clone(), options.store.address);
+    let host = Rc::new(Host::<D, S>::new(options, store, pool, incarnation()));
+    let options = &host.options;
+    let at = |port| SocketAddr::new(options.address, port);
+    let listeners = [
+        (Audience::Callers, options.listen.callers),
+        (Audience::Checks, options.listen.ready),
+        (Audience::Peers, at(options.listen.peer_port)),
+        (Audience::Metrics, at(options.listen.metrics_port)),
+    ];
+    let mut accepting = Vec::new();
+    for (audience, address) in listeners {
+        let listener = server::listen(address)?;
+        accepting.push(actix_rt::spawn(server::accept(Rc::clone(&host), listener, audience)));
+    }
+    let socket = Rc::new(UdpSocket::bind(at(options.listen.peer_port)).await?);
+    for seed in &options.seeds {
+        if seed.ip() != options.address {
+            let peer = SocketAddr::new(seed.ip(), options.listen.peer_port);
+            host.view.borrow_mut().announce(now(), peer);
+        }
+    }
+    tracing::info!(
+        host = options.host,
+        incarnation = host.incarnation,
+        first_start = options.first_start,
+        "daemon: started"
+    );
+    actix_rt::spawn(follow::configuration(Rc::clone(&host)));
+    actix_rt::spawn(follow::endpoints(Rc::clone(&host)));
+    actix_rt::spawn(follow::hosts(Rc::clone(&host)));
+    actix_rt::spawn(peer::receive(Rc::clone(&host), Rc::clone(&socket)));
+    actix_rt::spawn(peer::report(Rc::clone(&host), socket));
+    actix_rt::spawn(dispatcher(Rc::clone(&host)));
+    stop(&host, accepting).await
+}
+
+/// A number that a later start of this host exceeds.
+fn incarnation() -> u64 {
+    let since_epoch = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |time| time.as_millis() as u64);
+    (since_epoch << 20) | u64::from(rand::rng().random::<u32>() >> 12)
+}
+
+async fn dispatcher<D: Dialect, S: Store>(host: Rc<Host<D, S>>) {
+    loop {
+        let idle = host.lines.borrow().values().all(crate::completion::Line::is_empty);
+        if idle {
+            host.room.notified().await;
+        } else {
+            // Expired generations are refused even when no room appears.
+            drop(tokio::time::timeout(DISPATCH_PERIOD, host.room.notified()).await);
+        }
+        dispatch(&host);
+    }
+}
+
+/// Waits for SIGTERM or SIGINT and for the open requests.
+async fn stop<D, S>(
+    host: &Rc<Host<D, S>>,
+    accepting: Vec<actix_rt::task::JoinHandle<()>>,
+) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            // Addresses cannot change while they are in use, and the rest is in the store.
+            _ = reload.recv() => tracing::info!("daemon: reload requested"),
+        }
+    }
+    let started = now();
+    host.stopping.set(true);
+    tracing::info!(open = host.open.get(), "daemon: stopping");
+    tokio::time::sleep(NOTICE).await;
+    for task in accepting {
+        task.abort();
+    }
+    let limit = host.options.bounds.grace().saturating_sub(MARGIN);
+    while host.open.get() > 0 && now().since(started) < limit {
+        tokio::time::sleep(SHUTDOWN_POLL).await;
+    }
+    tracing::info!(open = host.open.get(), "daemon: stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,327 @@
+//! Listeners for callers, readiness checks, peers and metrics.
+//!
+//! `actix-http` is used below `actix-web`, since a caller that closes its half of a connection must
+//! end its request and all tasks share one thread.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::{BodyStream, BoxBody, MessageBody};
+use actix_http::{HttpMessage, HttpService, Request as Incoming, Response};
+use actix_service::{Service, ServiceFactory};
+use bytes::{Bytes, BytesMut};
+use futures_util::{StreamExt, stream};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::fleet::Kind;
+use crate::metrics::{Kind as KindLabel, Label};
+use crate::platform::{Dialect, Store};
+use crate::refusal::Reason;
+use crate::request::{Call, Reply, Request};
+use crate::state::{Host, now};
+use crate::{call, completion, peer};
+
+/// Idle time of a caller's connection. Callers use theirs for up to four fifths of the configured
+/// idle time (15 s on the sheets), so the listener must not close before.
+const KEEP_ALIVE: Duration = Duration::from_secs(20);
+/// Time for the head of a request (limit of the sheets).
+const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for the body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest body before a configuration is known.
+const BODY_BYTES: usize = 4 * 1_024 * 1_024;
+const BACKLOG: u32 = 512;
+
+/// What a listener serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Audience {
+    Callers,
+    Checks,
+    Peers,
+    Metrics,
+}
+
+/// Opens a listening socket.
+///
+/// # Errors
+/// Fails when the address is taken.
+pub(crate) fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts connections until the task is dropped.
+pub(crate) async fn accept<D: Dialect, S: Store>(
+    host: Rc<Host<D, S>>,
+    listener: TcpListener,
+    audience: Audience,
+) {
+    let shared = Rc::clone(&host);
+    let factory = HttpService::build()
+        .keep_alive(KEEP_ALIVE)
+        .client_request_timeout(HEAD_TIMEOUT)
+        .h1_allow_half_closed(false)
+        .h1(move |request: Incoming| {
+            let host = Rc::clone(&shared);
+            async move { Ok::<_, std::convert::Infallible>(handle(host, request, audience).await) }
+        });
+    let Ok(service) = factory.new_service(()).await else {
+        tracing::error!(?audience, "server: service could not be built");
+        return;
+    };
+    let service = Rc::new(service);
+    loop {
+        let stream: TcpStream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(?audience, %error, "server: accept failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if let Err(error) = stream.set_nodelay(true) {
+            tracing::debug!(%error, "server: no delay not set");
+        }
+        let peer = stream.peer_addr().ok();
+        let serving = service.call((stream, peer));
+        actix_rt::spawn(async move {
+            if let Err(error) = serving.await {
+                tracing::debug!(%error, "server: connection ended");
+            }
+        });
+    }
+}
+
+/// Pause after a failed accept, which mostly means that descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+async fn handle<D: Dialect, S: Store>(
+    host: Rc<Host<D, S>>,
+    incoming: Incoming,
+    audience: Audience,
+) -> Response<BoxBody> {
+    match audience {
+        Audience::Callers => callers(host, incoming).await,
+        Audience::Checks if incoming.path() == D::ready_path() => {
+            let status = if host.is_ready() { 200 } else { 503 };
+            plain(status, Bytes::new())
+        }
+        Audience::Peers => {
+            let body = read_body(incoming, BODY_BYTES).await;
+            match body.ok().and_then(|body| peer::answer(&host, &body)) {
+                Some(answer) => plain(200, answer),
+                None => plain(400, Bytes::new()),
+            }
+        }
+        Audience::Metrics | Audience::Checks => {
+            match berylknot_telemetry::metrics::render(&host.metrics.registry) {
+                Ok(text) => plain(200, Bytes::from(text)),
+                Err(error) => {
+                    tracing::warn!(%error, "metrics: not rendered");
+                    plain(500, Bytes::new())
+                }
+            }
+        }
+    }
+}
+
+fn plain(status: u16, body: Bytes) -> Response<BoxBody> {
+    let status = actix_http::StatusCode::from_u16(status)
+        .unwrap_or(actix_http::StatusCode::INTERNAL_SERVER_ERROR);
+    Response::build(status).body(body).map_into_boxed_body()
+}
+
+/// Counts an open request for as long as it is held.
+struct Open<D, S>(Rc<Host<D, S>>);
+
+impl<D, S> Drop for Open<D, S> {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+async fn callers<D: Dialect, S: Store>(host: Rc<Host<D, S>>, incoming: Incoming) -> Response<BoxBody> {
+    host.open.set(host.open.get() + 1);
+    let open = Open(Rc::clone(&host));
+    let limit = host.fleet.borrow().as_ref().map_or(BODY_BYTES, |fleet| fleet.body_bytes);
+    let (method, target, name, headers) = head(&incoming);
+    let reply = match tokio::time::timeout(BODY_TIMEOUT, read_body(incoming, limit)).await {
+        Ok(Ok(body)) => {
+            let request = Request { method, target, host: name, headers, body };
+            serve(&host, request).await
+        }
+        Ok(Err(TooLarge(true))) => refuse(&host, Reason::TooLarge, None),
+        Ok(Err(TooLarge(false))) | Err(_) => refuse(&host, Reason::Unreadable, None),
+    };
+    respond(reply, host.stopping.get(), open)
+}
+
+fn head(incoming: &Incoming) -> (Method, String, String, HeaderMap) {
+    let method = Method::from_bytes(incoming.method().as_str().as_bytes()).unwrap_or(Method::GET);
+    let uri = incoming.uri();
+    let target = uri.path_and_query().map_or_else(|| "/".to_owned(), |target| target.as_str().to_owned());
+    let mut headers = HeaderMap::with_capacity(incoming.headers().len());
+    for (name, value) in incoming.headers() {
+        let name = HeaderName::from_bytes(name.as_str().as_bytes());
+        let value = HeaderValue::from_bytes(value.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    let host = headers
+        .get(http::header::HOST)
+        .and_then(|value| value.to_str().ok())
+        .or_else(|| uri.host())
+        .unwrap_or_default();
+    let host = host.split(':').next().unwrap_or_default().to_owned();
+    (method, target, host, headers)
+}
+
+/// A body that is too large (true) or cannot be read (false).
+struct TooLarge(bool);
+
+async fn read_body(mut incoming: Incoming, limit: usize) -> Result<Bytes, TooLarge> {
+    let mut payload = incoming.take_payload();
+    let mut whole = BytesMut::new();
+    while let Some(part) = payload.next().await {
+        let part = part.map_err(|_| TooLarge(false))?;
+        if whole.len() + part.len() > limit {
+            return Err(TooLarge(true));
+        }
+        whole.extend_from_slice(&part);
+    }
+    Ok(whole.freeze())
+}
+
+fn refuse<D, S>(host: &Host<D, S>, reason: Reason, after: Option<Duration>) -> Reply {
+    host.metrics.refusals.get_or_create(&Label { reason: reason.code() }).inc();
+    reason.reply(after)
+}
+
+/// Time after which a starting host knows its configuration.
+const START_TIME: Duration = Duration::from_millis(300);
+
+async fn serve<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, request: Request) -> Reply {
+    let arrived = now();
+    let id_and_reply = accept_call(host, request, arrived);
+    let (call, tokens) = match id_and_reply {
+        Ok(accepted) => accepted,
+        Err((id, reason, after)) => {
+            tracing::info!(id, reason = reason.code(), "request: refused");
+            return refuse(host, reason, after);
+        }
+    };
+    let kind = call.route().kind;
+    let call = Rc::new(call);
+    let reply = match kind {
+        Kind::Streaming => completion::serve(host, Rc::clone(&call)).await,
+        Kind::Idempotent | Kind::NonIdempotent => call::serve(host, &call).await,
+    };
+    let status = match &reply {
+        Reply::Whole { status, .. } | Reply::Stream { status, .. } => *status,
+    };
+    if matches!(status.as_u16(), 429 | 503)
+        && let Some(customer) = call.customer_name()
+    {
+        host.quotas.borrow_mut().give_back(customer, tokens);
+    }
+    let label = match kind {
+        Kind::Streaming => "streaming",
+        Kind::Idempotent => "idempotent",
+        Kind::NonIdempotent => "non_idempotent",
+    };
+    let took = now().since(arrived);
+    host.metrics.answers.get_or_create(&KindLabel { kind: label }).inc();
+    host.metrics.latency.get_or_create(&KindLabel { kind: label }).observe(took.as_secs_f64());
+    tracing::info!(
+        id = call.head.id,
+        route = call.route().name,
+        configuration = call.fleet.version,
+        status = status.as_u16(),
+        took_ms = took.as_millis() as u64,
+        "request: answered"
+    );
+    reply
+}
+
+type Rejected = (String, Reason, Option<Duration>);
+
+/// Finds route, customer and quota of a request.
+fn accept_call<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    request: Request,
+    arrived: berylknot_coordination::clock::Instant,
+) -> Result<(Call, u64), Rejected> {
+    let head = D::head(&request.headers).map_err(|_| (String::new(), Reason::Unreadable, None))?;
+    let reject = |reason, after| (head.id.clone(), reason, after);
+    let Some(fleet) = host.fleet.borrow().clone() else {
+        return Err(reject(Reason::NoConfiguration, Some(START_TIME)));
+    };
+    if !host.is_fresh(arrived) {
+        return Err(reject(Reason::StaleConfiguration, Some(START_TIME)));
+    }
+    let path = request.target.split('?').next().unwrap_or_default();
+    let Some(route) = fleet.route(&request.host, path) else {
+        return Err(reject(Reason::UnknownRoute, None));
+    };
+    let customer = head.key.as_deref().and_then(|key| fleet.keys.get(key).copied());
+    if customer.is_none() && !route.public && !fleet.customers.is_empty() {
+        return Err(reject(Reason::UnknownKey, None));
+    }
+    let index = fleet.routes.iter().position(|known| std::ptr::eq(known, route)).unwrap_or_default();
+    let Some(service) = route.service(crate::state::jitter(1.0)).map(str::to_owned) else {
+        return Err(reject(Reason::NoEndpoint, None));
+    };
+    let timeout = route.timeout;
+    let mut tokens = 0;
+    if let Some(customer) = customer.map(|index| &fleet.customers[index]) {
+        tokens = head
+            .tokens
+            .map_or(customer.plain_tokens, |tokens| u64::from(tokens.prompt) + u64::from(tokens.output));
+        let taken = host.quotas.borrow_mut().take(arrived, &customer.name, tokens);
+        if let Err(after) = taken {
+            return Err(reject(Reason::OverQuota, Some(call::spread(after))));
+        }
+    }
+    host.budgets.borrow_mut().request(arrived, &service);
+    let wait = head.deadline.unwrap_or(timeout);
+    let call = Call {
+        request,
+        head,
+        fleet: Rc::clone(&fleet),
+        route: index,
+        service,
+        customer,
+        arrived,
+        caller_deadline: arrived + wait,
+        route_deadline: arrived + timeout,
+    };
+    Ok((call, tokens))
+}
+
+fn respond<D: 'static, S: 'static>(reply: Reply, closing: bool, open: Open<D, S>) -> Response<BoxBody> {
+    let (status, headers, body) = match reply {
+        Reply::Whole { status, headers, body } => (status, headers, BoxBody::new(body)),
+        Reply::Stream { status, headers, events } => {
+            let events = stream::unfold((events, open), |(mut events, open)| async move {
+                let event = events.recv().await?;
+                Some((event, (events, open)))
+            });
+            (status, headers, BodyStream::new(Box::pin(events)).boxed())
+        }
+    };
+    let status = actix_http::StatusCode::from_u16(status.as_u16())
+        .unwrap_or(actix_http::StatusCode::BAD_GATEWAY);
+    let mut builder = Response::build(status);
+    for (name, value) in &headers {
+        builder.append_header((name.as_str(), value.as_bytes()));
+    }
+    if closing {
+        builder.force_close();
+    }
+    builder.body(body).map_into_boxed_body()
+}
--- /dev/null
+++ b/crates/entry/src/state.rs
@@ -0,0 +1,284 @@
+//! State of the daemon, shared by its tasks on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::marker::PhantomData;
+use std::rc::Rc;
+use std::time::Duration;
+
+use berylknot_coordination::clock::Instant;
+use berylknot_coordination::eject::{Change, Detector, Outcome};
+use rand::Rng;
+use tokio::sync::Notify;
+
+use crate::budget::Budgets;
+use crate::completion::Line;
+use crate::directory::{self, Directory, Endpoint, Key, Stage};
+use crate::fleet::Fleet;
+use crate::gossip::View;
+use crate::http::Pool;
+use crate::ledger::Ledger;
+use crate::metrics::Metrics;
+use crate::options::Options;
+use crate::quota::Quotas;
+
+/// Time for which an endpoint that failed a connection or lost an exchange is chosen last.
+const SUSPICION: Duration = Duration::from_millis(800);
+/// Cost of another data centre against load, as a share of an endpoint's slots.
+const DISTANCE: f64 = 0.35;
+/// Age of the last sign of a current configuration at which keys are no longer honoured (design
+/// page, section 5.7).
+const FRESHNESS: Duration = Duration::from_secs(10);
+
+/// Monotonic time since a fixed origin that counts suspended time.
+pub(crate) fn now() -> Instant {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Instant::from_millis(time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000)
+}
+
+/// State of the daemon. `D` is the caller and endpoint dialect, `S` the platform's store.
+pub(crate) struct Host<D, S> {
+    pub(crate) options: Options,
+    pub(crate) store: S,
+    pub(crate) pool: Pool,
+    pub(crate) metrics: Metrics,
+    pub(crate) incarnation: u64,
+    pub(crate) fleet: RefCell<Option<Rc<Fleet>>>,
+    /// The configuration as it was read, for peers without the store.
+    pub(crate) document: RefCell<bytes::Bytes>,
+    pub(crate) directory: RefCell<Directory>,
+    /// Endpoint entries as they were read, for peers without the store.
+    pub(crate) entries: RefCell<HashMap<String, bytes::Bytes>>,
+    pub(crate) ledger: RefCell<Ledger>,
+    pub(crate) quotas: RefCell<Quotas>,
+    pub(crate) budgets: RefCell<Budgets>,
+    pub(crate) view: RefCell<View>,
+    pub(crate) lines: RefCell<HashMap<String, Line<D, S>>>,
+    detectors: RefCell<HashMap<String, Detector<Key>>>,
+    suspects: RefCell<HashMap<Key, Instant>>,
+    /// Time of the last answer of the store.
+    pub(crate) store_answered: Cell<Option<Instant>>,
+    /// Time of the last sign that the configuration is current, from the store or a peer.
+    pub(crate) confirmed: Cell<Option<Instant>>,
+    pub(crate) directory_known: Cell<bool>,
+    pub(crate) stopping: Cell<bool>,
+    pub(crate) open: Cell<usize>,
+    /// Wakes the dispatcher of waiting generations.
+    pub(crate) room: Notify,
+    dialect: PhantomData<D>,
+}
+
+impl<D, S> Host<D, S> {
+    pub(crate) fn new(options: Options, store: S, pool: Pool, incarnation: u64) -> Self {
+        let bounds = &options.bounds;
+        let budgets = Budgets::new(
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            (bounds.retry_window_s * 1_000.0) as u64,
+        );
+        Self {
+            quotas: RefCell::new(Quotas::new(options.first_start)),
+            options,
+            store,
+            pool,
+            metrics: Metrics::new(),
+            incarnation,
+            fleet: RefCell::new(None),
+            document: RefCell::default(),
+            directory: RefCell::default(),
+            entries: RefCell::default(),
+            ledger: RefCell::default(),
+            budgets: RefCell::new(budgets),
+            view: RefCell::default(),
+            lines: RefCell::default(),
+            detectors: RefCell::default(),
+            suspects: RefCell::default(),
+            store_answered: Cell::new(None),
+            confirmed: Cell::new(None),
+            directory_known: Cell::new(false),
+            stopping: Cell::new(false),
+            open: Cell::new(0),
+            room: Notify::new(),
+            dialect: PhantomData,
+        }
+    }
+
+    /// Whether the host may serve: it knows a configuration and the endpoints, and neither is stale.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.fleet.borrow().is_some() && self.directory_known.get() && !self.stopping.get() && self.is_fresh(now())
+    }
+
+    /// Whether keys are still honoured: the configuration was current recently, or most of the
+    /// peers are heard and none of them has a newer one.
+    pub(crate) fn is_fresh(&self, now: Instant) -> bool {
+        let confirmed = self.confirmed.get().is_some_and(|at| now.since(at) < FRESHNESS);
+        if confirmed {
+            return true;
+        }
+        let view = self.view.borrow();
+        let (silent, known) = view.silent(now);
+        (known - silent + 1) * 2 > known + 1
+    }
+
+    /// Puts a configuration in force unless a newer one is; returns whether it was.
+    pub(crate) fn configure(&self, fleet: Fleet, document: bytes::Bytes) -> bool {
+        let known = self.fleet.borrow().as_ref().map(|known| known.version);
+        if known.is_some_and(|known| known >= fleet.version) {
+            return false;
+        }
+        let now = now();
+        for customer in &fleet.customers {
+            self.quotas.borrow_mut().configure(now, &customer.name, customer.rate, customer.burst);
+        }
+        tracing::info!(version = fleet.version, before = known, "config: in force");
+        *self.fleet.borrow_mut() = Some(Rc::new(fleet));
+        *self.document.borrow_mut() = document;
+        true
+    }
+
+    /// Follows a change of the directory.
+    pub(crate) fn directory_changed(&self, change: directory::Change) {
+        let directory = self.directory.borrow();
+        match change {
+            directory::Change::None => {}
+            directory::Change::Started(key) | directory::Change::Changed(key) => {
+                let Some(endpoint) = directory.get(key) else {
+                    return;
+                };
+                if matches!(change, directory::Change::Started(_)) {
+                    self.pool.forget(endpoint.address);
+                }
+                let mut detectors = self.detectors.borrow_mut();
+                detectors.entry(group(endpoint)).or_default().add(key);
+                tracing::info!(
+                    endpoint = endpoint.id,
+                    service = endpoint.service,
+                    address = %endpoint.address,
+                    state = ?endpoint.state,
+                    stage = ?endpoint.stage,
+                    sequence = endpoint.sequence,
+                    "directory: endpoint changed"
+                );
+            }
+            directory::Change::Removed(key) => {
+                tracing::info!(?key, "directory: endpoint gone");
+                for detector in self.detectors.borrow_mut().values_mut() {
+                    detector.remove(key);
+                }
+                self.suspects.borrow_mut().remove(&key);
+            }
+        }
+    }
+
+    /// Counts the outcome of a request at an endpoint.
+    pub(crate) fn outcome(&self, key: Key, outcome: Outcome) {
+        let now = now();
+        let directory = self.directory.borrow();
+        let Some(endpoint) = directory.get(key) else {
+            return;
+        };
+        if outcome == Outcome::Failed {
+            self.suspects.borrow_mut().insert(key, now + SUSPICION);
+        }
+        let mut detectors = self.detectors.borrow_mut();
+        let Some(detector) = detectors.get_mut(&group(endpoint)) else {
+            return;
+        };
+        if let Some(change) = detector.outcome(now, key, outcome) {
+            let ejected = change == Change::Ejected;
+            tracing::info!(endpoint = endpoint.id, ejected, "eject: endpoint changed");
+        }
+    }
+
+    /// Whether an endpoint should be chosen only when no other is left.
+    fn is_doubtful(&self, now: Instant, key: Key, endpoint: &Endpoint) -> bool {
+        let suspect = self.suspects.borrow().get(&key).is_some_and(|until| *until > now);
+        suspect
+            || self
+                .detectors
+                .borrow()
+                .get(&group(endpoint))
+                .is_some_and(|detector| detector.is_ejected(key))
+    }
+
+    /// The best endpoint of a service by a cost; `None` as cost excludes an endpoint.
+    pub(crate) fn choose(
+        &self,
+        service: &str,
+        stage: Option<Stage>,
+        tried: &[Key],
+        cost: impl Fn(Key, &Endpoint) -> Option<f64>,
+    ) -> Option<(Key, Endpoint)> {
+        let now = now();
+        let directory = self.directory.borrow();
+        let mut best: Option<(f64, Key, &Endpoint)> = None;
+        for (key, endpoint) in directory.ready(service) {
+            if tried.contains(&key) || stage.is_some() && endpoint.stage != stage {
+                continue;
+            }
+            let Some(mut cost) = cost(key, endpoint) else {
+                continue;
+            };
+            if self.is_doubtful(now, key, endpoint) {
+                cost += DOUBT;
+            }
+            if best.is_none_or(|(lowest, _, _)| cost < lowest) {
+                best = Some((cost, key, endpoint));
+            }
+        }
+        best.map(|(_, key, endpoint)| (key, endpoint.clone()))
+    }
+
+    /// An ejected endpoint whose turn for a probe has come.
+    pub(crate) fn probe(&self, service: &str, stage: Option<Stage>) -> Option<Key> {
+        let mut detectors = self.detectors.borrow_mut();
+        detectors.get_mut(&(service.to_owned() + stage_name(stage)))?.probe(now())
+    }
+
+    /// Cost of the distance to an endpoint.
+    pub(crate) fn distance(&self, endpoint: &Endpoint) -> f64 {
+        if endpoint.data_centre == self.options.data_centre { 0.0 } else { DISTANCE }
+    }
+}
+
+/// Cost that puts an endpoint behind all sound ones.
+const DOUBT: f64 = 1_000.0;
+
+fn stage_name(stage: Option<Stage>) -> &'static str {
+    match stage {
+        None => "",
+        Some(Stage::Prefill) => "/prefill",
+        Some(Stage::Decode) => "/decode",
+    }
+}
+
+/// Endpoints whose failures and latencies are comparable.
+fn group(endpoint: &Endpoint) -> String {
+    endpoint.service.clone() + stage_name(endpoint.stage)
+}
+
+/// A small random cost, so that hosts with the same knowledge do not all choose the same endpoint.
+pub(crate) fn jitter(largest: f64) -> f64 {
+    rand::rng().random_range(0.0..largest)
+}
+
+/// Load of a request on an endpoint, for as long as it is held.
+pub(crate) struct Place<D, S> {
+    host: Rc<Host<D, S>>,
+    pub(crate) key: Key,
+    tokens: u64,
+}
+
+impl<D, S> Place<D, S> {
+    pub(crate) fn take(host: &Rc<Host<D, S>>, key: Key, tokens: u64) -> Self {
+        host.ledger.borrow_mut().take(key, tokens);
+        Self { host: Rc::clone(host), key, tokens }
+    }
+}
+
+impl<D, S> Drop for Place<D, S> {
+    fn drop(&mut self) {
+        self.host.ledger.borrow_mut().release(self.key, self.tokens);
+        self.host.room.notify_one();
+    }
+}
