Forecast the memory of engines; bound customers by a sliding window; stop taking work before the exit

Reservations of prompt plus 0.55 of the output overfill engines whose generations started together. The ledger now forecasts the peak from held and expected tokens of each generation, with an allowance for wrong estimates.

Cause of LOST: kept connections got requests until the exit. Requests that could be cut by it are refused as not run.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -11,6 +11,7 @@
 use crate::directory::{Endpoint, Key};
 use crate::fleet::Kind;
 use crate::http::{Error, Patience};
+use crate::ledger::Run;
 use crate::platform::{Dialect, Outbound, Store};
 use crate::refusal::Reason;
 use crate::request::{Call, Reply, answer_headers};
@@ -155,8 +156,7 @@
     }
     let ledger = host.ledger.borrow();
     let cost = |key, endpoint: &Endpoint| {
-        let load = ledger.load(key);
-        let share = f64::from(load.requests) / f64::from(endpoint.slots.max(1));
+        let share = f64::from(ledger.requests(key)) / f64::from(endpoint.slots.max(1));
         Some(share + host.distance(endpoint) + jitter(JITTER))
     };
     let fresh = host.choose(&call.service, None, tried, cost);
@@ -188,7 +188,7 @@
     };
     let reuse = if call.route().kind == Kind::Idempotent { Duration::MAX } else { FRESH_CONNECTION };
     let patience = Patience { connect: CONNECT.min(patience), head: patience, reuse };
-    let _place = Place::take(host, key, 0);
+    let _place = Place::take(host, key, Run::default());
     let attempt = exchange::<D, S>(host, call, endpoint, request, patience, started).await;
     let outcome = match &attempt {
         Attempt::Answered { status, .. } if status.is_server_error() => None,
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -13,11 +13,11 @@
 use crate::call::{CONNECT, spread};
 use crate::directory::{Endpoint, Key, Stage, State};
 use crate::events::Events;
-use crate::fleet::Engine;
+use crate::fleet::{Engine, Kind, Route};
 use crate::http::{Error, Exchange, Patience};
-use crate::ledger::{Room, reservation};
+use crate::ledger::{Room, Run};
 use crate::metrics::Label;
-use crate::platform::{Cache, Dialect, Outbound, Store, Tokens};
+use crate::platform::{Cache, Dialect, Head, Outbound, Store, Tokens};
 use crate::refusal::Reason;
 use crate::request::{Call, Cut, Reply, answer_headers};
 use crate::state::{Host, Place, jitter, now};
@@ -86,6 +86,21 @@
     }
 }
 
+/// Longest time that a request may reasonably take: the route's timeout for a call, and the time of
+/// the largest output for a generation.
+pub(crate) fn longest(head: &Head, route: &Route) -> Duration {
+    if route.kind != Kind::Streaming {
+        return route.timeout;
+    }
+    let output = head.tokens.unwrap_or(UNSTATED).output;
+    (duration(output) + route.target).min(route.timeout)
+}
+
+/// Time in which a busy engine makes that many tokens.
+fn duration(output: u32) -> Duration {
+    Duration::from_secs_f64(f64::from(output) * TOKEN_MS / 1_000.0)
+}
+
 /// Tokens of a generation, with the expected output.
 fn expected(call: &Call) -> Tokens {
     let stated = call.head.tokens.unwrap_or(UNSTATED);
@@ -110,8 +125,8 @@
     }
 }
 
-/// A run at a decode engine.
-struct Run<D, S> {
+/// A generation that runs at a decode engine.
+struct Running<D, S> {
     exchange: Exchange,
     endpoint: Endpoint,
     place: Place<D, S>,
@@ -119,7 +134,7 @@
 }
 
 struct Started<D, S> {
-    run: Run<D, S>,
+    run: Running<D, S>,
     status: http::StatusCode,
     headers: HeaderMap,
 }
@@ -173,13 +188,16 @@
                 }
                 let status = exchange.status;
                 let headers = answer_headers(&exchange.headers);
-                let run = Run { exchange, endpoint, place, runs: runs + 1 };
+                let run = Running { exchange, endpoint, place, runs: runs + 1 };
                 return Ok(Started { run, status, headers });
             }
             Decoded::Answered(reply) => return Err(Failed::Answer(reply)),
             Decoded::Refused => {
                 sends += 1;
-                cache = usable;
+                // Either the engine is full, or the handle lapsed before its time.
+                if let Some(kept) = usable {
+                    host.suspect(kept.key);
+                }
                 host.metrics.retry("refused");
             }
             Decoded::NotSent => {
@@ -219,7 +237,7 @@
 fn best<D, S>(
     host: &Host<D, S>,
     service: &str,
-    tokens: u64,
+    run: Run,
     tried: &[Key],
     fill: f64,
 ) -> Option<Key> {
@@ -227,7 +245,9 @@
     let ledger = host.ledger.borrow();
     let cost = |key, endpoint: &Endpoint| {
         let room = Room { slots: engine.slots.min(endpoint.slots), capacity: u64::from(engine.capacity) };
-        let share = room.after(ledger.load(key), tokens).filter(|share| *share <= fill)?;
+        let mut runs: Vec<Run> = ledger.runs(key).collect();
+        runs.push(run);
+        let share = room.share(&mut runs).filter(|share| *share <= fill)?;
         Some(share + jitter(JITTER))
     };
     host.choose(service, Some(Stage::Decode), tried, cost).map(|(key, _)| key)
@@ -244,9 +264,9 @@
     if waiting && tried.is_empty() {
         return None;
     }
-    let tokens = reservation(tokens.prompt, tokens.output);
-    let key = best(host, &call.service, tokens, tried, f64::INFINITY)?;
-    Some(Place::take(host, key, tokens))
+    let run = Run { held: tokens.prompt, left: tokens.output };
+    let key = best(host, &call.service, run, tried, f64::INFINITY)?;
+    Some(Place::take(host, key, run))
 }
 
 async fn wait_for_room<D: Dialect, S: Store>(
@@ -255,13 +275,11 @@
     tokens: Tokens,
 ) -> Result<Place<D, S>, Failed> {
     let started = now();
-    let duration = Duration::from_secs_f64(f64::from(tokens.output) * TOKEN_MS / 1_000.0);
-    let reserved = reservation(tokens.prompt, tokens.output);
     let waiter = Waiter {
         priority: call.priority(),
         start_by: call.arrived + call.route().target.mul_f64(1.0 - START_SHARE),
-        hopeless_at: earlier(call.deadline(), duration + call.route().target.mul_f64(START_SHARE)),
-        tokens: reserved,
+        hopeless_at: earlier(call.deadline(), duration(tokens.output) + call.route().target.mul_f64(START_SHARE)),
+        run: Run { held: tokens.prompt, left: tokens.output },
     };
     let (sender, turn) = oneshot::channel();
     let pushed = {
@@ -315,7 +333,7 @@
                 break;
             };
             let fill = if timely { f64::INFINITY } else { LATE_FILL };
-            let Some(key) = best(host, &service, waiter.tokens, &[], fill) else {
+            let Some(key) = best(host, &service, waiter.run, &[], fill) else {
                 break;
             };
             let mut lines = host.lines.borrow_mut();
@@ -327,7 +345,7 @@
                 continue;
             };
             // A place that nobody waits for is freed by its guard.
-            drop(turn.send(Place::take(host, key, waiter.tokens)));
+            drop(turn.send(Place::take(host, key, waiter.run)));
         }
     }
 }
@@ -336,6 +354,8 @@
 struct Kept<D: Dialect, S: Store> {
     host: Rc<Host<D, S>>,
     cache: Cache,
+    /// The engine that keeps it.
+    key: Key,
     until: Instant,
     taken: bool,
 }
@@ -387,13 +407,13 @@
     let (key, endpoint) = {
         let ledger = host.ledger.borrow();
         let cost = |key, endpoint: &Endpoint| {
-            let backlog = ledger.load(key).tokens as f64 * PROMPT_TOKEN_MS;
+            let backlog = ledger.tokens(key) as f64 * PROMPT_TOKEN_MS;
             let distance = if endpoint.data_centre == decode.data_centre { 0.0 } else { NEAR_MS };
             (backlog <= LONGEST_BACKLOG_MS).then(|| backlog + distance + jitter(10.0))
         };
         host.choose(&call.service, Some(Stage::Prefill), &[], cost)?
     };
-    let place = Place::take(host, key, u64::from(tokens.prompt));
+    let place = Place::take(host, key, Run { held: tokens.prompt, left: 0 });
     let started = now();
     let outbound = Outbound {
         deadline: call.caller_deadline.since(started),
@@ -434,7 +454,7 @@
     };
     host.outcome(key, Outcome::Answered { millis: 1.0 });
     let cache = Cache { address: endpoint.address, handle };
-    Some(Kept { host: Rc::clone(host), cache, until: now() + hold, taken: false })
+    Some(Kept { host: Rc::clone(host), cache, key, until: now() + hold, taken: false })
 }
 
 /// How a decode request ended up to the head of its answer.
@@ -486,6 +506,7 @@
         endpoint = endpoint.id,
         status = exchange.status.as_u16(),
         cached = cache.is_some(),
+        prompt = call.head.tokens.map(|tokens| tokens.prompt),
         after_event,
         waited_ms = started.since(call.arrived).as_millis() as u64,
         "decode: answered"
@@ -514,7 +535,7 @@
 async fn relay<D: Dialect, S: Store>(
     host: Rc<Host<D, S>>,
     call: Rc<Call>,
-    run: Run<D, S>,
+    run: Running<D, S>,
     sender: Sender,
 ) {
     let gone = sender.clone();
@@ -535,10 +556,13 @@
 async fn pump<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     call: &Call,
-    mut run: Run<D, S>,
+    mut run: Running<D, S>,
     sender: &Sender,
 ) -> Result<(), Cut> {
     let mut events = Events::after(call.head.after_event);
+    let tokens_per_event = engine(host, &call.service).map_or(1, |engine| engine.tokens_per_event);
+    let most = call.head.tokens.unwrap_or(UNSTATED).output;
+    let mut delivered = 0;
     loop {
         let left = call.deadline().since(now());
         if left.is_zero() {
@@ -549,6 +573,9 @@
             Ok(Ok(Some(data))) => match events.push(&data) {
                 Ok(whole) if whole.is_empty() => continue,
                 Ok(whole) => {
+                    let made = events.count() - delivered;
+                    delivered += made;
+                    run.place.progress(made * tokens_per_event, most.saturating_sub(delivered * tokens_per_event));
                     if sender.send(Ok(whole)).await.is_err() {
                         return Ok(());
                     }
@@ -558,6 +585,14 @@
             },
             Ok(Ok(None)) if events.is_whole() => {
                 host.outcome(run.place.key, Outcome::Answered { millis: 1.0 });
+                tracing::info!(
+                    id = call.head.id,
+                    endpoint = run.endpoint.id,
+                    events = delivered,
+                    hint = call.head.output_hint,
+                    took_ms = now().since(call.arrived).as_millis() as u64,
+                    "stream: finished"
+                );
                 return Ok(());
             }
             Ok(Ok(None)) => "incomplete event",
@@ -584,10 +619,10 @@
 async fn resume<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     call: &Call,
-    broken: Run<D, S>,
+    broken: Running<D, S>,
     after_event: Option<u64>,
-) -> Option<Run<D, S>> {
-    let Run { exchange, endpoint, place, runs } = broken;
+) -> Option<Running<D, S>> {
+    let Running { exchange, endpoint, place, runs } = broken;
     // The engine stops when the connection closes.
     drop(exchange);
     let mut tried = vec![place.key];
@@ -608,7 +643,7 @@
             Decoded::Started(exchange) => {
                 host.metrics.retry("resumed");
                 tracing::info!(id = call.head.id, from = endpoint.id, to = next.id, after_event, "stream: resumed");
-                return Some(Run { exchange, endpoint: next, place, runs: runs + 1 });
+                return Some(Running { exchange, endpoint: next, place, runs: runs + 1 });
             }
             Decoded::Refused | Decoded::NotSent => {}
             Decoded::Answered(_) | Decoded::Lost => return None,
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -14,6 +14,7 @@
 pub struct Events {
     tail: BytesMut,
     last: Option<u64>,
+    count: u32,
 }
 
 /// Why a stream is not passed on.
@@ -29,7 +30,7 @@
     /// Makes a splitter of a stream whose caller already has the events up to `last`.
     #[must_use]
     pub fn after(last: Option<u64>) -> Self {
-        Self { tail: BytesMut::new(), last }
+        Self { tail: BytesMut::new(), last, count: 0 }
     }
 
     /// Id of the last whole event.
@@ -38,6 +39,12 @@
         self.last
     }
 
+    /// Number of whole events so far.
+    #[must_use]
+    pub const fn count(&self) -> u32 {
+        self.count
+    }
+
     /// Whether the stream stands between two events.
     #[must_use]
     pub fn is_whole(&self) -> bool {
@@ -71,6 +78,7 @@
                 return Err(Broken::Repeated);
             }
             self.last = Some(id);
+            self.count += 1;
         }
         Ok(whole)
     }
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -57,6 +57,8 @@
     pub slots: u32,
     /// Tokens that fit into the memory.
     pub capacity: u32,
+    /// Output tokens in an event of a stream.
+    pub tokens_per_event: u32,
     /// Time that the KV cache of a prompt is kept.
     pub hold: Duration,
     /// Time that a change of stage takes.
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::budget::Count;
-use crate::ledger::Load;
+use crate::ledger::Run;
 
 /// Version of the report; another one is ignored.
 const VERSION: u8 = 1;
@@ -20,6 +20,8 @@
 /// Time without a report after which a peer is forgotten. It exceeds the longest partition that the
 /// deployments rehearse (12 s), in which the peer goes on admitting requests.
 pub const FORGOTTEN_AFTER: Duration = Duration::from_secs(20);
+/// Time for which the requests of a silent peer count still.
+const REPORT_LIFETIME: Duration = Duration::from_secs(3);
 /// Peers that are remembered.
 const PEERS: usize = 1_024;
 
@@ -43,8 +45,8 @@
     pub customers: Vec<(String, u64)>,
     /// Requests and repeated sends since the start, by service.
     pub services: Vec<(String, u64, u64)>,
-    /// Requests and reserved tokens now, by endpoint.
-    pub endpoints: Vec<(String, u32, u64)>,
+    /// Requests now, by endpoint.
+    pub endpoints: Vec<(String, Vec<Run>)>,
 }
 
 /// A malformed report or one of another version.
@@ -83,8 +85,8 @@
 /// What a report adds to what was known of its sender.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Delta {
-    /// Tokens admitted since the previous report, by customer.
-    pub customers: Vec<(String, u64)>,
+    /// Tokens admitted since the previous report, by customer; negative when some were given back.
+    pub customers: Vec<(String, i64)>,
     /// Counts since the previous report, by service.
     pub services: Vec<(String, Count)>,
 }
@@ -133,8 +135,9 @@
                     .then(|| known.customers.iter().find(|(name, _)| name == customer))
                     .flatten()
                     .map_or(0, |(_, total)| *total);
-                if *total > before {
-                    delta.customers.push((customer.clone(), total - before));
+                let added = total.cast_signed() - before.cast_signed();
+                if added != 0 {
+                    delta.customers.push((customer.clone(), added));
                 }
             }
             for (service, requests, repeats) in &report.services {
@@ -191,16 +194,14 @@
         (silent, all)
     }
 
-    /// Loads that peers reported recently, by endpoint id.
-    pub fn loads(&self, now: Instant) -> impl Iterator<Item = (&str, Load)> {
+    /// Requests that peers reported recently, by endpoint id.
+    pub fn runs(&self, now: Instant) -> impl Iterator<Item = (&str, Run)> {
         self.peers
             .values()
             .filter(move |peer| {
-                peer.heard.is_some_and(|heard| crate::ledger::is_recent(now, heard))
+                peer.heard.is_some_and(|heard| now.since(heard) <= REPORT_LIFETIME)
             })
             .flat_map(|peer| &peer.report.endpoints)
-            .map(|(id, requests, tokens)| {
-                (id.as_str(), Load { requests: *requests, tokens: *tokens })
-            })
+            .flat_map(|(id, runs)| runs.iter().map(|run| (id.as_str(), *run)))
     }
 }
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -1,94 +1,123 @@
 //! Load of each endpoint as this host knows it: its own requests, and those that peers report.
 //!
 //! Answers fleets whose hosts all place on the same engines: a place counts as taken from the moment
-//! at which any host takes it, plus the delay of the peers' reports.
+//! at which any host takes it, plus the delay of the peers' reports. For engines the ledger forecasts
+//! the largest memory that the running generations will need together. Reserving the whole output of
+//! each would leave half of the memory empty; reserving an average of it overfills engines whose
+//! generations started together, and each preemption reads a prompt again.
 
 use std::collections::HashMap;
 
-use berylknot_coordination::clock::Instant;
+use serde::{Deserialize, Serialize};
+use slotmap::SlotMap;
 
 use crate::directory::Key;
 
-/// Requests and reserved tokens at an endpoint.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Requests.
-    pub requests: u32,
-    /// Reserved tokens.
-    pub tokens: u64,
+slotmap::new_key_type! {
+    /// Key of a request of this host.
+    pub struct Ticket;
 }
 
-impl Load {
-    fn add(&mut self, other: Self) {
-        self.requests += other.requests;
-        self.tokens += other.tokens;
-    }
+/// A request at an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Run {
+    /// Tokens that it holds.
+    pub held: u32,
+    /// Tokens that it is expected to make still.
+    pub left: u32,
 }
 
+/// Output tokens that a generation is expected to make when it has passed its estimate.
+const OVERDUE_TOKENS: u32 = 600;
+
 /// Loads of all endpoints.
 #[derive(Debug, Default)]
 pub struct Ledger {
-    own: HashMap<Key, Load>,
-    peers: HashMap<Key, Load>,
+    own: SlotMap<Ticket, (Key, Run)>,
+    peers: HashMap<Key, Vec<Run>>,
 }
 
 impl Ledger {
     /// Counts a request of this host.
-    pub fn take(&mut self, key: Key, tokens: u64) {
-        self.own.entry(key).or_default().add(Load { requests: 1, tokens });
+    pub fn take(&mut self, key: Key, run: Run) -> Ticket {
+        self.own.insert((key, run))
     }
 
-    /// Ends a request of this host.
-    pub fn release(&mut self, key: Key, tokens: u64) {
-        let Some(load) = self.own.get_mut(&key) else {
-            return;
-        };
-        load.requests = load.requests.saturating_sub(1);
-        load.tokens = load.tokens.saturating_sub(tokens);
-        if load.requests == 0 {
-            self.own.remove(&key);
+    /// Notes output tokens of a generation of this host; `most` is its largest output.
+    pub fn progress(&mut self, ticket: Ticket, tokens: u32, most: u32) {
+        if let Some((_, run)) = self.own.get_mut(ticket) {
+            run.held = run.held.saturating_add(tokens);
+            run.left = run.left.saturating_sub(tokens).max(OVERDUE_TOKENS.min(most));
         }
     }
 
+    /// Ends a request of this host.
+    pub fn release(&mut self, ticket: Ticket) {
+        self.own.remove(ticket);
+    }
+
     /// Replaces what the peers reported.
-    pub fn replace_peers(&mut self, loads: impl Iterator<Item = (Key, Load)>) {
-        self.peers.clear();
-        for (key, load) in loads {
-            self.peers.entry(key).or_default().add(load);
+    pub fn replace_peers(&mut self, runs: impl Iterator<Item = (Key, Run)>) {
+        for known in self.peers.values_mut() {
+            known.clear();
+        }
+        for (key, run) in runs {
+            self.peers.entry(key).or_default().push(run);
         }
+        self.peers.retain(|_, runs| !runs.is_empty());
     }
 
-    /// Load of an endpoint.
+    /// Requests at an endpoint.
+    pub fn runs(&self, key: Key) -> impl Iterator<Item = Run> + '_ {
+        let own = self.own.values().filter(move |(at, _)| *at == key).map(|(_, run)| *run);
+        own.chain(self.peers.get(&key).into_iter().flatten().copied())
+    }
+
+    /// Number of requests at an endpoint.
     #[must_use]
-    pub fn load(&self, key: Key) -> Load {
-        let mut load = self.own(key);
-        load.add(self.peers.get(&key).copied().unwrap_or_default());
-        load
+    pub fn requests(&self, key: Key) -> u32 {
+        self.runs(key).count() as u32
     }
 
-    /// Load by this host alone.
+    /// Tokens held by the requests at an endpoint.
     #[must_use]
-    pub fn own(&self, key: Key) -> Load {
-        self.own.get(&key).copied().unwrap_or_default()
+    pub fn tokens(&self, key: Key) -> u64 {
+        self.runs(key).map(|run| u64::from(run.held)).sum()
     }
 
-    /// Own loads, for the report to peers.
-    pub fn report(&self) -> impl Iterator<Item = (Key, Load)> + '_ {
-        self.own.iter().map(|(key, load)| (*key, *load))
+    /// Own requests, for the report to peers.
+    pub fn report(&self) -> impl Iterator<Item = (Key, Run)> + '_ {
+        self.own.values().copied()
     }
 }
 
-/// Part of the expected output that a running generation occupies on average: it grows from nothing
-/// to the whole, and runs of different ages share an engine.
-const OUTPUT_SHARE: f64 = 0.55;
+/// Allowance for wrong estimates, in standard deviations of the sum of all outputs, where one output's
+/// deviation is taken as half of what is left. Callers' estimates are right at the median and off by
+/// a factor of two in a tenth of the cases.
+const ALLOWANCE: f64 = 1.0;
 
-/// Tokens that a generation reserves at an engine.
+/// Largest memory in tokens that the generations will hold together, if all make tokens at the same
+/// pace and end after what they are expected to make, with an allowance for wrong estimates.
 #[must_use]
-pub fn reservation(prompt: u32, output: u32) -> u64 {
-    u64::from(prompt) + (f64::from(output) * OUTPUT_SHARE) as u64
+pub fn peak(runs: &mut [Run]) -> u64 {
+    let squares: f64 = runs.iter().map(|run| f64::from(run.left).powi(2)).sum();
+    peak_as_expected(runs) + (ALLOWANCE * squares.sqrt()) as u64
+}
+
+fn peak_as_expected(runs: &mut [Run]) -> u64 {
+    runs.sort_unstable_by_key(|run| std::cmp::Reverse(run.left));
+    let mut held = 0;
+    let mut peak = 0;
+    // At the end of a generation, those with at least as many tokens left are running still.
+    for (index, run) in runs.iter().enumerate() {
+        held += u64::from(run.held);
+        peak = peak.max(held + u64::from(run.left) * (index as u64 + 1));
+    }
+    peak
 }
 
-/// Room of an engine for one more generation.
+/// Room of an engine for generations.
 #[derive(Clone, Copy, Debug)]
 pub struct Room {
     /// Largest number of requests.
@@ -98,25 +127,17 @@
 }
 
 impl Room {
-    /// Share of the engine that is taken once the generation is added; `None` if it does not fit.
+    /// Share of the engine that the generations take at their peak; `None` if they do not fit. One
+    /// alone always fits.
     #[must_use]
-    pub fn after(&self, load: Load, tokens: u64) -> Option<f64> {
-        let requests = load.requests + 1;
-        let total = load.tokens + tokens;
-        if requests > self.slots || (total > self.capacity && load.requests > 0) {
+    pub fn share(&self, runs: &mut [Run]) -> Option<f64> {
+        let requests = runs.len() as u32;
+        let peak = peak(runs);
+        if requests > self.slots || (peak > self.capacity && requests > 1) {
             return None;
         }
-        let by_memory = total as f64 / self.capacity.max(1) as f64;
+        let by_memory = peak as f64 / self.capacity.max(1) as f64;
         let by_slots = f64::from(requests) / f64::from(self.slots.max(1));
         Some(by_memory.max(by_slots))
     }
 }
-
-/// Time that a report of peers is used before its sender counts as gone.
-pub const REPORT_LIFETIME_MS: u64 = 3_000;
-
-/// Whether a report is recent enough.
-#[must_use]
-pub fn is_recent(now: Instant, heard: Instant) -> bool {
-    now.since(heard).as_millis() as u64 <= REPORT_LIFETIME_MS
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod platform;
 pub mod quota;
 pub mod run;
+pub mod shutdown;
 pub mod waiting;
 
 pub(crate) mod call;
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -70,6 +70,8 @@
     pub retry_window_s: f64,
     /// Repeated sends in a window that are allowed beyond the ratio.
     pub retry_slack: f64,
+    /// Sliding window of the customers' limits, in seconds.
+    pub quota_window_s: f64,
     /// Time after which a leaving endpoint must not get requests, in milliseconds.
     pub drain_ms: u64,
     /// Time from SIGTERM to SIGKILL, in seconds.
@@ -79,6 +81,12 @@
 }
 
 impl Bounds {
+    /// Sliding window of the customers' limits in milliseconds.
+    #[must_use]
+    pub fn quota_window_ms(&self) -> u64 {
+        (self.quota_window_s * 1_000.0) as u64
+    }
+
     /// Time that a graceful shutdown may take.
     #[must_use]
     pub fn grace(&self) -> Duration {
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -1,6 +1,7 @@
 //! Talk between hosts: reports over UDP, and the newest records over HTTP for hosts that the store
 //! does not answer.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use crate::follow;
 use crate::gossip::Report;
 use crate::http::Patience;
+use crate::ledger::Run;
 use crate::platform::{Dialect, Store};
 use crate::state::{Host, now};
 
@@ -108,8 +110,8 @@
     {
         let view = host.view.borrow();
         let directory = host.directory.borrow();
-        let loads = view.loads(now).filter_map(|(id, load)| Some((directory.key(id)?, load)));
-        host.ledger.borrow_mut().replace_peers(loads);
+        let runs = view.runs(now).filter_map(|(id, run)| Some((directory.key(id)?, run)));
+        host.ledger.borrow_mut().replace_peers(runs);
     }
     if host.lines.borrow().values().any(|line| !line.is_empty()) {
         dispatch(host);
@@ -145,7 +147,7 @@
     let mut report = Report::new(host.incarnation, sequence);
     report.configuration = host.fleet.borrow().as_ref().map_or(0, |fleet| fleet.version);
     report.store_age_ms = store_age(host);
-    report.leaving = host.stopping.get();
+    report.leaving = host.is_stopping();
     report.customers =
         host.quotas.borrow().report().map(|(name, total)| (name.to_owned(), total)).collect();
     report.services = host
@@ -155,12 +157,15 @@
         .map(|(name, count)| (name.to_owned(), count.requests, count.repeats))
         .collect();
     let directory = host.directory.borrow();
-    report.endpoints = host
-        .ledger
-        .borrow()
-        .report()
-        .filter_map(|(key, load)| Some((directory.get(key)?.id.clone(), load.requests, load.tokens)))
-        .collect();
+    let mut endpoints: HashMap<&str, Vec<Run>> = HashMap::new();
+    let ledger = host.ledger.borrow();
+    for (key, run) in ledger.report() {
+        let Some(endpoint) = directory.get(key) else {
+            continue;
+        };
+        endpoints.entry(&endpoint.id).or_default().push(run);
+    }
+    report.endpoints = endpoints.into_iter().map(|(id, runs)| (id.to_owned(), runs)).collect();
     report
 }
 
--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -1,68 +1,90 @@
-//! One token bucket a customer, kept alike by all hosts.
+//! One limit a customer, counted alike by all hosts.
 //!
-//! Every host subtracts its own admissions at once and those of its peers when it hears of them, so
-//! that an uneven split of a customer's requests over hosts refuses nothing below the limit. A host
-//! that cannot hear a peer takes it to use its equal share of the rate, so that parts of a divided
-//! fleet stay below the limit together.
+//! Two bounds hold at once. In a sliding window no customer gets more than its rate over the window
+//! plus its burst; a customer may use that in any shape, so that short bursts refuse nothing below the
+//! limit. A token bucket bounds how much of it goes at once, so that even hosts that all lost their
+//! memory together stay within the window.
+//!
+//! Every host counts its own admissions at once and those of its peers when it hears of them. A host
+//! that cannot hear a peer takes it to use its equal share, so that parts of a divided fleet stay
+//! below the limit together.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
 
-/// Share of a second's rate that a restarted host may use before it has heard its peers.
+/// Length of a counting period in milliseconds.
+const PERIOD_MS: u64 = 250;
+/// Seconds of the rate that may be used at once beyond the burst. After the loss of all hosts the
+/// window starts anew; with this much the sum before and after stays within one window's limit.
+const BURST_SECONDS: f64 = 1.5;
+/// Seconds of the rate that a restarted host may use before it has heard its peers.
 const RESTART_SECONDS: f64 = 0.5;
 /// Debt that is remembered, in seconds of the rate.
 const LARGEST_DEBT_SECONDS: f64 = 4.0;
 
-#[derive(Clone, Copy, Debug)]
-struct Bucket {
+/// Why a request is over the limit: time until its tokens are there.
+pub type Wait = Duration;
+
+/// Result of an admission.
+pub type Result<T> = std::result::Result<T, Wait>;
+
+#[derive(Debug)]
+struct Account {
     rate: f64,
     burst: f64,
+    /// Level of the token bucket.
     level: f64,
     at: Instant,
+    /// Admitted tokens of recent periods on all hosts.
+    periods: VecDeque<(u64, f64)>,
+    used: f64,
     /// Tokens that this host admitted since its start.
     admitted: u64,
 }
 
-/// Buckets of all customers.
+/// Accounts of all customers.
 #[derive(Debug)]
 pub struct Quotas {
-    buckets: HashMap<String, Bucket>,
+    accounts: HashMap<String, Account>,
+    window_ms: u64,
     /// Whether buckets start full, as at the first start of a deployment.
     full_start: bool,
-    /// Share of each rate that peers are taken to use unheard.
+    /// Share of each limit that peers are taken to use unheard.
     unheard: f64,
 }
 
 impl Quotas {
-    /// Makes empty buckets.
+    /// Makes empty accounts with a sliding window in milliseconds.
     #[must_use]
-    pub fn new(full_start: bool) -> Self {
-        Self { buckets: HashMap::new(), full_start, unheard: 0.0 }
+    pub fn new(full_start: bool, window_ms: u64) -> Self {
+        Self { accounts: HashMap::new(), window_ms, full_start, unheard: 0.0 }
     }
 
     /// Puts a customer's limit in force; a rate of 0 is no limit.
     pub fn configure(&mut self, now: Instant, customer: &str, rate: u64, burst: u64) {
-        let (rate, burst) = (rate as f64, (burst.max(rate)) as f64);
+        let (rate, burst) = (rate as f64, burst as f64);
         let full = self.full_start;
-        let bucket = self.buckets.entry(customer.to_owned()).or_insert_with(|| Bucket {
+        let account = self.accounts.entry(customer.to_owned()).or_insert_with(|| Account {
             rate,
             burst,
-            level: if full { burst } else { rate * RESTART_SECONDS },
+            level: if full { burst + rate * BURST_SECONDS } else { rate * RESTART_SECONDS },
             at: now,
+            periods: VecDeque::new(),
+            used: 0.0,
             admitted: 0,
         });
-        bucket.refill(now, self.unheard);
-        bucket.rate = rate;
-        bucket.burst = burst;
-        bucket.level = bucket.level.min(burst);
+        account.refill(now, self.unheard);
+        account.rate = rate;
+        account.burst = burst;
+        account.level = account.level.min(account.largest());
     }
 
-    /// Sets the share of each rate that peers are taken to use unheard.
+    /// Sets the share of each limit that peers are taken to use unheard.
     pub fn set_unheard(&mut self, now: Instant, share: f64) {
-        for bucket in self.buckets.values_mut() {
-            bucket.refill(now, self.unheard);
+        for account in self.accounts.values_mut() {
+            account.refill(now, self.unheard);
         }
         self.unheard = share.clamp(0.0, 1.0);
     }
@@ -70,54 +92,110 @@
     /// Admits a request of a customer, or tells when its tokens will be there.
     ///
     /// # Errors
-    /// Fails with the time until the bucket has refilled.
-    pub fn take(&mut self, now: Instant, customer: &str, tokens: u64) -> Result<(), Duration> {
-        let unheard = self.unheard;
-        let Some(bucket) = self.buckets.get_mut(customer).filter(|bucket| bucket.rate > 0.0) else {
+    /// Fails with the time until the request would be admitted.
+    pub fn take(&mut self, now: Instant, customer: &str, tokens: u64) -> Result<()> {
+        let (unheard, window_ms) = (self.unheard, self.window_ms);
+        let Some(account) = self.accounts.get_mut(customer).filter(|account| account.rate > 0.0)
+        else {
             return Ok(());
         };
-        bucket.refill(now, unheard);
-        // A request larger than the burst passes with a full bucket and leaves a debt.
-        let needed = (tokens as f64).min(bucket.burst);
-        if bucket.level < needed {
-            return Err(Duration::from_secs_f64((needed - bucket.level) / bucket.rate));
+        account.refill(now, unheard);
+        account.forget(now, window_ms);
+        let wanted = tokens as f64;
+        // A request larger than the bucket passes with a full one and leaves a debt.
+        let needed = wanted.min(account.largest());
+        if account.level < needed {
+            return Err(seconds((needed - account.level) / account.rate));
+        }
+        let limit = account.limit(window_ms) * (1.0 - unheard);
+        if account.used + wanted > limit && account.used > 0.0 {
+            return Err(account.room_after(now, window_ms, account.used + wanted - limit));
         }
-        bucket.level -= tokens as f64;
-        bucket.admitted += tokens;
+        account.level -= wanted;
+        account.admitted += tokens;
+        account.count(now, wanted);
         Ok(())
     }
 
     /// Gives back the tokens of a request that did not run.
-    pub fn give_back(&mut self, customer: &str, tokens: u64) {
-        let Some(bucket) = self.buckets.get_mut(customer) else {
+    pub fn give_back(&mut self, now: Instant, customer: &str, tokens: u64) {
+        let Some(account) = self.accounts.get_mut(customer) else {
             return;
         };
-        bucket.level = (bucket.level + tokens as f64).min(bucket.burst);
-        bucket.admitted = bucket.admitted.saturating_sub(tokens);
+        account.level = (account.level + tokens as f64).min(account.largest());
+        account.admitted = account.admitted.saturating_sub(tokens);
+        account.count(now, -(tokens as f64));
     }
 
-    /// Counts what a peer admitted since its last report.
-    pub fn admitted_elsewhere(&mut self, now: Instant, customer: &str, tokens: u64) {
+    /// Counts what a peer admitted, or gave back, since its last report.
+    pub fn admitted_elsewhere(&mut self, now: Instant, customer: &str, tokens: i64) {
         let unheard = self.unheard;
-        if let Some(bucket) = self.buckets.get_mut(customer) {
-            bucket.refill(now, unheard);
-            bucket.level = (bucket.level - tokens as f64).max(-LARGEST_DEBT_SECONDS * bucket.rate);
+        if let Some(account) = self.accounts.get_mut(customer) {
+            account.refill(now, unheard);
+            let lowest = -LARGEST_DEBT_SECONDS * account.rate;
+            account.level = (account.level - tokens as f64).clamp(lowest, account.largest());
+            account.count(now, tokens as f64);
         }
     }
 
     /// Tokens that this host admitted since its start, by customer.
     pub fn report(&self) -> impl Iterator<Item = (&str, u64)> {
-        self.buckets
+        self.accounts
             .iter()
-            .filter(|(_, bucket)| bucket.admitted > 0)
-            .map(|(customer, bucket)| (customer.as_str(), bucket.admitted))
+            .filter(|(_, account)| account.admitted > 0)
+            .map(|(customer, account)| (customer.as_str(), account.admitted))
     }
 }
 
-impl Bucket {
+impl Account {
+    fn largest(&self) -> f64 {
+        self.burst + self.rate * BURST_SECONDS
+    }
+
+    fn limit(&self, window_ms: u64) -> f64 {
+        self.rate * window_ms as f64 / 1_000.0 + self.burst
+    }
+
     fn refill(&mut self, now: Instant, unheard: f64) {
         let seconds = now.since(self.at).as_secs_f64();
-        self.level = (self.level + seconds * self.rate * (1.0 - unheard)).min(self.burst);
+        self.level = (self.level + seconds * self.rate * (1.0 - unheard)).min(self.largest());
         self.at = now;
     }
+
+    fn count(&mut self, now: Instant, tokens: f64) {
+        let period = now.as_millis() / PERIOD_MS;
+        match self.periods.back_mut() {
+            Some((at, sum)) if *at == period => *sum += tokens,
+            _ => self.periods.push_back((period, tokens)),
+        }
+        self.used += tokens;
+    }
+
+    /// Forgets periods that lie wholly before the window.
+    fn forget(&mut self, now: Instant, window_ms: u64) {
+        let start = now.as_millis().saturating_sub(window_ms);
+        while let Some((period, tokens)) = self.periods.front().copied() {
+            if (period + 1) * PERIOD_MS > start {
+                break;
+            }
+            self.periods.pop_front();
+            self.used -= tokens;
+        }
+    }
+
+    /// Time until the window has room for that many more tokens.
+    fn room_after(&self, now: Instant, window_ms: u64, mut excess: f64) -> Wait {
+        for (period, tokens) in &self.periods {
+            excess -= tokens;
+            if excess <= 0.0 {
+                let leaves = (period + 1) * PERIOD_MS + window_ms;
+                return Duration::from_millis(leaves.saturating_sub(now.as_millis()));
+            }
+        }
+        Duration::from_millis(window_ms)
+    }
+}
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds.max(0.0))
 }
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -21,6 +21,7 @@
     QueueFull,
     Hopeless,
     NoEndpoint,
+    Stopping,
     EndpointsRefused,
     EndpointLost,
     TimedOut,
@@ -40,6 +41,7 @@
             Self::QueueFull => "queue_full",
             Self::Hopeless => "hopeless",
             Self::NoEndpoint => "no_endpoint",
+            Self::Stopping => "stopping",
             Self::EndpointsRefused => "endpoints_refused",
             Self::EndpointLost => "endpoint_lost",
             Self::TimedOut => "timed_out",
@@ -59,6 +61,7 @@
             | Self::QueueFull
             | Self::Hopeless
             | Self::NoEndpoint
+            | Self::Stopping
             | Self::EndpointsRefused => StatusCode::SERVICE_UNAVAILABLE,
             Self::EndpointLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -19,8 +19,6 @@
 /// Time after SIGTERM in which the balancer notices that the host is not ready: two checks, one
 /// second apart, and their answers.
 const NOTICE: Duration = Duration::from_millis(2_500);
-/// Time that is left before the platform kills the process.
-const MARGIN: Duration = Duration::from_millis(600);
 const SHUTDOWN_POLL: Duration = Duration::from_millis(50);
 /// Pause between looks at the waiting generations when nothing else wakes the dispatcher.
 const DISPATCH_PERIOD: Duration = Duration::from_millis(50);
@@ -116,14 +114,16 @@
         }
     }
     let started = now();
-    host.stopping.set(true);
+    let mut shutdown = host.shutdown.get();
+    shutdown.start(started);
+    host.shutdown.set(shutdown);
     tracing::info!(open = host.open.get(), "daemon: stopping");
     tokio::time::sleep(NOTICE).await;
     for task in accepting {
         task.abort();
     }
-    let limit = host.options.bounds.grace().saturating_sub(MARGIN);
-    while host.open.get() > 0 && now().since(started) < limit {
+    let exit_at = shutdown.exit_at().unwrap_or(started);
+    while host.open.get() > 0 && now() < exit_at {
         tokio::time::sleep(SHUTDOWN_POLL).await;
     }
     tracing::info!(open = host.open.get(), "daemon: stopped");
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -157,7 +157,7 @@
         Ok(Err(TooLarge(true))) => refuse(&host, Reason::TooLarge, None),
         Ok(Err(TooLarge(false))) | Err(_) => refuse(&host, Reason::Unreadable, None),
     };
-    respond(reply, host.stopping.get(), open)
+    respond(reply, host.is_stopping(), open)
 }
 
 fn head(incoming: &Incoming) -> (Method, String, String, HeaderMap) {
@@ -202,6 +202,8 @@
     reason.reply(after)
 }
 
+/// Time after which a caller of a stopping host may come back; another host serves it.
+const RETURN_TIME: Duration = Duration::from_millis(50);
 /// Time after which a starting host knows its configuration.
 const START_TIME: Duration = Duration::from_millis(300);
 
@@ -227,7 +229,7 @@
     if matches!(status.as_u16(), 429 | 503)
         && let Some(customer) = call.customer_name()
     {
-        host.quotas.borrow_mut().give_back(customer, tokens);
+        host.quotas.borrow_mut().give_back(now(), customer, tokens);
     }
     let label = match kind {
         Kind::Streaming => "streaming",
@@ -276,6 +278,10 @@
     let Some(service) = route.service(crate::state::jitter(1.0)).map(str::to_owned) else {
         return Err(reject(Reason::NoEndpoint, None));
     };
+    let longest = completion::longest(&head, route);
+    if !host.shutdown.get().accepts(arrived, longest) {
+        return Err(reject(Reason::Stopping, Some(call::spread(RETURN_TIME))));
+    }
     let timeout = route.timeout;
     let mut tokens = 0;
     if let Some(customer) = customer.map(|index| &fleet.customers[index]) {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -17,10 +17,11 @@
 use crate::fleet::Fleet;
 use crate::gossip::View;
 use crate::http::Pool;
-use crate::ledger::Ledger;
+use crate::ledger::{Ledger, Run, Ticket};
 use crate::metrics::Metrics;
 use crate::options::Options;
 use crate::quota::Quotas;
+use crate::shutdown::Shutdown;
 
 /// Time for which an endpoint that failed a connection or lost an exchange is chosen last.
 const SUSPICION: Duration = Duration::from_millis(800);
@@ -61,7 +62,7 @@
     /// Time of the last sign that the configuration is current, from the store or a peer.
     pub(crate) confirmed: Cell<Option<Instant>>,
     pub(crate) directory_known: Cell<bool>,
-    pub(crate) stopping: Cell<bool>,
+    pub(crate) shutdown: Cell<Shutdown>,
     pub(crate) open: Cell<usize>,
     /// Wakes the dispatcher of waiting generations.
     pub(crate) room: Notify,
@@ -77,7 +78,8 @@
             (bounds.retry_window_s * 1_000.0) as u64,
         );
         Self {
-            quotas: RefCell::new(Quotas::new(options.first_start)),
+            quotas: RefCell::new(Quotas::new(options.first_start, bounds.quota_window_ms())),
+            shutdown: Cell::new(Shutdown::new(bounds.grace())),
             options,
             store,
             pool,
@@ -96,7 +98,6 @@
             store_answered: Cell::new(None),
             confirmed: Cell::new(None),
             directory_known: Cell::new(false),
-            stopping: Cell::new(false),
             open: Cell::new(0),
             room: Notify::new(),
             dialect: PhantomData,
@@ -105,7 +106,11 @@
 
     /// Whether the host may serve: it knows a configuration and the endpoints, and neither is stale.
     pub(crate) fn is_ready(&self) -> bool {
-        self.fleet.borrow().is_some() && self.directory_known.get() && !self.stopping.get() && self.is_fresh(now())
+        self.fleet.borrow().is_some() && self.directory_known.get() && !self.is_stopping() && self.is_fresh(now())
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.shutdown.get().is_started()
     }
 
     /// Whether keys are still honoured: the configuration was current recently, or most of the
@@ -170,6 +175,11 @@
         }
     }
 
+    /// Has an endpoint chosen last for a while.
+    pub(crate) fn suspect(&self, key: Key) {
+        self.suspects.borrow_mut().insert(key, now() + SUSPICION);
+    }
+
     /// Counts the outcome of a request at an endpoint.
     pub(crate) fn outcome(&self, key: Key, outcome: Outcome) {
         let now = now();
@@ -178,7 +188,7 @@
             return;
         };
         if outcome == Outcome::Failed {
-            self.suspects.borrow_mut().insert(key, now + SUSPICION);
+            self.suspect(key);
         }
         let mut detectors = self.detectors.borrow_mut();
         let Some(detector) = detectors.get_mut(&group(endpoint)) else {
@@ -266,19 +276,24 @@
 pub(crate) struct Place<D, S> {
     host: Rc<Host<D, S>>,
     pub(crate) key: Key,
-    tokens: u64,
+    ticket: Ticket,
 }
 
 impl<D, S> Place<D, S> {
-    pub(crate) fn take(host: &Rc<Host<D, S>>, key: Key, tokens: u64) -> Self {
-        host.ledger.borrow_mut().take(key, tokens);
-        Self { host: Rc::clone(host), key, tokens }
+    pub(crate) fn take(host: &Rc<Host<D, S>>, key: Key, run: Run) -> Self {
+        let ticket = host.ledger.borrow_mut().take(key, run);
+        Self { host: Rc::clone(host), key, ticket }
+    }
+
+    /// Notes output tokens of a generation.
+    pub(crate) fn progress(&self, tokens: u32, most: u32) {
+        self.host.ledger.borrow_mut().progress(self.ticket, tokens, most);
     }
 }
 
 impl<D, S> Drop for Place<D, S> {
     fn drop(&mut self) {
-        self.host.ledger.borrow_mut().release(self.key, self.tokens);
+        self.host.ledger.borrow_mut().release(self.ticket);
         self.host.room.notify_one();
     }
 }
--- a/crates/entry/src/waiting.rs
+++ b/crates/entry/src/waiting.rs
@@ -10,6 +10,8 @@
 
 use berylknot_coordination::clock::Instant;
 
+use crate::ledger::Run;
+
 /// A waiting generation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Waiter {
@@ -19,8 +21,8 @@
     pub start_by: Instant,
     /// Latest start that can finish before the deadline.
     pub hopeless_at: Instant,
-    /// Tokens to reserve.
-    pub tokens: u64,
+    /// What it needs at an engine.
+    pub run: Run,
 }
 
 /// Number of a waiting generation.
