--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -137,6 +137,12 @@
     mean.mul_f64(0.5 + jitter(1.0))
 }
 
+/// A random time after an instant at which there is room, so that refused callers neither come too
+/// early nor together.
+pub(crate) fn spread_after(earliest: Duration) -> Duration {
+    earliest.mul_f64(1.0 + jitter(0.5))
+}
+
 fn late(runs: u32) -> Reply {
     if runs > 0 { Reason::TimedOut.reply(None) } else { Reason::Hopeless.reply(None) }
 }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -17,6 +17,7 @@
 use crate::http::{Error, Exchange, Patience};
 use crate::ledger::{Room, Run};
 use crate::metrics::Label;
+use crate::mix::{PROMPT_TOKEN_MS, TOKEN_MS};
 use crate::platform::{Cache, Dialect, Head, Outbound, Store, Tokens};
 use crate::refusal::Reason;
 use crate::request::{Call, Cut, Reply, answer_headers};
@@ -25,10 +26,6 @@
 
 /// Generations that may wait at one host and service.
 const WAITING: usize = 64;
-/// Time of one output token at a busy engine, in milliseconds (sheets: 0.6 to 0.9).
-const TOKEN_MS: f64 = 0.85;
-/// Time that an engine needs to read a prompt token, in milliseconds (sheets: 1/55.6).
-const PROMPT_TOKEN_MS: f64 = 0.018;
 /// Part of the latency objective kept for prefill and transfer once room is found.
 const START_SHARE: f64 = 0.35;
 /// Backlog of prompts, in milliseconds, beyond which the decode engine reads the prompt itself.
@@ -278,7 +275,7 @@
     let waiter = Waiter {
         priority: call.priority(),
         start_by: call.arrived + call.route().target.mul_f64(1.0 - START_SHARE),
-        hopeless_at: earlier(call.deadline(), duration(tokens.output) + call.route().target.mul_f64(START_SHARE)),
+        hopeless_at: hopeless_at(call, tokens),
         run: Run { held: tokens.prompt, left: tokens.output },
     };
     let (sender, turn) = oneshot::channel();
@@ -309,6 +306,13 @@
     host.lines.borrow().get(service).map_or(0, |line| line.queue.len())
 }
 
+/// Latest start that ends before the deadline and begins before the caller abandons the stream.
+fn hopeless_at(call: &Call, tokens: Tokens) -> Instant {
+    let start = call.route().target.mul_f64(START_SHARE);
+    let abandoned = call.arrived + call.route().patience();
+    earlier(call.deadline(), duration(tokens.output) + start).min(earlier(abandoned, start))
+}
+
 fn earlier(instant: Instant, by: Duration) -> Instant {
     Instant::from_millis(instant.as_millis().saturating_sub(by.as_millis() as u64))
 }
@@ -585,6 +589,11 @@
             },
             Ok(Ok(None)) if events.is_whole() => {
                 host.outcome(run.place.key, Outcome::Answered { millis: 1.0 });
+                if let Some(tokens) = call.head.tokens {
+                    let mut mix = host.mix.get();
+                    mix.add(tokens.prompt, delivered * tokens_per_event);
+                    host.mix.set(mix);
+                }
                 tracing::info!(
                     id = call.head.id,
                     endpoint = run.endpoint.id,
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -29,6 +29,8 @@
     pub timeout: Duration,
     /// Latency objective.
     pub target: Duration,
+    /// Longest pause between events for which a stream is on time.
+    pub pause: Duration,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
     /// Services with their weights.
@@ -114,7 +116,19 @@
     }
 }
 
+/// Pause after which callers abandon any stream.
+const SHORTEST_PATIENCE: Duration = Duration::from_secs(2);
+/// Callers wait for this many times the latency objective, or the longest pause, if that is longer.
+const TARGET_PATIENCE: u32 = 4;
+const PAUSE_PATIENCE: u32 = 8;
+
 impl Route {
+    /// Time without an event after which a caller abandons a stream.
+    #[must_use]
+    pub fn patience(&self) -> Duration {
+        SHORTEST_PATIENCE.max(self.target * TARGET_PATIENCE).max(self.pause * PAUSE_PATIENCE)
+    }
+
     /// Service for a request, in proportion to the weights; `draw` is uniform in 0..1.
     #[must_use]
     pub fn service(&self, draw: f64) -> Option<&str> {
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -81,6 +81,12 @@
 }
 
 impl Bounds {
+    /// Lease of the holder that gives orders to engines.
+    #[must_use]
+    pub const fn lease(&self) -> Duration {
+        Duration::from_millis(self.lease_ms)
+    }
+
     /// Sliding window of the customers' limits in milliseconds.
     #[must_use]
     pub fn quota_window_ms(&self) -> u64 {
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -176,8 +176,7 @@
         view.expire(now);
         view.silent(now)
     };
-    let share = silent as f64 / (known + 1) as f64;
-    host.quotas.borrow_mut().set_unheard(now, share);
+    host.quotas.borrow_mut().set_hosts(now, known + 1, silent);
     host.budgets.borrow_mut().set_hosts(known + 1, silent);
     host.pool.sweep();
     let lapsed = host.directory.borrow_mut().expire(now);
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -123,6 +123,8 @@
     fn release(handle: &str) -> (Method, String);
     /// Call that orders an engine to take a stage.
     fn order(order: &Order) -> (Method, String, Bytes);
+    /// Adds the id of the endpoint that a call of the system's own is for.
+    fn expect(endpoint: &str, headers: &mut HeaderMap);
     /// Path that answers readiness checks.
     fn ready_path() -> &'static str;
     /// Decodes the operator's configuration.
--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -5,6 +5,9 @@
 //! limit. A token bucket bounds how much of it goes at once, so that even hosts that all lost their
 //! memory together stay within the window.
 //!
+//! Generations leave a reserve for the customer's plain calls, which are sixty times smaller: without
+//! it a customer beyond its limit gets none of either.
+//!
 //! Every host counts its own admissions at once and those of its peers when it hears of them. A host
 //! that cannot hear a peer takes it to use its equal share, so that parts of a divided fleet stay
 //! below the limit together.
@@ -24,6 +27,21 @@
 /// Debt that is remembered, in seconds of the rate.
 const LARGEST_DEBT_SECONDS: f64 = 4.0;
 
+/// Share of the plain calls' tokens in the window that generations leave free beside them, since
+/// calls do not arrive evenly.
+const RESERVED_SHARE: f64 = 0.3;
+/// Plain calls that generations always leave room for.
+const RESERVED_CALLS: f64 = 4.0;
+
+/// What a request is counted as.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// A call to a plain service.
+    Plain,
+    /// A generation.
+    Generation,
+}
+
 /// Why a request is over the limit: time until its tokens are there.
 pub type Wait = Duration;
 
@@ -40,6 +58,11 @@
     /// Admitted tokens of recent periods on all hosts.
     periods: VecDeque<(u64, f64)>,
     used: f64,
+    /// Part of the tokens that plain calls of this host used, in the same periods.
+    plain_periods: VecDeque<(u64, f64)>,
+    plain_used: f64,
+    /// Tokens of the last plain call.
+    plain_call: f64,
     /// Tokens that this host admitted since its start.
     admitted: u64,
 }
@@ -53,13 +76,15 @@
     full_start: bool,
     /// Share of each limit that peers are taken to use unheard.
     unheard: f64,
+    /// Hosts of the deployment, over which the calls of a customer are spread.
+    hosts: f64,
 }
 
 impl Quotas {
     /// Makes empty accounts with a sliding window in milliseconds.
     #[must_use]
     pub fn new(full_start: bool, window_ms: u64) -> Self {
-        Self { accounts: HashMap::new(), window_ms, full_start, unheard: 0.0 }
+        Self { accounts: HashMap::new(), window_ms, full_start, unheard: 0.0, hosts: 1.0 }
     }
 
     /// Puts a customer's limit in force; a rate of 0 is no limit.
@@ -73,6 +98,9 @@
             at: now,
             periods: VecDeque::new(),
             used: 0.0,
+            plain_periods: VecDeque::new(),
+            plain_used: 0.0,
+            plain_call: 0.0,
             admitted: 0,
         });
         account.refill(now, self.unheard);
@@ -81,8 +109,11 @@
         account.level = account.level.min(account.largest());
     }
 
-    /// Sets the share of each limit that peers are taken to use unheard.
-    pub fn set_unheard(&mut self, now: Instant, share: f64) {
+    /// Sets the number of hosts, and how many of them are not heard: these are taken to use their
+    /// equal share of each limit.
+    pub fn set_hosts(&mut self, now: Instant, hosts: usize, unheard: usize) {
+        let share = unheard as f64 / hosts.max(1) as f64;
+        self.hosts = hosts.max(1) as f64;
         for account in self.accounts.values_mut() {
             account.refill(now, self.unheard);
         }
@@ -93,8 +124,8 @@
     ///
     /// # Errors
     /// Fails with the time until the request would be admitted.
-    pub fn take(&mut self, now: Instant, customer: &str, tokens: u64) -> Result<()> {
-        let (unheard, window_ms) = (self.unheard, self.window_ms);
+    pub fn take(&mut self, now: Instant, customer: &str, tokens: u64, class: Class) -> Result<()> {
+        let (unheard, window_ms, hosts) = (self.unheard, self.window_ms, self.hosts);
         let Some(account) = self.accounts.get_mut(customer).filter(|account| account.rate > 0.0)
         else {
             return Ok(());
@@ -103,17 +134,26 @@
         account.forget(now, window_ms);
         let wanted = tokens as f64;
         // A request larger than the bucket passes with a full one and leaves a debt.
-        let needed = wanted.min(account.largest());
+        let reserve = match class {
+            Class::Plain => 0.0,
+            Class::Generation => account.reserve(hosts),
+        };
+        let needed = (wanted + reserve).min(account.largest());
         if account.level < needed {
             return Err(seconds((needed - account.level) / account.rate));
         }
-        let limit = account.limit(window_ms) * (1.0 - unheard);
+        let limit = account.limit(window_ms) * (1.0 - unheard) - reserve;
         if account.used + wanted > limit && account.used > 0.0 {
             return Err(account.room_after(now, window_ms, account.used + wanted - limit));
         }
         account.level -= wanted;
         account.admitted += tokens;
         account.count(now, wanted);
+        if class == Class::Plain {
+            account.plain_call = wanted;
+            count(&mut account.plain_periods, now, wanted);
+            account.plain_used += wanted;
+        }
         Ok(())
     }
 
@@ -163,24 +203,21 @@
     }
 
     fn count(&mut self, now: Instant, tokens: f64) {
-        let period = now.as_millis() / PERIOD_MS;
-        match self.periods.back_mut() {
-            Some((at, sum)) if *at == period => *sum += tokens,
-            _ => self.periods.push_back((period, tokens)),
-        }
+        count(&mut self.periods, now, tokens);
         self.used += tokens;
     }
 
     /// Forgets periods that lie wholly before the window.
     fn forget(&mut self, now: Instant, window_ms: u64) {
         let start = now.as_millis().saturating_sub(window_ms);
-        while let Some((period, tokens)) = self.periods.front().copied() {
-            if (period + 1) * PERIOD_MS > start {
-                break;
-            }
-            self.periods.pop_front();
-            self.used -= tokens;
-        }
+        self.used -= forgotten(&mut self.periods, start);
+        self.plain_used -= forgotten(&mut self.plain_periods, start);
+    }
+
+    /// Tokens that generations leave to the plain calls of all hosts.
+    fn reserve(&self, hosts: f64) -> f64 {
+        let share = self.plain_used * hosts * RESERVED_SHARE + self.plain_call * RESERVED_CALLS;
+        share.min(self.largest() / 4.0)
     }
 
     /// Time until the window has room for that many more tokens.
@@ -196,6 +233,27 @@
     }
 }
 
+fn count(periods: &mut VecDeque<(u64, f64)>, now: Instant, tokens: f64) {
+    let period = now.as_millis() / PERIOD_MS;
+    match periods.back_mut() {
+        Some((at, sum)) if *at == period => *sum += tokens,
+        _ => periods.push_back((period, tokens)),
+    }
+}
+
+/// Removes the periods that end before a time; returns their tokens.
+fn forgotten(periods: &mut VecDeque<(u64, f64)>, start: u64) -> f64 {
+    let mut sum = 0.0;
+    while let Some((period, tokens)) = periods.front().copied() {
+        if (period + 1) * PERIOD_MS > start {
+            break;
+        }
+        periods.pop_front();
+        sum += tokens;
+    }
+    sum
+}
+
 fn seconds(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds.max(0.0))
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -14,7 +14,7 @@
 use crate::platform::{Dialect, Store};
 use crate::server::{self, Audience};
 use crate::state::{Host, now};
-use crate::{follow, peer};
+use crate::{control, follow, peer};
 
 /// Time after SIGTERM in which the balancer notices that the host is not ready: two checks, one
 /// second apart, and their answers.
@@ -72,6 +72,7 @@
     actix_rt::spawn(follow::hosts(Rc::clone(&host)));
     actix_rt::spawn(peer::receive(Rc::clone(&host), Rc::clone(&socket)));
     actix_rt::spawn(peer::report(Rc::clone(&host), socket));
+    actix_rt::spawn(control::run(Rc::clone(&host)));
     actix_rt::spawn(dispatcher(Rc::clone(&host)));
     stop(&host, accepting).await
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -18,6 +18,7 @@
 use crate::fleet::Kind;
 use crate::metrics::{Kind as KindLabel, Label};
 use crate::platform::{Dialect, Store};
+use crate::quota::Class;
 use crate::refusal::Reason;
 use crate::request::{Call, Reply, Request};
 use crate::state::{Host, now};
@@ -288,9 +289,18 @@
         tokens = head
             .tokens
             .map_or(customer.plain_tokens, |tokens| u64::from(tokens.prompt) + u64::from(tokens.output));
-        let taken = host.quotas.borrow_mut().take(arrived, &customer.name, tokens);
+        let class = if head.tokens.is_some() { Class::Generation } else { Class::Plain };
+        let taken = host.quotas.borrow_mut().take(arrived, &customer.name, tokens, class);
         if let Err(after) = taken {
-            return Err(reject(Reason::OverQuota, Some(call::spread(after))));
+            tracing::info!(
+                id = head.id,
+                customer = customer.name,
+                tokens,
+                wait_ms = after.as_millis() as u64,
+                configuration = fleet.version,
+                "quota: refused"
+            );
+            return Err(reject(Reason::OverQuota, Some(call::spread_after(after))));
         }
     }
     host.budgets.borrow_mut().request(arrived, &service);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -19,6 +19,7 @@
 use crate::http::Pool;
 use crate::ledger::{Ledger, Run, Ticket};
 use crate::metrics::Metrics;
+use crate::mix::Mix;
 use crate::options::Options;
 use crate::quota::Quotas;
 use crate::shutdown::Shutdown;
@@ -64,6 +65,8 @@
     pub(crate) directory_known: Cell<bool>,
     pub(crate) shutdown: Cell<Shutdown>,
     pub(crate) open: Cell<usize>,
+    /// Average of the generations seen.
+    pub(crate) mix: Cell<Mix>,
     /// Wakes the dispatcher of waiting generations.
     pub(crate) room: Notify,
     dialect: PhantomData<D>,
@@ -99,6 +102,7 @@
             confirmed: Cell::new(None),
             directory_known: Cell::new(false),
             open: Cell::new(0),
+            mix: Cell::default(),
             room: Notify::new(),
             dialect: PhantomData,
         }
@@ -134,6 +138,7 @@
         let now = now();
         for customer in &fleet.customers {
             self.quotas.borrow_mut().configure(now, &customer.name, customer.rate, customer.burst);
+            tracing::info!(customer = customer.name, rate = customer.rate, burst = customer.burst, "config: limit");
         }
         tracing::info!(version = fleet.version, before = known, "config: in force");
         *self.fleet.borrow_mut() = Some(Rc::new(fleet));
