Write structured logs to standard output without blocking

Cause: the daemons logged to standard error from the threads that serve, without a bound. Lines now go through a bounded buffer to a thread of their own; lines beyond the buffer or beyond a rate are dropped and counted (dropped_log_lines).

--- a/acceptance/src/process.rs
+++ b/acceptance/src/process.rs
@@ -18,11 +18,22 @@
 }
 
 impl Process {
-    /// Starts a binary of the workspace; its standard error goes to `<folder>/<name>.log`.
+    /// Starts a binary of the workspace; its output goes to `<folder>/<name>.log`.
     ///
     /// # Errors
     /// Fails when the binary does not exist or cannot be started.
     pub fn start(folder: &Path, name: &str, binary: &str, args: &[&str]) -> eyre::Result<Self> {
+        Self::start_with(folder, name, binary, args, false)
+    }
+
+    /// Starts a binary whose standard output is read through a pipe or goes to the log file.
+    fn start_with(
+        folder: &Path,
+        name: &str,
+        binary: &str,
+        args: &[&str],
+        piped: bool,
+    ) -> eyre::Result<Self> {
         let path = binary_path(binary)?;
         let log = File::options()
             .create(true)
@@ -31,7 +42,7 @@
         let child = Command::new(&path)
             .args(args)
             .stdin(Stdio::null())
-            .stdout(Stdio::piped())
+            .stdout(if piped { Stdio::piped() } else { log.try_clone()?.into() })
             .stderr(log)
             .spawn()
             .wrap_err_with(|| format!("{} cannot be started", path.display()))?;
@@ -54,7 +65,7 @@
         let address = listen
             .unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)))
             .to_string();
-        let mut process = Self::start(folder, name, binary, &["--listen", &address])?;
+        let mut process = Self::start_with(folder, name, binary, &["--listen", &address], true)?;
         let output = process
             .child
             .stdout
--- a/crates/coordinator/src/run.rs
+++ b/crates/coordinator/src/run.rs
@@ -25,7 +25,7 @@
 /// # Errors
 /// Fails when the settings name files or addresses that cannot be used.
 pub fn run(options: Options) -> eyre::Result<()> {
-    options.log.install()?;
+    let _log = options.log.install()?;
     actix_rt::System::new().block_on(serve(options))
 }
 
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -55,6 +55,13 @@
             Self::Foreign => "foreign_answer",
         }
     }
+
+    fn error(&self) -> Option<String> {
+        match self {
+            Self::Lost(error) => Some(error.to_string()),
+            _ => None,
+        }
+    }
 }
 
 /// Serves a call to a plain service.
@@ -86,7 +93,15 @@
             left
         };
         let attempt = attempt(host, call, key, &endpoint, patience).await;
-        tracing::debug!(id = call.head.id, endpoint = endpoint.id, outcome = attempt.name(), "call: attempt");
+        tracing::info!(
+            id = call.head.id,
+            endpoint = endpoint.id,
+            entry = endpoint.sequence,
+            left_ms = left.as_millis() as u64,
+            outcome = attempt.name(),
+            error = attempt.error(),
+            "call: attempt"
+        );
         match attempt {
             Attempt::Answered { status, headers, body } => {
                 runs += 1;
@@ -111,7 +126,7 @@
             Attempt::Lost(_) | Attempt::Foreign => {
                 runs += 1;
                 sent += 1;
-                host.metrics.retry(attempt.name());
+                host.metrics.retry("lost");
                 if !idempotent || runs >= call.route().attempts {
                     return last.unwrap_or_else(|| late(runs));
                 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and latency histograms.
 
+use berylknot_telemetry::log::Dropped;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -25,17 +26,18 @@
 /// Metrics of the daemon.
 #[derive(Debug)]
 pub(crate) struct Metrics {
-    pub(crate) registry: Registry,
+    registry: Registry,
     pub(crate) refusals: Family<Label, Counter>,
     pub(crate) retries: Family<Label, Counter>,
     pub(crate) answers: Family<Kind, Counter>,
     pub(crate) cuts: Family<Label, Counter>,
     pub(crate) latency: Family<Kind, Histogram>,
-    pub(crate) dropped_lines: Counter,
+    dropped_lines: Counter,
+    dropped: Dropped,
 }
 
 impl Metrics {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(dropped: Dropped) -> Self {
         let mut registry = Registry::with_prefix("berylknot");
         let refusals = Family::default();
         let retries = Family::default();
@@ -49,7 +51,17 @@
         registry.register("cuts", "Streams that ended early by reason", cuts.clone());
         registry.register("latency_seconds", "Time to the first byte by kind", latency.clone());
         registry.register("dropped_log_lines", "Log lines that were not written", dropped_lines.clone());
-        Self { registry, refusals, retries, answers, cuts, latency, dropped_lines }
+        Self { registry, refusals, retries, answers, cuts, latency, dropped_lines, dropped }
+    }
+
+    /// All metrics as text.
+    ///
+    /// # Errors
+    /// Fails when a metric cannot be formatted.
+    pub(crate) fn render(&self) -> eyre::Result<String> {
+        let new = self.dropped.count().saturating_sub(self.dropped_lines.get());
+        self.dropped_lines.inc_by(new);
+        berylknot_telemetry::metrics::render(&self.registry)
     }
 
     pub(crate) fn retry(&self, reason: &'static str) {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -6,10 +6,12 @@
 
 use actix_rt::signal::unix::{SignalKind, signal};
 use rand::Rng;
+use berylknot_telemetry::log::Dropped;
 use tokio::net::UdpSocket;
 
 use crate::completion::dispatch;
 use crate::http::Pool;
+use crate::metrics::Metrics;
 use crate::options::Options;
 use crate::platform::{Dialect, Store};
 use crate::server::{self, Audience};
@@ -30,17 +32,19 @@
 pub fn run<D: Dialect, S: Store>(
     options: Options,
     store: impl FnOnce(Pool, SocketAddr) -> S,
+    dropped_lines: Dropped,
 ) -> eyre::Result<()> {
-    actix_rt::System::new().block_on(serve::<D, S>(options, store))
+    actix_rt::System::new().block_on(serve::<D, S>(options, store, dropped_lines))
 }
 
 async fn serve<D: Dialect, S: Store>(
     options: Options,
     store: impl FnOnce(Pool, SocketAddr) -> S,
+    dropped_lines: Dropped,
 ) -> eyre::Result<()> {
     let pool = Pool::default();
     let store = store(pool.clone(), options.store.address);
-    let host = Rc::new(Host::<D, S>::new(options, store, pool, incarnation()));
+    let host = Rc::new(Host::<D, S>::new(options, store, pool, incarnation(), Metrics::new(dropped_lines)));
     let options = &host.options;
     let at = |port| SocketAddr::new(options.address, port);
     let listeners = [
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -119,7 +119,7 @@
             }
         }
         Audience::Metrics | Audience::Checks => {
-            match berylknot_telemetry::metrics::render(&host.metrics.registry) {
+            match host.metrics.render() {
                 Ok(text) => plain(200, Bytes::from(text)),
                 Err(error) => {
                     tracing::warn!(%error, "metrics: not rendered");
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -73,7 +73,7 @@
 }
 
 impl<D, S> Host<D, S> {
-    pub(crate) fn new(options: Options, store: S, pool: Pool, incarnation: u64) -> Self {
+    pub(crate) fn new(options: Options, store: S, pool: Pool, incarnation: u64, metrics: Metrics) -> Self {
         let bounds = &options.bounds;
         let budgets = Budgets::new(
             bounds.retry_ratio,
@@ -86,7 +86,7 @@
             options,
             store,
             pool,
-            metrics: Metrics::new(),
+            metrics,
             incarnation,
             fleet: RefCell::new(None),
             document: RefCell::default(),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -28,7 +28,7 @@
 /// # Errors
 /// Fails when the settings name files or addresses that cannot be used.
 pub fn run(options: Options) -> eyre::Result<()> {
-    options.log.install()?;
+    let _log = options.log.install()?;
     actix_rt::System::new().block_on(serve(options))
 }
 
