--- /dev/null
+++ b/crates/entry/src/admission.rs
@@ -0,0 +1,427 @@
+//! Places for generations, given by one host for all.
+//!
+//! Answers fleets in which many hosts place on the same engines: with reports alone each host knows the
+//! others' places a report late, and at sixty hosts engines were overfilled in every burst. One host,
+//! the leader, keeps the queue and counts every place at once. Leadership needs no agreement: each
+//! host asks the first one that it hears and trusts, and decides by itself when that one does not
+//! answer. Two leaders for a while only mean that engines refuse some requests.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use berylknot_coordination::clock::Instant;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::directory::{Endpoint, Key, Stage};
+use crate::fleet::Engine;
+use crate::http::Patience;
+use crate::ledger::{Grant, Room, Run};
+use crate::mix::PROMPT_TOKEN_MS;
+use crate::platform::{Dialect, Store};
+use crate::quota::Class;
+use crate::state::{Host, jitter, now};
+use crate::waiting::{LATE_FILL, Queue, Refusal, Ticket, Waiter};
+
+/// Generations of one service that may wait. The expected wait bounds the queue long before.
+const WAITING: usize = 1_024;
+/// Longest time that the leader holds a question. The asker repeats it with its rank, so that a
+/// silent leader is noticed in this time.
+const ROUND: Duration = Duration::from_millis(350);
+/// Longest time for the leader's answer beyond a round.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(150);
+/// Time for which a leader that did not answer is not asked.
+const DISTRUST: Duration = Duration::from_secs(2);
+/// Time within which the holder of a grant must have reported it.
+const GRANT_LIFETIME: Duration = Duration::from_millis(1_500);
+/// Random cost in a choice, as a share of an engine.
+const JITTER: f64 = 0.03;
+/// Backlog of prompts, in milliseconds, beyond which the decode engine reads the prompt itself.
+const LONGEST_BACKLOG_MS: f64 = 1_200.0;
+/// Backlog that a prefill engine in the data centre of the decode engine may have beyond that of
+/// others, in milliseconds: a transfer between data centres is priced several times as high.
+const NEAR_MS: f64 = 120.0;
+/// Largest answer in bytes.
+const ANSWER_BYTES: usize = 16 * 1_024;
+
+/// Question for a place.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Ask {
+    pub(crate) service: String,
+    /// Customer to charge.
+    pub(crate) customer: Option<String>,
+    /// Tokens to charge; none when the generation was charged before.
+    pub(crate) tokens: u64,
+    pub(crate) run: Run,
+    pub(crate) priority: u8,
+    /// Time left until the latest start that meets the objective; negative when it has passed.
+    pub(crate) start_in_ms: i64,
+    /// Time left until it is hopeless.
+    pub(crate) hopeless_in_ms: i64,
+    /// Endpoints that are not to be given.
+    pub(crate) tried: Vec<String>,
+    /// Whether an engine that reads the prompt is wanted as well.
+    pub(crate) prefill: bool,
+}
+
+/// Answer to a question for a place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) enum Verdict {
+    /// A place at an engine; the number is to be reported with the run.
+    Granted {
+        endpoint: String,
+        grant: Grant,
+        prefill: Option<String>,
+    },
+    /// Nothing yet; ask again.
+    Pending,
+    /// The queue is too long; the time until it is not.
+    Full { wait_ms: u64 },
+    /// It could not finish in time.
+    Hopeless,
+    /// The customer is over its limit; the time until it is not.
+    OverQuota { wait_ms: u64 },
+    /// No other engine has room.
+    NoRoom,
+}
+
+/// Waiting generations of one service.
+#[derive(Debug)]
+pub(crate) struct Line {
+    queue: Queue,
+    turns: HashMap<Ticket, oneshot::Sender<(Key, Grant)>>,
+}
+
+impl Line {
+    fn new() -> Self {
+        Self {
+            queue: Queue::new(WAITING),
+            turns: HashMap::new(),
+        }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+}
+
+/// Removes a waiting generation whose asker is gone.
+struct Waiting<'a, D, S> {
+    host: &'a Rc<Host<D, S>>,
+    service: &'a str,
+    ticket: Ticket,
+}
+
+impl<D, S> Drop for Waiting<'_, D, S> {
+    fn drop(&mut self) {
+        if let Some(line) = self.host.lines.borrow_mut().get_mut(self.service) {
+            line.queue.remove(self.ticket);
+            line.turns.remove(&self.ticket);
+        }
+    }
+}
+
+/// The host to ask; `None` means this one.
+pub(crate) fn leader<D, S>(host: &Host<D, S>) -> Option<SocketAddr> {
+    let now = now();
+    let own = host.options.address;
+    let view = host.view.borrow();
+    let distrusted = host.distrusted.borrow();
+    let first = view
+        .heard(now)
+        .filter(|(address, report)| {
+            report.leads
+                && !report.leaving
+                && distrusted.get(address).is_none_or(|until| *until <= now)
+        })
+        .map(|(address, _)| address)
+        .min()?;
+    (first.ip() < own || !host.leads(now)).then_some(first)
+}
+
+/// Asks for a place until there is one or none is to be had.
+pub(crate) async fn ask<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, mut ask: Ask) -> Verdict {
+    let started = now();
+    let (start_in, hopeless_in) = (ask.start_in_ms, ask.hopeless_in_ms);
+    loop {
+        let waited = now().since(started).as_millis() as i64;
+        ask.start_in_ms = start_in - waited;
+        ask.hopeless_in_ms = hopeless_in - waited;
+        let verdict = match leader(host) {
+            None => decide(host, &ask).await,
+            Some(leader) => match remote(host, leader, &ask).await {
+                Ok(verdict) => verdict,
+                Err(error) => {
+                    tracing::info!(%leader, %error, "admission: leader lost");
+                    host.distrusted
+                        .borrow_mut()
+                        .insert(leader, now() + DISTRUST);
+                    Verdict::Pending
+                }
+            },
+        };
+        if verdict != Verdict::Pending {
+            return verdict;
+        }
+    }
+}
+
+async fn remote<D, S>(host: &Host<D, S>, leader: SocketAddr, ask: &Ask) -> eyre::Result<Verdict> {
+    let body = rmp_serde::to_vec(ask)?;
+    let request = http::Request::post(PATH)
+        .header(http::header::HOST, "peer")
+        .body(http_body_util::Full::new(Bytes::from(body)))?;
+    let patience = Patience {
+        connect: ANSWER_PATIENCE,
+        head: ROUND + ANSWER_PATIENCE,
+        reuse: Duration::MAX,
+    };
+    let mut exchange = host.pool.send(leader, request, patience).await?;
+    let body = exchange.read(ANSWER_BYTES, ANSWER_PATIENCE).await?;
+    if !exchange.status.is_success() {
+        eyre::bail!("status {}", exchange.status);
+    }
+    Ok(rmp_serde::from_slice(&body)?)
+}
+
+/// Path of the question among hosts.
+pub(crate) const PATH: &str = "/v1/place";
+
+/// Answers the question of another host; `None` if it is malformed.
+pub(crate) async fn answer<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    body: &[u8],
+) -> Option<Bytes> {
+    let ask: Ask = rmp_serde::from_slice(body).ok()?;
+    let verdict = decide(host, &ask).await;
+    rmp_serde::to_vec(&verdict).ok().map(Bytes::from)
+}
+
+/// Decides about a question.
+async fn decide<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, ask: &Ask) -> Verdict {
+    let now = now();
+    if let Some(customer) = ask.customer.as_deref().filter(|_| ask.tokens > 0) {
+        let taken = host
+            .quotas
+            .borrow_mut()
+            .take(now, customer, ask.tokens, Class::Generation);
+        if let Err(wait) = taken {
+            return Verdict::OverQuota {
+                wait_ms: wait.as_millis() as u64,
+            };
+        }
+    }
+    let mut refund = Refund {
+        host,
+        ask,
+        due: true,
+    };
+    let verdict = place(host, ask, now).await;
+    refund.due = !matches!(verdict, Verdict::Granted { .. });
+    verdict
+}
+
+/// Gives the customer's tokens back unless a place was granted, also when the asker goes away.
+struct Refund<'a, D, S> {
+    host: &'a Rc<Host<D, S>>,
+    ask: &'a Ask,
+    due: bool,
+}
+
+impl<D, S> Drop for Refund<'_, D, S> {
+    fn drop(&mut self) {
+        let customer = self.ask.customer.as_deref();
+        if let Some(customer) = customer.filter(|_| self.due && self.ask.tokens > 0) {
+            self.host
+                .quotas
+                .borrow_mut()
+                .give_back(now(), customer, self.ask.tokens);
+        }
+    }
+}
+
+async fn place<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, ask: &Ask, now: Instant) -> Verdict {
+    let waiting = host
+        .lines
+        .borrow()
+        .get(&ask.service)
+        .is_some_and(|line| !line.is_empty());
+    let tried: Vec<Key> = {
+        let directory = host.directory.borrow();
+        ask.tried
+            .iter()
+            .filter_map(|id| directory.key(id))
+            .collect()
+    };
+    let repeated = !ask.tried.is_empty();
+    let free = if waiting && !repeated {
+        None
+    } else {
+        best(host, &ask.service, ask.run, &tried, f64::INFINITY)
+    };
+    if let Some(key) = free {
+        let grant = host
+            .ledger
+            .borrow_mut()
+            .grant(key, ask.run, now + GRANT_LIFETIME);
+        return granted(host, ask, key, grant);
+    }
+    if repeated {
+        return Verdict::NoRoom;
+    }
+    match wait(host, ask, now).await {
+        Ok((key, grant)) => granted(host, ask, key, grant),
+        Err(verdict) => verdict,
+    }
+}
+
+fn granted<D, S>(host: &Host<D, S>, ask: &Ask, key: Key, grant: Grant) -> Verdict {
+    let Some(endpoint) = host.directory.borrow().get(key).cloned() else {
+        return Verdict::Pending;
+    };
+    let prefill = if ask.prefill {
+        prefill(host, ask, &endpoint)
+    } else {
+        None
+    };
+    Verdict::Granted {
+        endpoint: endpoint.id,
+        grant,
+        prefill,
+    }
+}
+
+/// Waits for a turn, for at most a round.
+async fn wait<D, S>(
+    host: &Rc<Host<D, S>>,
+    ask: &Ask,
+    now: Instant,
+) -> Result<(Key, Grant), Verdict> {
+    let waiter = Waiter {
+        priority: ask.priority,
+        start_by: shifted(now, ask.start_in_ms),
+        hopeless_at: shifted(now, ask.hopeless_in_ms),
+        run: ask.run,
+    };
+    let (sender, turn) = oneshot::channel();
+    let ticket = {
+        let mut lines = host.lines.borrow_mut();
+        let line = lines.entry(ask.service.clone()).or_insert_with(Line::new);
+        let ticket = line
+            .queue
+            .push(now, waiter)
+            .map_err(|refusal| match refusal {
+                Refusal::Full(wait) => Verdict::Full {
+                    wait_ms: wait.as_millis() as u64,
+                },
+                Refusal::Hopeless => Verdict::Hopeless,
+            })?;
+        line.turns.insert(ticket, sender);
+        ticket
+    };
+    let _waiting = Waiting {
+        host,
+        service: &ask.service,
+        ticket,
+    };
+    host.room.notify_one();
+    match timeout(ROUND, turn).await {
+        Ok(Ok(place)) => Ok(place),
+        Ok(Err(_)) => Err(Verdict::Hopeless),
+        Err(_) => Err(Verdict::Pending),
+    }
+}
+
+fn shifted(now: Instant, by_ms: i64) -> Instant {
+    Instant::from_millis(now.as_millis().saturating_add_signed(by_ms))
+}
+
+/// Properties of the engines of a service.
+pub(crate) fn engine<D, S>(host: &Host<D, S>, service: &str) -> Option<Engine> {
+    host.fleet.borrow().as_ref()?.services.get(service)?.engine
+}
+
+/// The decode engine with the most room for a generation, filled to at most `fill`.
+fn best<D, S>(host: &Host<D, S>, service: &str, run: Run, tried: &[Key], fill: f64) -> Option<Key> {
+    let engine = engine(host, service)?;
+    let ledger = host.ledger.borrow();
+    let cost = |key, endpoint: &Endpoint| {
+        let room = Room {
+            slots: engine.slots.min(endpoint.slots),
+            capacity: u64::from(engine.capacity),
+        };
+        let mut runs: Vec<Run> = ledger.runs(key).collect();
+        runs.push(run);
+        let share = room.share(&mut runs).filter(|share| *share <= fill)?;
+        Some(share + jitter(JITTER))
+    };
+    host.choose(service, Some(Stage::Decode), tried, cost)
+        .map(|(key, _)| key)
+}
+
+/// The engine that reads the prompt soonest, preferably in the data centre of the decode engine.
+fn prefill<D, S>(host: &Host<D, S>, ask: &Ask, decode: &Endpoint) -> Option<String> {
+    let now = now();
+    let mut backlogs = host.backlogs.borrow_mut();
+    let backlog = |key: Key| {
+        backlogs
+            .get(&key)
+            .map_or(0.0, |until| until.since(now).as_secs_f64() * 1_000.0)
+    };
+    let cost = |key, endpoint: &Endpoint| {
+        let backlog = backlog(key);
+        let distance = if endpoint.data_centre == decode.data_centre {
+            0.0
+        } else {
+            NEAR_MS
+        };
+        (backlog <= LONGEST_BACKLOG_MS).then(|| backlog + distance + jitter(10.0))
+    };
+    let (key, endpoint) = host.choose(&ask.service, Some(Stage::Prefill), &[], cost)?;
+    let busy = backlog(key) + f64::from(ask.run.held) * PROMPT_TOKEN_MS;
+    backlogs.insert(key, now + Duration::from_secs_f64(busy / 1_000.0));
+    Some(endpoint.id)
+}
+
+/// Gives room to waiting generations, in the order of the queue.
+pub(crate) fn dispatch<D, S>(host: &Host<D, S>) {
+    let now = now();
+    let services: Vec<String> = host.lines.borrow().keys().cloned().collect();
+    for service in services {
+        while let Some((ticket, waiter, timely)) = next(host, &service, now) {
+            let fill = if timely { f64::INFINITY } else { LATE_FILL };
+            let Some(key) = best(host, &service, waiter.run, &[], fill) else {
+                break;
+            };
+            let mut lines = host.lines.borrow_mut();
+            let Some(line) = lines.get_mut(&service) else {
+                break;
+            };
+            line.queue.start(now, ticket);
+            let Some(turn) = line.turns.remove(&ticket) else {
+                continue;
+            };
+            let mut ledger = host.ledger.borrow_mut();
+            let grant = ledger.grant(key, waiter.run, now + GRANT_LIFETIME);
+            if turn.send((key, grant)).is_err() {
+                ledger.settle(grant);
+            }
+        }
+    }
+}
+
+/// The generation that goes next, after those without hope are taken out.
+fn next<D, S>(host: &Host<D, S>, service: &str, now: Instant) -> Option<(Ticket, Waiter, bool)> {
+    let mut lines = host.lines.borrow_mut();
+    let line = lines.get_mut(service)?;
+    for ticket in line.queue.expire(now) {
+        line.turns.remove(&ticket);
+    }
+    line.queue.first(now)
+}
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -15,7 +15,7 @@
 use crate::platform::{Dialect, Outbound, Store};
 use crate::refusal::Reason;
 use crate::request::{Call, Reply, answer_headers};
-use crate::state::{Host, Place, jitter, now};
+use crate::state::{Host, NO_GRANT, Place, jitter, now};
 
 /// Time until a connection stands. Links take a few milliseconds; a lost packet is sent again after
 /// a second, and another endpoint is tried before that.
@@ -240,7 +240,7 @@
         head: patience,
         reuse,
     };
-    let _place = Place::take(host, key, Run::default());
+    let _place = Place::take(host, key, Run::default(), NO_GRANT);
     let attempt = exchange::<D, S>(host, call, endpoint, request, patience, started).await;
     let outcome = match &attempt {
         Attempt::Answered { status, .. } if status.is_server_error() => None,
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -1,38 +1,30 @@
 //! Generations: room at a decode engine, prefill, decode, and resume of a broken stream.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
 use berylknot_coordination::eject::Outcome;
 use http::HeaderMap;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use crate::call::{CONNECT, spread};
-use crate::directory::{Endpoint, Key, Stage, State};
+use crate::admission::{self, Ask, Verdict, engine};
+use crate::call::{CONNECT, spread_after};
+use crate::directory::{Endpoint, Key, State};
 use crate::events::Events;
-use crate::fleet::{Engine, Kind, Route};
+use crate::fleet::{Kind, Route};
 use crate::http::{Error, Exchange, Patience};
-use crate::ledger::{Room, Run};
+use crate::ledger::Run;
 use crate::metrics::Label;
-use crate::mix::{PROMPT_TOKEN_MS, TOKEN_MS};
+use crate::mix::TOKEN_MS;
 use crate::platform::{Cache, Dialect, Head, Outbound, Store, Tokens};
 use crate::refusal::Reason;
 use crate::request::{Call, Cut, Reply, answer_headers};
-use crate::state::{Host, Place, jitter, now};
-use crate::waiting::{LATE_FILL, Queue, Refusal, Ticket, Waiter};
+use crate::state::{Host, NO_GRANT, Place, now};
 
-/// Generations that may wait at one host and service.
-const WAITING: usize = 64;
 /// Part of the latency objective kept for prefill and transfer once room is found.
 const START_SHARE: f64 = 0.35;
-/// Backlog of prompts, in milliseconds, beyond which the decode engine reads the prompt itself.
-const LONGEST_BACKLOG_MS: f64 = 1_200.0;
-/// Backlog that a prefill engine in the data centre of the decode engine may have beyond that of
-/// others, in milliseconds: a transfer between data centres is priced several times as high.
-const NEAR_MS: f64 = 120.0;
 /// Longest time for a prefill beyond its backlog.
 const PREFILL_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Longest time from a decode request to the head of its answer, and longest pause between events,
@@ -40,8 +32,6 @@
 const PAUSE: Duration = Duration::from_millis(1_500);
 /// Sends to decode engines for one attempt of a caller, refused ones included.
 const SENDS: usize = 4;
-/// Random cost in a choice, as a share of an engine.
-const JITTER: f64 = 0.06;
 /// Margin before a handle expires within which it is not used any more.
 const HANDLE_MARGIN: Duration = Duration::from_millis(60);
 /// Largest answer of a prefill in bytes.
@@ -54,41 +44,6 @@
     output: 1_000,
 };
 
-/// Waiting generations of one service.
-pub(crate) struct Line<D, S> {
-    queue: Queue,
-    turns: HashMap<Ticket, oneshot::Sender<Place<D, S>>>,
-}
-
-impl<D, S> Line<D, S> {
-    fn new() -> Self {
-        Self {
-            queue: Queue::new(WAITING),
-            turns: HashMap::new(),
-        }
-    }
-
-    pub(crate) fn is_empty(&self) -> bool {
-        self.queue.is_empty()
-    }
-}
-
-/// Removes a waiting generation whose caller is gone.
-struct Waiting<'a, D, S> {
-    host: &'a Rc<Host<D, S>>,
-    service: &'a str,
-    ticket: Ticket,
-}
-
-impl<D, S> Drop for Waiting<'_, D, S> {
-    fn drop(&mut self) {
-        if let Some(line) = self.host.lines.borrow_mut().get_mut(self.service) {
-            line.queue.remove(self.ticket);
-            line.turns.remove(&self.ticket);
-        }
-    }
-}
-
 /// Longest time that a request may reasonably take: the route's timeout for a call, and the time of
 /// the largest output for a generation.
 pub(crate) fn longest(head: &Head, route: &Route) -> Duration {
@@ -142,7 +97,7 @@
                 })
                 .inc();
             let left = call.deadline().since(now());
-            reason.reply(after.map(|after| spread(after).min(left / 3)))
+            reason.reply(after.map(|after| spread_after(after).min(left / 3)))
         }
     }
 }
@@ -176,42 +131,36 @@
     let mut runs = 0;
     let mut sends = 0;
     let mut cache: Option<Kept<D, S>> = None;
-    let mut prefilled = false;
-    while sends < SENDS {
-        if call.deadline() <= now() {
-            break;
-        }
-        let place = match room_now(host, call, tokens, &tried) {
-            Some(place) => place,
-            None if tried.is_empty() => wait_for_room(host, call, tokens).await?,
-            None => break,
+    let mut first = true;
+    while sends < SENDS && now() < call.deadline() {
+        let place = match acquire(host, call, tokens, &tried, first).await {
+            Ok(place) => place,
+            Err(refused) if first => return Err(refused),
+            Err(_) => break,
         };
         if sends > 0 && !host.budgets.borrow_mut().repeat(now(), &call.service) {
             host.metrics.retry("denied");
             break;
         }
-        let Some(endpoint) = host.directory.borrow().get(place.key).cloned() else {
-            continue;
-        };
-        if !prefilled {
-            prefilled = true;
-            cache = prefill(host, call, tokens, &endpoint).await;
+        let Acquired {
+            place,
+            endpoint,
+            prefill: reader,
+        } = place;
+        tried.push(endpoint.id.clone());
+        if first {
+            first = false;
+            cache = match reader {
+                Some(reader) => prefill(host, call, tokens, &reader).await,
+                None => None,
+            };
         }
         if !is_ready(host, place.key) {
-            tried.push(place.key);
             continue;
         }
-        tried.push(place.key);
-        let usable = cache.take().filter(|cache| cache.is_usable());
-        match decode(
-            host,
-            call,
-            &endpoint,
-            usable.as_ref().map(|kept| &kept.cache),
-            call.head.after_event,
-        )
-        .await
-        {
+        let usable = cache.take().filter(Kept::is_usable);
+        let handle = usable.as_ref().map(|kept| &kept.cache);
+        match decode(host, call, &endpoint, handle, call.head.after_event).await {
             Decoded::Started(exchange) => {
                 if let Some(kept) = usable {
                     kept.taken();
@@ -258,119 +207,106 @@
     if runs > 0 {
         return Err(Failed::Reason(Reason::EndpointLost, None));
     }
+    // The generation was charged and did not run.
+    if let Some(customer) = call.customer_name() {
+        host.quotas
+            .borrow_mut()
+            .give_back(now(), customer, call.tokens);
+    }
     Err(Failed::Reason(Reason::EndpointsRefused, Some(RETRY)))
 }
 
-/// Time after which a refused generation may find room.
-const RETRY: Duration = Duration::from_millis(800);
-
-fn is_ready<D, S>(host: &Host<D, S>, key: Key) -> bool {
-    host.directory
-        .borrow()
-        .get(key)
-        .is_some_and(|endpoint| endpoint.state == State::Ready)
-}
-
-fn engine<D, S>(host: &Host<D, S>, service: &str) -> Option<Engine> {
-    host.fleet.borrow().as_ref()?.services.get(service)?.engine
-}
-
-/// The decode engine with the most room for a generation, filled to at most `fill`.
-fn best<D, S>(host: &Host<D, S>, service: &str, run: Run, tried: &[Key], fill: f64) -> Option<Key> {
-    let engine = engine(host, service)?;
-    let ledger = host.ledger.borrow();
-    let cost = |key, endpoint: &Endpoint| {
-        let room = Room {
-            slots: engine.slots.min(endpoint.slots),
-            capacity: u64::from(engine.capacity),
-        };
-        let mut runs: Vec<Run> = ledger.runs(key).collect();
-        runs.push(run);
-        let share = room.share(&mut runs).filter(|share| *share <= fill)?;
-        Some(share + jitter(JITTER))
-    };
-    host.choose(service, Some(Stage::Decode), tried, cost)
-        .map(|(key, _)| key)
+/// A place at a decode engine.
+struct Acquired<D, S> {
+    place: Place<D, S>,
+    endpoint: Endpoint,
+    /// Id of the engine that reads the prompt.
+    prefill: Option<String>,
 }
 
-/// Room without waiting, unless others wait already.
-fn room_now<D, S>(
+/// Gets a place at a decode engine; the customer is charged for the first one only.
+async fn acquire<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     call: &Call,
     tokens: Tokens,
-    tried: &[Key],
-) -> Option<Place<D, S>> {
-    let waiting = host
-        .lines
-        .borrow()
-        .get(&call.service)
-        .is_some_and(|line| !line.queue.is_empty());
-    if waiting && tried.is_empty() {
-        return None;
-    }
+    tried: &[String],
+    first: bool,
+) -> Result<Acquired<D, S>, Failed> {
+    let asked = now();
+    let start_by = call.arrived + call.route().target.mul_f64(1.0 - START_SHARE);
     let run = Run {
         held: tokens.prompt,
         left: tokens.output,
     };
-    let key = best(host, &call.service, run, tried, f64::INFINITY)?;
-    Some(Place::take(host, key, run))
-}
-
-async fn wait_for_room<D: Dialect, S: Store>(
-    host: &Rc<Host<D, S>>,
-    call: &Call,
-    tokens: Tokens,
-) -> Result<Place<D, S>, Failed> {
-    let started = now();
-    let waiter = Waiter {
+    let ask = Ask {
+        service: call.service.clone(),
+        customer: call.customer_name().map(str::to_owned),
+        tokens: if first { call.tokens } else { 0 },
+        run,
         priority: call.priority(),
-        start_by: call.arrived + call.route().target.mul_f64(1.0 - START_SHARE),
-        hopeless_at: hopeless_at(call, tokens),
-        run: Run {
-            held: tokens.prompt,
-            left: tokens.output,
-        },
+        start_in_ms: until(asked, start_by),
+        hopeless_in_ms: until(asked, hopeless_at(call, tokens)),
+        tried: tried.to_vec(),
+        prefill: first,
     };
-    let (sender, turn) = oneshot::channel();
-    let pushed = {
-        let mut lines = host.lines.borrow_mut();
-        let line = lines.entry(call.service.clone()).or_insert_with(Line::new);
-        let pushed = line.queue.push(started, waiter);
-        if let Ok(ticket) = pushed {
-            line.turns.insert(ticket, sender);
+    let verdict = admission::ask(host, ask).await;
+    tracing::info!(
+        id = call.head.id,
+        ?verdict,
+        tokens = call.tokens,
+        waited_ms = now().since(asked).as_millis() as u64,
+        configuration = call.fleet.version,
+        "admission: decided"
+    );
+    match verdict {
+        Verdict::Granted {
+            endpoint,
+            grant,
+            prefill,
+        } => {
+            let known = {
+                let directory = host.directory.borrow();
+                directory
+                    .key(&endpoint)
+                    .and_then(|key| Some((key, directory.get(key)?.clone())))
+            };
+            // The leader may know an endpoint that this host has not read of yet.
+            let (key, endpoint) = known.ok_or(Failed::Reason(Reason::NoEndpoint, Some(RETRY)))?;
+            let place = Place::take(host, key, run, grant);
+            Ok(Acquired {
+                place,
+                endpoint,
+                prefill,
+            })
         }
-        pushed
-    };
-    let ticket = pushed.map_err(|refusal| {
-        tracing::info!(
-            id = call.head.id,
-            ?refusal,
-            waiting = waiting(host, &call.service),
-            "queue: refused"
-        );
-        match refusal {
-            Refusal::Full(wait) => Failed::Reason(Reason::QueueFull, Some(wait.max(RETRY))),
-            Refusal::Hopeless => Failed::Reason(Reason::Hopeless, None),
+        Verdict::Full { wait_ms } => Err(Failed::Reason(
+            Reason::QueueFull,
+            Some(Duration::from_millis(wait_ms).max(RETRY)),
+        )),
+        Verdict::OverQuota { wait_ms } => Err(Failed::Reason(
+            Reason::OverQuota,
+            Some(Duration::from_millis(wait_ms)),
+        )),
+        Verdict::Hopeless => Err(Failed::Reason(Reason::Hopeless, None)),
+        Verdict::Pending | Verdict::NoRoom => {
+            Err(Failed::Reason(Reason::EndpointsRefused, Some(RETRY)))
         }
-    })?;
-    let waiting = Waiting {
-        host,
-        service: &call.service,
-        ticket,
-    };
-    host.room.notify_one();
-    let place = turn
-        .await
-        .map_err(|_| Failed::Reason(Reason::Hopeless, None))?;
-    drop(waiting);
-    Ok(place)
+    }
 }
 
-fn waiting<D, S>(host: &Host<D, S>, service: &str) -> usize {
-    host.lines
+/// Milliseconds from one instant to another; negative if it has passed.
+fn until(from: Instant, to: Instant) -> i64 {
+    to.as_millis().cast_signed() - from.as_millis().cast_signed()
+}
+
+/// Time after which a refused generation may find room.
+const RETRY: Duration = Duration::from_millis(800);
+
+fn is_ready<D, S>(host: &Host<D, S>, key: Key) -> bool {
+    host.directory
         .borrow()
-        .get(service)
-        .map_or(0, |line| line.queue.len())
+        .get(key)
+        .is_some_and(|endpoint| endpoint.state == State::Ready)
 }
 
 /// Latest start that ends before the deadline and begins before the caller abandons the stream.
@@ -384,43 +320,6 @@
     Instant::from_millis(instant.as_millis().saturating_sub(by.as_millis() as u64))
 }
 
-/// Gives room to waiting generations, in the order of the queue.
-pub(crate) fn dispatch<D, S>(host: &Rc<Host<D, S>>) {
-    let now = now();
-    let services: Vec<String> = host.lines.borrow().keys().cloned().collect();
-    for service in services {
-        loop {
-            let first = {
-                let mut lines = host.lines.borrow_mut();
-                let Some(line) = lines.get_mut(&service) else {
-                    break;
-                };
-                for ticket in line.queue.expire(now) {
-                    line.turns.remove(&ticket);
-                }
-                line.queue.first(now)
-            };
-            let Some((ticket, waiter, timely)) = first else {
-                break;
-            };
-            let fill = if timely { f64::INFINITY } else { LATE_FILL };
-            let Some(key) = best(host, &service, waiter.run, &[], fill) else {
-                break;
-            };
-            let mut lines = host.lines.borrow_mut();
-            let Some(line) = lines.get_mut(&service) else {
-                break;
-            };
-            line.queue.start(now, ticket);
-            let Some(turn) = line.turns.remove(&ticket) else {
-                continue;
-            };
-            // A place that nobody waits for is freed by its guard.
-            drop(turn.send(Place::take(host, key, waiter.run)));
-        }
-    }
-}
-
 /// KV cache at a prefill engine; it is freed there unless it was taken.
 struct Kept<D: Dialect, S: Store> {
     host: Rc<Host<D, S>>,
@@ -473,26 +372,18 @@
     }
 }
 
-/// Has the prompt read at a prefill engine near the decode engine.
+/// Has the prompt read at a prefill engine.
 async fn prefill<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     call: &Call,
     tokens: Tokens,
-    decode: &Endpoint,
+    reader: &str,
 ) -> Option<Kept<D, S>> {
     let hold = engine(host, &call.service)?.hold;
     let (key, endpoint) = {
-        let ledger = host.ledger.borrow();
-        let cost = |key, endpoint: &Endpoint| {
-            let backlog = ledger.tokens(key) as f64 * PROMPT_TOKEN_MS;
-            let distance = if endpoint.data_centre == decode.data_centre {
-                0.0
-            } else {
-                NEAR_MS
-            };
-            (backlog <= LONGEST_BACKLOG_MS).then(|| backlog + distance + jitter(10.0))
-        };
-        host.choose(&call.service, Some(Stage::Prefill), &[], cost)?
+        let directory = host.directory.borrow();
+        let key = directory.key(reader)?;
+        (key, directory.get(key)?.clone())
     };
     let place = Place::take(
         host,
@@ -501,6 +392,7 @@
             held: tokens.prompt,
             left: 0,
         },
+        NO_GRANT,
     );
     let started = now();
     let outbound = Outbound {
@@ -778,20 +670,25 @@
     } = broken;
     // The engine stops when the connection closes.
     drop(exchange);
-    let mut tried = vec![place.key];
     drop(place);
     if !call.route().resumable || runs >= call.route().attempts {
         return None;
     }
+    let mut tried = vec![endpoint.id.clone()];
     for _ in 0..SENDS {
-        let tokens = expected(call);
-        let place = room_now(host, call, tokens, &tried)?;
+        let acquired = acquire(host, call, expected(call), &tried, false)
+            .await
+            .ok()?;
         if !host.budgets.borrow_mut().repeat(now(), &call.service) {
             host.metrics.retry("denied");
             return None;
         }
-        let next = host.directory.borrow().get(place.key).cloned()?;
-        tried.push(place.key);
+        let Acquired {
+            place,
+            endpoint: next,
+            ..
+        } = acquired;
+        tried.push(next.id.clone());
         match decode(host, call, &next, None, after_event).await {
             Decoded::Started(exchange) => {
                 host.metrics.retry("resumed");
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -11,12 +11,14 @@
 use serde::{Deserialize, Serialize};
 
 use crate::budget::Count;
-use crate::ledger::Run;
+use crate::ledger::{Grant, Run};
 
 /// Version of the report; another one is ignored.
 const VERSION: u8 = 1;
-/// Time without a report after which a peer counts as not heard.
+/// Time without a report after which a peer counts as not heard, with few peers.
 pub const SILENT_AFTER: Duration = Duration::from_millis(1_200);
+/// The same for each peer, since reports are rarer with many.
+const SILENT_PER_PEER: Duration = Duration::from_millis(55);
 /// Time without a report after which a peer is forgotten. It exceeds the longest partition that the
 /// deployments rehearse (12 s), in which the peer goes on admitting requests.
 pub const FORGOTTEN_AFTER: Duration = Duration::from_secs(20);
@@ -41,12 +43,14 @@
     pub store_age_ms: u64,
     /// Whether the sender stops.
     pub leaving: bool,
+    /// Whether the sender has heard the others for long enough to give places.
+    pub leads: bool,
     /// Tokens admitted since the start, by customer.
-    pub customers: Vec<(String, u64)>,
+    pub customers: Vec<(String, i64)>,
     /// Requests and repeated sends since the start, by service.
     pub services: Vec<(String, u64, u64)>,
     /// Requests now, by endpoint.
-    pub endpoints: Vec<(String, Vec<Run>)>,
+    pub endpoints: Vec<(String, Vec<(Run, Grant)>)>,
 }
 
 /// A malformed report or one of another version.
@@ -66,6 +70,7 @@
             configuration: 0,
             store_age_ms: 0,
             leaving: false,
+            leads: false,
             customers: Vec::new(),
             services: Vec::new(),
             endpoints: Vec::new(),
@@ -139,7 +144,7 @@
                     .then(|| known.customers.iter().find(|(name, _)| name == customer))
                     .flatten()
                     .map_or(0, |(_, total)| *total);
-                let added = total.cast_signed() - before.cast_signed();
+                let added = total - before;
                 if added != 0 {
                     delta.customers.push((customer.clone(), added));
                 }
@@ -178,10 +183,14 @@
         self.peers.keys().copied()
     }
 
+    fn silent_after(&self) -> Duration {
+        SILENT_AFTER.max(SILENT_PER_PEER * self.peers.len() as u32)
+    }
+
     /// Peers that are heard.
     pub fn heard(&self, now: Instant) -> impl Iterator<Item = (SocketAddr, &Report)> {
         self.peers.iter().filter_map(move |(address, peer)| {
-            let recent = now.since(peer.heard?) < SILENT_AFTER;
+            let recent = now.since(peer.heard?) < self.silent_after();
             recent.then_some((*address, &peer.report))
         })
     }
@@ -193,7 +202,7 @@
         let (mut silent, mut all) = (0, 0);
         for heard in known {
             all += 1;
-            silent += usize::from(now.since(heard) >= SILENT_AFTER);
+            silent += usize::from(now.since(heard) >= self.silent_after());
         }
         (silent, all)
     }
@@ -203,10 +212,11 @@
         self.peers
             .values()
             .filter(move |peer| {
-                peer.heard
-                    .is_some_and(|heard| now.since(heard) <= REPORT_LIFETIME)
+                peer.heard.is_some_and(|heard| {
+                    now.since(heard) <= REPORT_LIFETIME.max(self.silent_after())
+                })
             })
             .flat_map(|peer| &peer.report.endpoints)
-            .flat_map(|(id, runs)| runs.iter().map(|run| (id.as_str(), *run)))
+            .flat_map(|(id, runs)| runs.iter().map(|(run, _)| (id.as_str(), *run)))
     }
 }
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -8,6 +8,7 @@
 
 use std::collections::HashMap;
 
+use berylknot_coordination::clock::Instant;
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
@@ -18,6 +19,9 @@
     pub struct Ticket;
 }
 
+/// Number of a place that a host was granted and has not reported yet.
+pub type Grant = u64;
+
 /// A request at an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -34,19 +38,52 @@
 /// Loads of all endpoints.
 #[derive(Debug, Default)]
 pub struct Ledger {
-    own: SlotMap<Ticket, (Key, Run)>,
+    own: SlotMap<Ticket, Own>,
     peers: HashMap<Key, Vec<Run>>,
+    /// Places granted to other hosts, until these report them or the time is over.
+    grants: HashMap<Grant, (Key, Run, Instant)>,
+    next_grant: Grant,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Own {
+    key: Key,
+    run: Run,
+    grant: Grant,
 }
 
 impl Ledger {
     /// Counts a request of this host.
-    pub fn take(&mut self, key: Key, run: Run) -> Ticket {
-        self.own.insert((key, run))
+    pub fn take(&mut self, key: Key, run: Run, grant: Grant) -> Ticket {
+        self.own.insert(Own { key, run, grant })
+    }
+
+    /// Counts a place that a host was granted. Grants are numbered from a start that differs between
+    /// the starts of hosts.
+    pub fn grant(&mut self, key: Key, run: Run, until: Instant) -> Grant {
+        self.next_grant += 1;
+        self.grants.insert(self.next_grant, (key, run, until));
+        self.next_grant
+    }
+
+    /// Sets the number after which grants are numbered.
+    pub fn number_grants_from(&mut self, start: Grant) {
+        self.next_grant = start;
+    }
+
+    /// Ends a grant that its host reported or did not take.
+    pub fn settle(&mut self, grant: Grant) {
+        self.grants.remove(&grant);
+    }
+
+    /// Ends grants that no host reported in time.
+    pub fn expire(&mut self, now: Instant) {
+        self.grants.retain(|_, (_, _, until)| *until > now);
     }
 
     /// Notes output tokens of a generation of this host; `most` is its largest output.
     pub fn progress(&mut self, ticket: Ticket, tokens: u32, most: u32) {
-        if let Some((_, run)) = self.own.get_mut(ticket) {
+        if let Some(Own { run, .. }) = self.own.get_mut(ticket) {
             run.held = run.held.saturating_add(tokens);
             run.left = run
                 .left
@@ -76,9 +113,15 @@
         let own = self
             .own
             .values()
-            .filter(move |(at, _)| *at == key)
-            .map(|(_, run)| *run);
-        own.chain(self.peers.get(&key).into_iter().flatten().copied())
+            .filter(move |own| own.key == key)
+            .map(|own| own.run);
+        let granted = self
+            .grants
+            .values()
+            .filter(move |(at, ..)| *at == key)
+            .map(|(_, run, _)| *run);
+        own.chain(granted)
+            .chain(self.peers.get(&key).into_iter().flatten().copied())
     }
 
     /// Number of requests at an endpoint.
@@ -94,8 +137,8 @@
     }
 
     /// Own requests, for the report to peers.
-    pub fn report(&self) -> impl Iterator<Item = (Key, Run)> + '_ {
-        self.own.values().copied()
+    pub fn report(&self) -> impl Iterator<Item = (Key, Run, Grant)> + '_ {
+        self.own.values().map(|own| (own.key, own.run, own.grant))
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod stages;
 pub mod waiting;
 
+pub(crate) mod admission;
 pub(crate) mod call;
 pub(crate) mod completion;
 pub(crate) mod control;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -10,23 +10,24 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
-use crate::completion::dispatch;
-use crate::follow;
 use crate::gossip::Report;
 use crate::http::Patience;
-use crate::ledger::Run;
+use crate::ledger::{Grant, Run};
 use crate::platform::{Dialect, Store};
 use crate::state::{Host, now};
+use crate::{admission, follow};
 
 /// Pause between reports with few peers. An engine's place is held for seconds and found again in
 /// this time by the other hosts.
 const REPORT_PERIOD: Duration = Duration::from_millis(120);
 /// Reports that a host sends per second at most; with more peers the pause grows.
-const REPORTS_PER_S: f64 = 100.0;
+const REPORTS_PER_S: f64 = 60.0;
 /// Largest report in bytes; a datagram on Ethernet carries about this much unfragmented.
 const DATAGRAM_BYTES: usize = 8 * 1_024;
-/// Reports after which the rare upkeep is done.
-const UPKEEP: u64 = 8;
+/// Pause between reports to the leader, so that a burst of changes goes out together.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(20);
+/// Pause between the rare upkeep.
+const UPKEEP_PERIOD: Duration = Duration::from_millis(500);
 /// Age of the store's last answer, or lag behind a peer's configuration, from which records are
 /// asked of peers.
 const ASK_AFTER: Duration = Duration::from_millis(900);
@@ -105,13 +106,18 @@
 
 fn hear<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, from: SocketAddr, report: Report) {
     let now = now();
-    let started = report.incarnation;
+    if report.incarnation == host.incarnation {
+        return;
+    }
+    {
+        let mut ledger = host.ledger.borrow_mut();
+        for (_, grant) in report.endpoints.iter().flat_map(|(_, runs)| runs) {
+            ledger.settle(*grant);
+        }
+    }
     let Some(delta) = host.view.borrow_mut().hear(now, from, report) else {
         return;
     };
-    if started == host.incarnation {
-        return;
-    }
     for (customer, tokens) in &delta.customers {
         host.quotas
             .borrow_mut()
@@ -131,32 +137,49 @@
         host.ledger.borrow_mut().replace_peers(runs);
     }
     if host.lines.borrow().values().any(|line| !line.is_empty()) {
-        dispatch(host);
+        host.room.notify_one();
     }
 }
 
-/// Sends reports, forgets silent peers, and asks peers for records while the store is away.
+/// Pause between reports to all peers, by their number.
+fn period(peers: usize) -> Duration {
+    REPORT_PERIOD.max(Duration::from_secs_f64(peers as f64 / REPORTS_PER_S))
+}
+
+/// Sends reports: to all peers in turn, and to the leader as soon as a place was taken or freed.
 pub(crate) async fn report<D: Dialect, S: Store>(host: Rc<Host<D, S>>, socket: Rc<UdpSocket>) {
     let mut sequence = 0;
+    let mut due = now();
     loop {
         sequence += 1;
-        let peers: Vec<SocketAddr> = host.view.borrow().addresses().collect();
-        let pause = REPORT_PERIOD.max(Duration::from_secs_f64(peers.len() as f64 / REPORTS_PER_S));
-        match rmp_serde::to_vec(&current(&host, sequence)) {
-            Ok(bytes) => {
-                for peer in peers {
-                    // A lost report is made good by the next one.
-                    if let Err(error) = socket.try_send_to(&bytes, peer) {
-                        tracing::debug!(%peer, %error, "peer: report not sent");
-                    }
-                }
+        let bytes = rmp_serde::to_vec(&current(&host, sequence));
+        let bytes = match bytes {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                tracing::error!(%error, "peer: report not encoded");
+                tokio::time::sleep(REPORT_PERIOD).await;
+                continue;
             }
-            Err(error) => tracing::error!(%error, "peer: report not encoded"),
-        }
-        if sequence % UPKEEP == 0 {
-            upkeep(&host).await;
+        };
+        if now() >= due {
+            let peers: Vec<SocketAddr> = host.view.borrow().addresses().collect();
+            due = now() + period(peers.len());
+            for peer in peers {
+                send(&socket, &bytes, peer);
+            }
+        } else if let Some(leader) = admission::leader(&host) {
+            send(&socket, &bytes, leader);
         }
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep(SHORTEST_PAUSE).await;
+        // A place that changes meanwhile leaves a permit behind.
+        drop(tokio::time::timeout(due.since(now()), host.changed.notified()).await);
+    }
+}
+
+fn send(socket: &UdpSocket, bytes: &[u8], peer: SocketAddr) {
+    // A lost report is made good by the next one.
+    if let Err(error) = socket.try_send_to(bytes, peer) {
+        tracing::debug!(%peer, %error, "peer: report not sent");
     }
 }
 
@@ -169,6 +192,7 @@
         .map_or(0, |fleet| fleet.version);
     report.store_age_ms = store_age(host);
     report.leaving = host.is_stopping();
+    report.leads = host.leads(now());
     report.customers = host
         .quotas
         .borrow()
@@ -182,13 +206,16 @@
         .map(|(name, count)| (name.to_owned(), count.requests, count.repeats))
         .collect();
     let directory = host.directory.borrow();
-    let mut endpoints: HashMap<&str, Vec<Run>> = HashMap::new();
+    let mut endpoints: HashMap<&str, Vec<(Run, Grant)>> = HashMap::new();
     let ledger = host.ledger.borrow();
-    for (key, run) in ledger.report() {
+    for (key, run, grant) in ledger.report() {
         let Some(endpoint) = directory.get(key) else {
             continue;
         };
-        endpoints.entry(&endpoint.id).or_default().push(run);
+        endpoints
+            .entry(&endpoint.id)
+            .or_default()
+            .push((run, grant));
     }
     report.endpoints = endpoints
         .into_iter()
@@ -197,6 +224,14 @@
     report
 }
 
+/// Does the rare upkeep: forgets silent peers, and asks peers for records while the store is away.
+pub(crate) async fn upkeep_always<D: Dialect, S: Store>(host: Rc<Host<D, S>>) {
+    loop {
+        tokio::time::sleep(UPKEEP_PERIOD).await;
+        upkeep(&host).await;
+    }
+}
+
 async fn upkeep<D: Dialect, S: Store>(host: &Rc<Host<D, S>>) {
     let now = now();
     let (silent, known) = {
@@ -207,6 +242,9 @@
     host.quotas.borrow_mut().set_hosts(now, known + 1, silent);
     host.budgets.borrow_mut().set_hosts(known + 1, silent);
     host.pool.sweep();
+    host.ledger.borrow_mut().expire(now);
+    host.backlogs.borrow_mut().retain(|_, until| *until > now);
+    host.distrusted.borrow_mut().retain(|_, until| *until > now);
     let lapsed = host.directory.borrow_mut().expire(now);
     for change in lapsed {
         host.directory_changed(change);
--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -64,7 +64,7 @@
     /// Tokens of the last plain call.
     plain_call: f64,
     /// Tokens that this host admitted since its start.
-    admitted: u64,
+    admitted: i64,
 }
 
 /// Accounts of all customers.
@@ -163,7 +163,7 @@
             return Err(account.room_after(now, window_ms, account.used + wanted - limit));
         }
         account.level -= wanted;
-        account.admitted += tokens;
+        account.admitted += tokens.cast_signed();
         account.count(now, wanted);
         if class == Class::Plain {
             account.plain_call = wanted;
@@ -179,7 +179,7 @@
             return;
         };
         account.level = (account.level + tokens as f64).min(account.largest());
-        account.admitted = account.admitted.saturating_sub(tokens);
+        account.admitted -= tokens.cast_signed();
         account.count(now, -(tokens as f64));
     }
 
@@ -194,11 +194,11 @@
         }
     }
 
-    /// Tokens that this host admitted since its start, by customer.
-    pub fn report(&self) -> impl Iterator<Item = (&str, u64)> {
+    /// Tokens that this host admitted since its start less those given back, by customer.
+    pub fn report(&self) -> impl Iterator<Item = (&str, i64)> {
         self.accounts
             .iter()
-            .filter(|(_, account)| account.admitted > 0)
+            .filter(|(_, account)| account.admitted != 0)
             .map(|(customer, account)| (customer.as_str(), account.admitted))
     }
 }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -55,6 +55,8 @@
     pub(crate) route: usize,
     pub(crate) service: String,
     pub(crate) customer: Option<usize>,
+    /// Tokens that count against the customer's limit.
+    pub(crate) tokens: u64,
     pub(crate) arrived: Instant,
     /// Time at which the caller leaves.
     pub(crate) caller_deadline: Instant,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -9,7 +9,7 @@
 use rand::Rng;
 use tokio::net::UdpSocket;
 
-use crate::completion::dispatch;
+use crate::admission::{self, dispatch};
 use crate::http::Pool;
 use crate::metrics::Metrics;
 use crate::options::Options;
@@ -86,6 +86,7 @@
     actix_rt::spawn(follow::hosts(Rc::clone(&host)));
     actix_rt::spawn(peer::receive(Rc::clone(&host), Rc::clone(&socket)));
     actix_rt::spawn(peer::report(Rc::clone(&host), socket));
+    actix_rt::spawn(peer::upkeep_always(Rc::clone(&host)));
     actix_rt::spawn(control::run(Rc::clone(&host)));
     actix_rt::spawn(dispatcher(Rc::clone(&host)));
     stop(&host, accepting).await
@@ -101,11 +102,7 @@
 
 async fn dispatcher<D: Dialect, S: Store>(host: Rc<Host<D, S>>) {
     loop {
-        let idle = host
-            .lines
-            .borrow()
-            .values()
-            .all(crate::completion::Line::is_empty);
+        let idle = host.lines.borrow().values().all(admission::Line::is_empty);
         if idle {
             host.room.notified().await;
         } else {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -22,7 +22,7 @@
 use crate::refusal::Reason;
 use crate::request::{Call, Reply, Request};
 use crate::state::{Host, now};
-use crate::{call, completion, peer};
+use crate::{admission, call, completion, peer};
 
 /// Idle time of a caller's connection. Callers use theirs for up to four fifths of the configured
 /// idle time (15 s on the sheets), so the listener must not close before.
@@ -112,8 +112,14 @@
             plain(status, Bytes::new())
         }
         Audience::Peers => {
-            let body = read_body(incoming, BODY_BYTES).await;
-            match body.ok().and_then(|body| peer::answer(&host, &body)) {
+            let asks_for_place = incoming.path() == admission::PATH;
+            let body = read_body(incoming, BODY_BYTES).await.unwrap_or_default();
+            let answer = if asks_for_place {
+                admission::answer(&host, &body).await
+            } else {
+                peer::answer(&host, &body)
+            };
+            match answer {
                 Some(answer) => plain(200, answer),
                 None => plain(400, Bytes::new()),
             }
@@ -229,7 +235,7 @@
 async fn serve<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, request: Request) -> Reply {
     let arrived = now();
     let id_and_reply = accept_call(host, request, arrived);
-    let (call, tokens) = match id_and_reply {
+    let call = match id_and_reply {
         Ok(accepted) => accepted,
         Err((id, reason, after)) => {
             tracing::info!(id, reason = reason.code(), "request: refused");
@@ -245,10 +251,13 @@
     let status = match &reply {
         Reply::Whole { status, .. } | Reply::Stream { status, .. } => *status,
     };
-    if matches!(status.as_u16(), 429 | 503)
+    if status == http::StatusCode::SERVICE_UNAVAILABLE
+        && kind != Kind::Streaming
         && let Some(customer) = call.customer_name()
     {
-        host.quotas.borrow_mut().give_back(now(), customer, tokens);
+        host.quotas
+            .borrow_mut()
+            .give_back(now(), customer, call.tokens);
     }
     let label = match kind {
         Kind::Streaming => "streaming",
@@ -282,7 +291,7 @@
     host: &Rc<Host<D, S>>,
     request: Request,
     arrived: berylknot_coordination::clock::Instant,
-) -> Result<(Call, u64), Rejected> {
+) -> Result<Call, Rejected> {
     let head = D::head(&request.headers).map_err(|_| (String::new(), Reason::Unreadable, None))?;
     let reject = |reason, after| (head.id.clone(), reason, after);
     let Some(fleet) = host.fleet.borrow().clone() else {
@@ -320,15 +329,13 @@
         tokens = head.tokens.map_or(customer.plain_tokens, |tokens| {
             u64::from(tokens.prompt) + u64::from(tokens.output)
         });
-        let class = if head.tokens.is_some() {
-            Class::Generation
+        // Generations are charged where their place is given.
+        let taken = if route.kind == Kind::Streaming {
+            Ok(())
         } else {
-            Class::Plain
+            let mut quotas = host.quotas.borrow_mut();
+            quotas.take(arrived, &customer.name, tokens, Class::Plain)
         };
-        let taken = host
-            .quotas
-            .borrow_mut()
-            .take(arrived, &customer.name, tokens, class);
         if let Err(after) = taken {
             tracing::info!(
                 id = head.id,
@@ -350,11 +357,12 @@
         route: index,
         service,
         customer,
+        tokens,
         arrived,
         caller_deadline: arrived + wait,
         route_deadline: arrived + timeout,
     };
-    Ok((call, tokens))
+    Ok(call)
 }
 
 fn respond<D: 'static, S: 'static>(
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::marker::PhantomData;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,13 +12,13 @@
 use rand::Rng;
 use tokio::sync::Notify;
 
+use crate::admission::Line;
 use crate::budget::Budgets;
-use crate::completion::Line;
 use crate::directory::{self, Directory, Endpoint, Key, Stage};
 use crate::fleet::Fleet;
 use crate::gossip::View;
 use crate::http::Pool;
-use crate::ledger::{Ledger, Run, Ticket};
+use crate::ledger::{Grant, Ledger, Run, Ticket};
 use crate::metrics::Metrics;
 use crate::mix::Mix;
 use crate::options::Options;
@@ -32,6 +33,12 @@
 /// page, section 5.7).
 const FRESHNESS: Duration = Duration::from_secs(10);
 
+/// Time after its start in which a host learns the others' places before it gives any; several
+/// reports of each peer.
+const LEARNING: Duration = Duration::from_millis(2_500);
+/// Stands for a place that was not granted by a leader.
+pub(crate) const NO_GRANT: Grant = 0;
+
 /// Monotonic time since a fixed origin that counts suspended time.
 pub(crate) fn now() -> Instant {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
@@ -55,7 +62,7 @@
     pub(crate) quotas: RefCell<Quotas>,
     pub(crate) budgets: RefCell<Budgets>,
     pub(crate) view: RefCell<View>,
-    pub(crate) lines: RefCell<HashMap<String, Line<D, S>>>,
+    pub(crate) lines: RefCell<HashMap<String, Line>>,
     detectors: RefCell<HashMap<String, Detector<Key>>>,
     suspects: RefCell<HashMap<Key, Instant>>,
     /// Time of the last answer of the store.
@@ -65,6 +72,13 @@
     pub(crate) directory_known: Cell<bool>,
     pub(crate) shutdown: Cell<Shutdown>,
     pub(crate) open: Cell<usize>,
+    /// Time until which each prefill engine has prompts to read, as far as this host gave them.
+    pub(crate) backlogs: RefCell<HashMap<Key, Instant>>,
+    /// Hosts that did not answer a question for a place, and until when they are not asked.
+    pub(crate) distrusted: RefCell<HashMap<SocketAddr, Instant>>,
+    started: Instant,
+    /// Wakes the sender of reports when a place was taken or freed.
+    pub(crate) changed: Notify,
     /// Average of the generations seen.
     pub(crate) mix: Cell<Mix>,
     /// Wakes the dispatcher of waiting generations.
@@ -86,6 +100,8 @@
             bounds.retry_slack,
             (bounds.retry_window_s * 1_000.0) as u64,
         );
+        let mut ledger = Ledger::default();
+        ledger.number_grants_from(incarnation);
         Self {
             quotas: RefCell::new(Quotas::new(options.first_start, bounds.quota_window_ms())),
             shutdown: Cell::new(Shutdown::new(bounds.grace())),
@@ -98,7 +114,7 @@
             document: RefCell::default(),
             directory: RefCell::default(),
             entries: RefCell::default(),
-            ledger: RefCell::default(),
+            ledger: RefCell::new(ledger),
             budgets: RefCell::new(budgets),
             view: RefCell::default(),
             lines: RefCell::default(),
@@ -108,6 +124,10 @@
             confirmed: Cell::new(None),
             directory_known: Cell::new(false),
             open: Cell::new(0),
+            backlogs: RefCell::default(),
+            distrusted: RefCell::default(),
+            started: now(),
+            changed: Notify::new(),
             mix: Cell::default(),
             room: Notify::new(),
             dialect: PhantomData,
@@ -122,6 +142,11 @@
             && self.is_fresh(now())
     }
 
+    /// Whether this host has heard the others for long enough to give places.
+    pub(crate) fn leads(&self, now: Instant) -> bool {
+        now.since(self.started) >= LEARNING && !self.is_stopping() && self.directory_known.get()
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.shutdown.get().is_started()
     }
@@ -314,8 +339,10 @@
 }
 
 impl<D, S> Place<D, S> {
-    pub(crate) fn take(host: &Rc<Host<D, S>>, key: Key, run: Run) -> Self {
-        let ticket = host.ledger.borrow_mut().take(key, run);
+    pub(crate) fn take(host: &Rc<Host<D, S>>, key: Key, run: Run, grant: Grant) -> Self {
+        let ticket = host.ledger.borrow_mut().take(key, run, grant);
+        host.ledger.borrow_mut().settle(grant);
+        host.changed.notify_one();
         Self {
             host: Rc::clone(host),
             key,
@@ -336,5 +363,6 @@
     fn drop(&mut self) {
         self.host.ledger.borrow_mut().release(self.ticket);
         self.host.room.notify_one();
+        self.host.changed.notify_one();
     }
 }
