--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -52,6 +52,10 @@
 #[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
 pub(crate) struct Ask {
+    /// Id of the request.
+    pub(crate) id: String,
+    /// Name of the asking host.
+    pub(crate) host: String,
     pub(crate) service: String,
     /// Customer to charge.
     pub(crate) customer: Option<String>,
@@ -200,6 +204,12 @@
 ) -> Option<Bytes> {
     let ask: Ask = rmp_serde::from_slice(body).ok()?;
     let verdict = decide(host, &ask).await;
+    tracing::info!(
+        id = ask.id,
+        host = ask.host,
+        ?verdict,
+        "admission: decided for a peer"
+    );
     rmp_serde::to_vec(&verdict).ok().map(Bytes::from)
 }
 
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -239,6 +239,8 @@
         left: tokens.output,
     };
     let ask = Ask {
+        id: call.head.id.clone(),
+        host: host.options.host.clone(),
         service: call.service.clone(),
         customer: call.customer_name().map(str::to_owned),
         tokens: if first { call.tokens } else { 0 },
--- a/crates/entry/tests/gossip.rs
+++ b/crates/entry/tests/gossip.rs
@@ -16,10 +16,12 @@
     Instant::from_millis(millis)
 }
 
-fn report(incarnation: u64, sequence: u64, tokens: u64) -> Report {
+fn report(incarnation: u64, sequence: u64, tokens: i64) -> Report {
     let mut report = Report::new(incarnation, sequence);
     report.customers.push(("nursery".to_owned(), tokens));
-    report.services.push(("counter".to_owned(), tokens / 10, 0));
+    report
+        .services
+        .push(("counter".to_owned(), tokens.unsigned_abs() / 10, 0));
     report
 }
 
--- a/crates/entry/tests/ledger.rs
+++ b/crates/entry/tests/ledger.rs
@@ -1,5 +1,6 @@
 //! Guards against engines that are overfilled, so that prompts are read again, or left half empty.
 
+use berylknot_coordination::clock::Instant;
 use berylknot_entry::directory::Key;
 use berylknot_entry::ledger::{Ledger, Room, Run, peak};
 use rand::{Rng, SeedableRng};
@@ -83,6 +84,7 @@
             held: 100,
             left: 1_000,
         },
+        0,
     );
     ledger.progress(ticket, 58, 7_000);
     assert_eq!(
@@ -106,6 +108,7 @@
             held: 100,
             left: 58,
         },
+        0,
     );
     ledger.progress(ticket, 580, 7_000);
     assert!(ledger.runs(key).next().is_some_and(|run| run.left > 0));
@@ -212,3 +215,33 @@
         average.1
     );
 }
+
+#[test]
+fn a_grant_counts_until_its_host_reports_it_or_its_time_is_over() {
+    let mut ledger = Ledger::default();
+    let key = Key::default();
+    let run = Run {
+        held: 100,
+        left: 10,
+    };
+    let reported = ledger.grant(key, run, Instant::from_millis(1_500));
+    ledger.grant(key, run, Instant::from_millis(1_500));
+    assert_eq!(ledger.requests(key), 2);
+    ledger.settle(reported);
+    assert_eq!(ledger.requests(key), 1);
+    ledger.expire(Instant::from_millis(1_500));
+    assert_eq!(ledger.requests(key), 0);
+}
+
+#[test]
+fn grants_of_two_starts_have_different_numbers() {
+    let (mut one, mut two) = (Ledger::default(), Ledger::default());
+    one.number_grants_from(1 << 20);
+    two.number_grants_from(2 << 20);
+    let until = Instant::from_millis(1);
+    let key = Key::default();
+    assert_ne!(
+        one.grant(key, Run::default(), until),
+        two.grant(key, Run::default(), until)
+    );
+}
--- a/crates/entry/tests/quota.rs
+++ b/crates/entry/tests/quota.rs
@@ -30,7 +30,7 @@
 /// Several hosts that report to one another with a delay.
 struct Fleet {
     hosts: Vec<Quotas>,
-    seen: Vec<Vec<u64>>,
+    seen: Vec<Vec<i64>>,
     /// Admitted tokens with their times.
     admitted: Vec<(u64, u64)>,
     divided: bool,
@@ -57,7 +57,7 @@
     }
 
     fn report(&mut self, now: u64) {
-        let totals: Vec<u64> = self
+        let totals: Vec<i64> = self
             .hosts
             .iter()
             .map(|host| host.report().next().map_or(0, |(_, total)| total))
@@ -68,7 +68,7 @@
                 if host == peer || apart {
                     continue;
                 }
-                let added = total.cast_signed() - self.seen[host][peer].cast_signed();
+                let added = total - self.seen[host][peer];
                 self.hosts[host].admitted_elsewhere(at(now), CUSTOMER, added);
                 self.seen[host][peer] = *total;
             }
@@ -207,7 +207,7 @@
     for seed in 0..10 {
         let mut fleet = Fleet::new(true);
         play(&mut fleet, seed, 4.0, 24_000, |fleet, now| {
-            fleet.divided = (6_000..18_000).contains(&now)
+            fleet.divided = (6_000..18_000).contains(&now);
         });
         assert!(
             fleet.most_in_a_window() <= bound(),
--- a/crates/entry/tests/waiting.rs
+++ b/crates/entry/tests/waiting.rs
@@ -139,9 +139,9 @@
             continue;
         };
         if now <= arrived + TARGET_MS {
-            timely += 1
+            timely += 1;
         } else {
-            late += 1
+            late += 1;
         }
     }
     (timely, late, lost)
