Count refused prompts as repeats, and leave misdirected endpoints alone

Refused and lost calls that only read a prompt were not charged, and an endpoint whose address another one had was chosen again until its entry went. Both are counted and avoided now, also by the host that gives the places.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -69,6 +69,8 @@
     pub(crate) hopeless_in_ms: i64,
     /// Endpoints that are not to be given.
     pub(crate) tried: Vec<String>,
+    /// Endpoints that the asker has had trouble with a moment ago.
+    pub(crate) doubtful: Vec<String>,
     /// Whether an engine that reads the prompt is wanted as well.
     pub(crate) prefill: bool,
 }
@@ -203,6 +205,12 @@
     body: &[u8],
 ) -> Option<Bytes> {
     let ask: Ask = rmp_serde::from_slice(body).ok()?;
+    for id in &ask.doubtful {
+        let key = host.directory.borrow().key(id);
+        if let Some(key) = key {
+            host.suspect(key);
+        }
+    }
     let verdict = decide(host, &ask).await;
     tracing::info!(
         id = ask.id,
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -108,6 +108,15 @@
         true
     }
 
+    /// Counts a send that turned out to be a repeat: a prompt that an engine refused to read.
+    pub fn charge(&mut self, now: Instant, service: &str) {
+        let repeat = Count {
+            requests: 0,
+            repeats: 1,
+        };
+        self.count(now, service, repeat, true);
+    }
+
     /// Counts what a peer reported since its last report.
     pub fn counted_elsewhere(&mut self, now: Instant, service: &str, count: Count) {
         self.count(now, service, count, false);
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -278,6 +278,9 @@
     if let Some(load) = answer.load {
         host.note_load(key, load);
     }
+    if answer.misdirected {
+        host.misdirected(key);
+    }
     if answer.not_run {
         let left = patience.head.saturating_sub(now().since(started));
         // The body is read so that the connection can be used again.
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -249,6 +249,7 @@
         start_in_ms: until(asked, start_by),
         hopeless_in_ms: until(asked, hopeless_at(call, tokens)),
         tried: tried.to_vec(),
+        doubtful: host.suspected(),
         prefill: first,
     };
     let verdict = admission::ask(host, ask).await;
@@ -426,12 +427,18 @@
     let (status, answer, body) = match result {
         Ok(result) => result,
         Err(error) => {
+            host.budgets.borrow_mut().charge(now(), &call.service);
             host.outcome(key, Outcome::Failed);
             tracing::info!(id = call.head.id, endpoint = endpoint.id, %error, "prefill: failed");
             return None;
         }
     };
+    if answer.misdirected {
+        host.misdirected(key);
+    }
     if !status.is_success() || answer.id.is_some_and(|id| id != call.head.id) {
+        host.budgets.borrow_mut().charge(now(), &call.service);
+        host.suspect(key);
         tracing::info!(
             id = call.head.id,
             endpoint = endpoint.id,
@@ -527,6 +534,11 @@
         waited_ms = started.since(call.arrived).as_millis() as u64,
         "decode: answered"
     );
+    if answer.misdirected
+        && let Some(key) = host.directory.borrow().key(&endpoint.id)
+    {
+        host.misdirected(key);
+    }
     if answer.not_run {
         drop(exchange.read(PREFILL_ANSWER_BYTES, CONNECT).await);
         return Decoded::Refused;
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -95,6 +95,8 @@
     pub id: Option<String>,
     /// Whether the endpoint states that the request did not run.
     pub not_run: bool,
+    /// Whether another endpoint has the address now.
+    pub misdirected: bool,
     /// Whether it bears the endpoint's signature.
     pub signed: bool,
     /// Running requests, waiting requests and slots of the endpoint.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -27,6 +27,9 @@
 
 /// Time for which an endpoint that failed a connection or lost an exchange is chosen last.
 const SUSPICION: Duration = Duration::from_millis(800);
+/// The same for an endpoint at whose address another one answered: three heartbeats, after which the
+/// directory has removed its entry.
+const MISDIRECTION: Duration = Duration::from_millis(3_600);
 /// Time after which a stated load tells nothing any more; calls take tens of milliseconds.
 const STATED_LOAD_LIFETIME: Duration = Duration::from_millis(1_500);
 /// Cost of another data centre against load, as a share of an endpoint's slots.
@@ -206,6 +209,7 @@
                 };
                 if matches!(change, directory::Change::Started(_)) {
                     self.pool.forget(endpoint.address);
+                    self.suspects.borrow_mut().remove(&key);
                 }
                 let mut detectors = self.detectors.borrow_mut();
                 detectors.entry(group(endpoint)).or_default().add(key);
@@ -248,7 +252,30 @@
 
     /// Has an endpoint chosen last for a while.
     pub(crate) fn suspect(&self, key: Key) {
-        self.suspects.borrow_mut().insert(key, now() + SUSPICION);
+        self.suspect_for(key, SUSPICION);
+    }
+
+    /// Has an endpoint chosen last until its entry changes, but no longer than a stale entry stays.
+    pub(crate) fn misdirected(&self, key: Key) {
+        self.suspect_for(key, MISDIRECTION);
+    }
+
+    fn suspect_for(&self, key: Key, time: Duration) {
+        let until = now() + time;
+        let mut suspects = self.suspects.borrow_mut();
+        let known = suspects.entry(key).or_insert(until);
+        *known = until.max(*known);
+    }
+
+    /// Ids of the endpoints that this host chooses last, for the host that gives the places.
+    pub(crate) fn suspected(&self) -> Vec<String> {
+        let now = now();
+        let directory = self.directory.borrow();
+        let suspects = self.suspects.borrow();
+        let current = suspects.iter().filter(|(_, until)| **until > now);
+        current
+            .filter_map(|(key, _)| Some(directory.get(*key)?.id.clone()))
+            .collect()
     }
 
     /// Counts the outcome of a request at an endpoint.
--- a/crates/entry/tests/budget.rs
+++ b/crates/entry/tests/budget.rs
@@ -157,3 +157,12 @@
         "{repeats} repeats for {requests} requests"
     );
 }
+
+#[test]
+fn sends_that_turn_out_to_be_repeats_use_up_the_budget() {
+    let mut budgets = Budgets::new(RATIO, SLACK, WINDOW_MS);
+    for _ in 0..SLACK as u32 {
+        budgets.charge(at(0), SERVICE);
+    }
+    assert!(!budgets.repeat(at(0), SERVICE));
+}
