--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -130,8 +130,8 @@
         let Some(window) = self.services.get_mut(service) else {
             return;
         };
-        let oldest = period.saturating_sub(self.window_periods);
-        window.periods.retain(|(at, _)| *at > oldest);
+        let periods = self.window_periods;
+        window.periods.retain(|(at, _)| at + periods > period);
         match window.periods.last_mut() {
             Some((at, sum)) if *at == period => {
                 sum.requests += count.requests;
@@ -162,13 +162,13 @@
     }
 
     fn total(&self, now: Instant, service: &str) -> Count {
-        let oldest = (now.as_millis() / PERIOD_MS).saturating_sub(self.window_periods);
+        let period = now.as_millis() / PERIOD_MS;
         let mut total = Count::default();
         let Some(window) = self.services.get(service) else {
             return total;
         };
         for (at, count) in &window.periods {
-            if *at <= oldest {
+            if at + self.window_periods <= period {
                 continue;
             }
             total.requests += count.requests;
