--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,5 +1,6 @@
 //! Gives orders to engines while this host holds the lease.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use crate::http::{Error as Broken, Patience};
 use crate::lease::{Lease, Step};
 use crate::platform::{Dialect, Error, Order, Store};
-use crate::stages::{self, Pace};
+use crate::stages::{self, Pace, Wish};
 use crate::state::{Host, now};
 
 /// Pause between looks at the split of the engines.
@@ -41,12 +42,13 @@
 pub(crate) async fn run<D: Dialect, S: Store>(host: Rc<Host<D, S>>) {
     let mut lease = Lease::new(host.options.host.clone(), host.options.bounds.lease());
     let mut pending = Pending::default();
+    let mut wishes = HashMap::new();
     loop {
         tokio::time::sleep(PERIOD).await;
         if host.is_stopping() || !is_first(&host) {
             continue;
         }
-        let Some((key, stage)) = wanted(&host, &mut pending) else {
+        let Some((key, stage)) = wanted(&host, &mut pending, &mut wishes) else {
             continue;
         };
         match lease.step(now()) {
@@ -70,7 +72,11 @@
 }
 
 /// The next engine to change, unless an order is still to show.
-fn wanted<D, S>(host: &Host<D, S>, pending: &mut Pending) -> Option<(Key, Stage)> {
+fn wanted<D, S>(
+    host: &Host<D, S>,
+    pending: &mut Pending,
+    wishes: &mut HashMap<String, Wish>,
+) -> Option<(Key, Stage)> {
     let fleet = host.fleet.borrow().clone()?;
     let directory = host.directory.borrow();
     if !pending.is_empty(now(), &directory) {
@@ -102,8 +108,10 @@
             });
         }
         let pace: Pace = host.mix.get().pace(&engine);
-        if let Some(change) = stages::next(&engines, pace) {
-            return Some(change);
+        let change = stages::next(&engines, pace);
+        let wish = wishes.entry(name.clone()).or_default();
+        if wish.is_due(now(), change.map(|(_, stage)| stage), &engines) {
+            return change;
         }
     }
     None
--- a/crates/entry/src/stages.rs
+++ b/crates/entry/src/stages.rs
@@ -3,11 +3,41 @@
 //! Answers bursts in which one stage binds while engines of the other idle. The policy before it kept
 //! the split with which the engines started.
 
+use std::time::Duration;
+
+use berylknot_coordination::clock::Instant;
+
 use crate::directory::{Key, Stage};
 
 /// Gain in capacity below which engines stay as they are: a change costs an engine's work for as
 /// long as it takes.
-const LEAST_GAIN: f64 = 1.08;
+const LEAST_GAIN: f64 = 1.12;
+/// Time for which the same kind of change must be wanted. Engines that are replaced or restart come
+/// back within it, and a change for their sake would be undone soon.
+const PERSISTENCE: Duration = Duration::from_secs(4);
+
+/// Wish for a change, and since when it has been there.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Wish {
+    since: Option<(Stage, Instant)>,
+}
+
+impl Wish {
+    /// Whether a change is due: it has been wanted for long enough, or one stage has no engine at all.
+    pub fn is_due(&mut self, now: Instant, wanted: Option<Stage>, engines: &[Engine]) -> bool {
+        let Some(stage) = wanted else {
+            self.since = None;
+            return false;
+        };
+        let since = match self.since {
+            Some((known, since)) if known == stage => since,
+            _ => now,
+        };
+        self.since = Some((stage, since));
+        let missing = !engines.iter().any(|engine| engine.stage == stage);
+        missing || now.since(since) >= PERSISTENCE
+    }
+}
 
 /// An engine that takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
