Refuse waiting generations by their rank; call lost calls 502

Causes, both found in the log lines collected for the operations page: a generation that had waited 3.2 s was refused as queue_full when it asked again, because the whole queue counted against it; a call whose connection was lost after 1 ms was answered 504 timed_out. The expected wait now counts only those that go before, and a lost call is 502 endpoint_lost; own answers are counted at one place.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -12,6 +12,7 @@
 use crate::fleet::Kind;
 use crate::http::{Error, Patience};
 use crate::ledger::Run;
+use crate::metrics::Label;
 use crate::platform::{Dialect, Outbound, Store};
 use crate::refusal::Reason;
 use crate::request::{Call, Reply, answer_headers};
@@ -80,7 +81,12 @@
         let now = now();
         let left = call.deadline().since(now);
         if left.is_zero() {
-            return late(runs);
+            let reason = if runs > 0 {
+                Reason::TimedOut
+            } else {
+                Reason::Hopeless
+            };
+            return refused(host, reason, None);
         }
         let Some((key, endpoint)) = choose(host, call, &tried) else {
             break;
@@ -141,7 +147,7 @@
                 sent += 1;
                 host.metrics.retry("lost");
                 if !idempotent || runs >= call.route().attempts {
-                    return last.unwrap_or_else(|| late(runs));
+                    return last.unwrap_or_else(|| refused(host, Reason::EndpointLost, None));
                 }
             }
         }
@@ -150,16 +156,10 @@
         return last;
     }
     if runs > 0 {
-        return Reason::EndpointLost.reply(None);
+        return refused(host, Reason::EndpointLost, None);
     }
-    host.metrics
-        .refusals
-        .get_or_create(&crate::metrics::Label {
-            reason: reason.code(),
-        })
-        .inc();
     let left = call.deadline().since(now());
-    reason.reply(Some(spread(RETRY_SOON).min(left / 3)))
+    refused(host, reason, Some(spread(RETRY_SOON).min(left / 3)))
 }
 
 /// Time after which a refused call may find room; plain calls take tens of milliseconds.
@@ -176,12 +176,13 @@
     earliest.mul_f64(1.0 + jitter(0.5))
 }
 
-fn late(runs: u32) -> Reply {
-    if runs > 0 {
-        Reason::TimedOut.reply(None)
-    } else {
-        Reason::Hopeless.reply(None)
-    }
+/// An answer of the system's own, counted by its reason.
+pub(crate) fn refused<D, S>(host: &Host<D, S>, reason: Reason, after: Option<Duration>) -> Reply {
+    let label = Label {
+        reason: reason.code(),
+    };
+    host.metrics.refusals.get_or_create(&label).inc();
+    reason.reply(after)
 }
 
 fn choose<D: Dialect, S: Store>(
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 
 use crate::admission::{self, Ask, Verdict, engine};
-use crate::call::{CONNECT, spread_after};
+use crate::call::{CONNECT, refused, spread_after};
 use crate::directory::{Endpoint, Key, State};
 use crate::events::Events;
 use crate::fleet::{Kind, Route};
@@ -90,14 +90,12 @@
         }
         Err(Failed::Answer(reply)) => reply,
         Err(Failed::Reason(reason, after)) => {
-            host.metrics
-                .refusals
-                .get_or_create(&Label {
-                    reason: reason.code(),
-                })
-                .inc();
             let left = call.deadline().since(now());
-            reason.reply(after.map(|after| spread_after(after).min(left / 3)))
+            refused(
+                host,
+                reason,
+                after.map(|after| spread_after(after).min(left / 3)),
+            )
         }
     }
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -136,7 +136,7 @@
                 );
             }
             Err(findings) => {
-                tracing::warn!(%findings, "daemon: settings refused, those before stay")
+                tracing::warn!(%findings, "daemon: settings refused, those before stay");
             }
         }
     }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -16,7 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::fleet::Kind;
-use crate::metrics::{Kind as KindLabel, Label};
+use crate::metrics::Kind as KindLabel;
 use crate::platform::{Dialect, Store};
 use crate::quota::Class;
 use crate::refusal::Reason;
@@ -172,8 +172,8 @@
             };
             serve(&host, request).await
         }
-        Ok(Err(TooLarge(true))) => refuse(&host, Reason::TooLarge, None),
-        Ok(Err(TooLarge(false))) | Err(_) => refuse(&host, Reason::Unreadable, None),
+        Ok(Err(TooLarge(true))) => call::refused(&host, Reason::TooLarge, None),
+        Ok(Err(TooLarge(false))) | Err(_) => call::refused(&host, Reason::Unreadable, None),
     };
     respond(reply, host.is_stopping(), open)
 }
@@ -217,16 +217,6 @@
     Ok(whole.freeze())
 }
 
-fn refuse<D, S>(host: &Host<D, S>, reason: Reason, after: Option<Duration>) -> Reply {
-    host.metrics
-        .refusals
-        .get_or_create(&Label {
-            reason: reason.code(),
-        })
-        .inc();
-    reason.reply(after)
-}
-
 /// Time after which a caller of a stopping host may come back; another host serves it.
 const RETURN_TIME: Duration = Duration::from_millis(50);
 /// Time after which a starting host knows its configuration.
@@ -239,7 +229,7 @@
         Ok(accepted) => accepted,
         Err((id, reason, after)) => {
             tracing::info!(id, reason = reason.code(), "request: refused");
-            return refuse(host, reason, after);
+            return call::refused(host, reason, after);
         }
     };
     let kind = call.route().kind;
--- a/crates/entry/src/waiting.rs
+++ b/crates/entry/src/waiting.rs
@@ -84,10 +84,15 @@
         self.waiters.is_empty()
     }
 
-    /// Expected time until a generation that arrives now may start.
+    /// Expected time until a generation may start behind those that go before it.
     #[must_use]
-    pub fn expected_wait(&self) -> Duration {
-        Duration::from_secs_f64(self.interval_ms * self.waiters.len() as f64 / 1_000.0)
+    pub fn expected_wait(&self, now: Instant, waiter: &Waiter) -> Duration {
+        let rank = rank(now, waiter);
+        let before = self
+            .waiters
+            .values()
+            .filter(|other| self::rank(now, other) <= rank);
+        Duration::from_secs_f64(self.interval_ms * before.count() as f64 / 1_000.0)
     }
 
     /// Adds a generation.
@@ -98,7 +103,7 @@
         if waiter.hopeless_at <= now {
             return Err(Refusal::Hopeless);
         }
-        let wait = self.expected_wait();
+        let wait = self.expected_wait(now, &waiter);
         if self.waiters.len() >= self.largest || now + wait > waiter.hopeless_at {
             return Err(Refusal::Full(wait));
         }
@@ -133,9 +138,7 @@
         self.waiters
             .iter()
             .map(|(ticket, waiter)| (*ticket, *waiter, waiter.start_by >= now))
-            .min_by_key(|(ticket, waiter, timely)| {
-                (!timely, waiter.priority, waiter.start_by, *ticket)
-            })
+            .min_by_key(|(ticket, waiter, _)| (rank(now, waiter), *ticket))
     }
 
     /// Takes out a generation that starts now.
@@ -150,3 +153,8 @@
         self.last_start = Some(now);
     }
 }
+
+/// Order of the queue: those that can still meet their objective first, then by rank and latest start.
+fn rank(now: Instant, waiter: &Waiter) -> (bool, u8, Instant) {
+    (waiter.start_by < now, waiter.priority, waiter.start_by)
+}
--- a/crates/entry/tests/waiting.rs
+++ b/crates/entry/tests/waiting.rs
@@ -163,3 +163,22 @@
         "worth {ours} against {fifo}, {lost} against {fifo_lost} lost"
     );
 }
+
+#[test]
+fn a_request_that_is_asked_for_again_is_not_refused_for_the_sake_of_later_ones() {
+    let mut queue = Queue::new(1_000);
+    for start in 0..20 {
+        let ticket = queue
+            .push(at(start * 500), waiter(start * 500, 1))
+            .expect("room");
+        queue.start(at(start * 500), ticket);
+    }
+    let now = 20_000;
+    // Late requests fill the queue; the oldest of them asks again with its own rank.
+    while queue.push(at(now), waiter(now - 700, 1)).is_ok() {}
+    assert!(queue.push(at(now), waiter(now - 2_000, 1)).is_ok());
+    assert!(matches!(
+        queue.push(at(now), waiter(now - 650, 1)),
+        Err(Refusal::Full(_))
+    ));
+}
