--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -250,6 +250,10 @@
             millis: now().since(started).as_secs_f64() * 1_000.0,
         }),
         Attempt::Refused => None,
+        Attempt::Lost(Error::Lost(_) | Error::Broken(_)) => {
+            host.strike(call, endpoint);
+            Some(Outcome::Failed)
+        }
         Attempt::NotSent | Attempt::Lost(_) | Attempt::Foreign => Some(Outcome::Failed),
     };
     if let Some(outcome) = outcome {
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -514,6 +514,9 @@
         Ok(exchange) => exchange,
         Err(Error::NotSent(_)) => return Decoded::NotSent,
         Err(error) => {
+            if matches!(error, Error::Lost(_)) {
+                host.strike(call, endpoint);
+            }
             tracing::info!(id = call.head.id, endpoint = endpoint.id, %error, "decode: lost");
             return Decoded::Lost;
         }
@@ -646,7 +649,10 @@
                 return Ok(());
             }
             Ok(Ok(None)) => "incomplete event",
-            Ok(Err(_)) => "connection lost",
+            Ok(Err(_)) => {
+                host.strike(call, &run.endpoint);
+                "connection lost"
+            }
             Err(_) => "no event",
         };
         tracing::info!(
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -49,6 +49,8 @@
     pub customers: Vec<(String, i64)>,
     /// Requests and repeated sends since the start, by service.
     pub services: Vec<(String, u64, u64)>,
+    /// Recent strikes: fingerprint of the request, and the endpoint that broke it off.
+    pub strikes: Vec<(u64, String)>,
     /// Requests now, by endpoint.
     pub endpoints: Vec<(String, Vec<(Run, Grant)>)>,
 }
@@ -73,6 +75,7 @@
             leads: false,
             customers: Vec::new(),
             services: Vec::new(),
+            strikes: Vec::new(),
             endpoints: Vec::new(),
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod run;
 pub mod shutdown;
 pub mod stages;
+pub mod strikes;
 pub mod waiting;
 
 pub(crate) mod admission;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -15,6 +15,7 @@
 use crate::ledger::{Grant, Run};
 use crate::platform::{Dialect, Store};
 use crate::state::{Host, now};
+use crate::strikes::Fingerprint;
 use crate::{admission, follow};
 
 /// Pause between reports with few peers. An engine's place is held for seconds and found again in
@@ -115,6 +116,12 @@
             ledger.settle(*grant);
         }
     }
+    for (request, endpoint) in &report.strikes {
+        let request = Fingerprint(*request);
+        host.strikes
+            .borrow_mut()
+            .strike(now, request, endpoint, false);
+    }
     let Some(delta) = host.view.borrow_mut().hear(now, from, report) else {
         return;
     };
@@ -205,6 +212,12 @@
         .report()
         .map(|(name, count)| (name.to_owned(), count.requests, count.repeats))
         .collect();
+    report.strikes = host
+        .strikes
+        .borrow()
+        .report(now())
+        .map(|(request, endpoint)| (request.0, endpoint.to_owned()))
+        .collect();
     let directory = host.directory.borrow();
     let mut endpoints: HashMap<&str, Vec<(Run, Grant)>> = HashMap::new();
     let ledger = host.ledger.borrow();
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -22,6 +22,7 @@
     Hopeless,
     NoEndpoint,
     Stopping,
+    CrashesEndpoints,
     EndpointsRefused,
     EndpointLost,
     TimedOut,
@@ -42,6 +43,7 @@
             Self::Hopeless => "hopeless",
             Self::NoEndpoint => "no_endpoint",
             Self::Stopping => "stopping",
+            Self::CrashesEndpoints => "crashes_endpoints",
             Self::EndpointsRefused => "endpoints_refused",
             Self::EndpointLost => "endpoint_lost",
             Self::TimedOut => "timed_out",
@@ -62,6 +64,7 @@
             | Self::Hopeless
             | Self::NoEndpoint
             | Self::Stopping
+            | Self::CrashesEndpoints
             | Self::EndpointsRefused => StatusCode::SERVICE_UNAVAILABLE,
             Self::EndpointLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -9,6 +9,7 @@
 
 use crate::fleet::{Fleet, Route};
 use crate::platform::{Dialect, Head, Outbound};
+use crate::strikes::Fingerprint;
 
 /// A request as it came.
 #[derive(Debug)]
@@ -57,6 +58,7 @@
     pub(crate) customer: Option<usize>,
     /// Tokens that count against the customer's limit.
     pub(crate) tokens: u64,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) arrived: Instant,
     /// Time at which the caller leaves.
     pub(crate) caller_deadline: Instant,
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -22,6 +22,7 @@
 use crate::refusal::Reason;
 use crate::request::{Call, Reply, Request};
 use crate::state::{Host, now};
+use crate::strikes::Fingerprint;
 use crate::{admission, call, completion, peer};
 
 /// Idle time of a caller's connection. Callers use theirs for up to four fifths of the configured
@@ -313,6 +314,11 @@
     if !host.shutdown.get().accepts(arrived, longest) {
         return Err(reject(Reason::Stopping, Some(call::spread(RETURN_TIME))));
     }
+    let name = customer.map(|index| fleet.customers[index].name.as_str());
+    let fingerprint = Fingerprint::of(name, &request.target, &request.body);
+    if host.strikes.borrow().is_refused(arrived, fingerprint) {
+        return Err(reject(Reason::CrashesEndpoints, None));
+    }
     let timeout = route.timeout;
     let mut tokens = 0;
     if let Some(customer) = customer.map(|index| &fleet.customers[index]) {
@@ -348,6 +354,7 @@
         service,
         customer,
         tokens,
+        fingerprint,
         arrived,
         caller_deadline: arrived + wait,
         route_deadline: arrived + timeout,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -23,7 +23,9 @@
 use crate::mix::Mix;
 use crate::options::Options;
 use crate::quota::Quotas;
+use crate::request::Call;
 use crate::shutdown::Shutdown;
+use crate::strikes::Strikes;
 
 /// Time for which an endpoint that failed a connection or lost an exchange is chosen last.
 const SUSPICION: Duration = Duration::from_millis(800);
@@ -67,6 +69,7 @@
     pub(crate) quotas: RefCell<Quotas>,
     pub(crate) budgets: RefCell<Budgets>,
     pub(crate) view: RefCell<View>,
+    pub(crate) strikes: RefCell<Strikes>,
     pub(crate) lines: RefCell<HashMap<String, Line>>,
     detectors: RefCell<HashMap<String, Detector<Key>>>,
     suspects: RefCell<HashMap<Key, Instant>>,
@@ -124,6 +127,7 @@
             ledger: RefCell::new(ledger),
             budgets: RefCell::new(budgets),
             view: RefCell::default(),
+            strikes: RefCell::default(),
             lines: RefCell::default(),
             detectors: RefCell::default(),
             suspects: RefCell::default(),
@@ -278,6 +282,13 @@
             .collect()
     }
 
+    /// Counts that an endpoint broke off a request.
+    pub(crate) fn strike(&self, call: &Call, endpoint: &Endpoint) {
+        self.strikes
+            .borrow_mut()
+            .strike(now(), call.fingerprint, &endpoint.id, true);
+    }
+
     /// Counts the outcome of a request at an endpoint.
     pub(crate) fn outcome(&self, key: Key, outcome: Outcome) {
         let now = now();
--- /dev/null
+++ b/crates/entry/tests/strikes.rs
@@ -0,0 +1,60 @@
+//! Guards against a request that takes down one endpoint after another, and against refusing requests
+//! that only ran where another one crashed the endpoint.
+
+use berylknot_coordination::clock::Instant;
+use berylknot_entry::strikes::{Fingerprint, Strikes};
+
+fn at(seconds: u64) -> Instant {
+    Instant::from_millis(seconds * 1_000)
+}
+
+fn request(body: &str) -> Fingerprint {
+    Fingerprint::of(Some("nursery"), "/stream/x", body.as_bytes())
+}
+
+#[test]
+fn a_request_is_refused_after_three_endpoints_seen_by_any_host() {
+    let (mut one, mut two) = (Strikes::default(), Strikes::default());
+    one.strike(at(0), request("bad"), "a", true);
+    one.strike(at(1), request("bad"), "b", true);
+    two.strike(at(2), request("bad"), "c", true);
+    assert!(!one.is_refused(at(2), request("bad")));
+    let heard: Vec<(Fingerprint, String)> = two
+        .report(at(2))
+        .map(|(request, endpoint)| (request, endpoint.to_owned()))
+        .collect();
+    for (request, endpoint) in heard {
+        one.strike(at(2), request, &endpoint, false);
+    }
+    assert!(one.is_refused(at(2), request("bad")));
+}
+
+#[test]
+fn one_endpoint_counts_once_and_other_requests_are_not_touched() {
+    let mut strikes = Strikes::default();
+    for second in 0..10 {
+        strikes.strike(at(second), request("bad"), "a", true);
+    }
+    assert!(!strikes.is_refused(at(10), request("bad")));
+    strikes.strike(at(10), request("bad"), "b", true);
+    strikes.strike(at(10), request("bad"), "c", true);
+    assert!(strikes.is_refused(at(10), request("bad")));
+    assert!(!strikes.is_refused(at(10), request("good")));
+}
+
+#[test]
+fn strikes_are_forgotten_and_bounded() {
+    let mut strikes = Strikes::default();
+    for endpoint in ["a", "b", "c"] {
+        strikes.strike(at(0), request("bad"), endpoint, true);
+    }
+    assert!(!strikes.is_refused(at(601), request("bad")));
+    for number in 0..5_000 {
+        strikes.strike(at(1), request(&number.to_string()), "a", true);
+    }
+    assert!(
+        !strikes.is_refused(at(1), request("bad")),
+        "the oldest went first"
+    );
+    assert!(strikes.report(at(1)).count() <= 16);
+}
