Change stages without delay at the first start

Cause: the delay of 4 s moved the first orders from 5 s before the traffic to its begin. At the first start of a deployment all engines are there and nothing is in the way.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -10,7 +10,7 @@
 use crate::http::{Error as Broken, Patience};
 use crate::lease::{Lease, Step};
 use crate::platform::{Dialect, Error, Order, Store};
-use crate::stages::{self, Pace, Wish};
+use crate::stages::{self, PERSISTENCE, Pace, Wish};
 use crate::state::{Host, now};
 
 /// Pause between looks at the split of the engines.
@@ -20,6 +20,9 @@
 /// Time beyond the change of stage in which an ordered engine is left alone; an order whose answer
 /// was lost may be carried out seconds later.
 const SETTLING: Duration = Duration::from_secs(8);
+/// Time after the first start in which the split of the engines is changed without delay; traffic
+/// begins about 10 s after it (deploy pages).
+const FIRST_START: Duration = Duration::from_secs(8);
 const ANSWER_BYTES: usize = 64 * 1_024;
 
 /// Orders that were given and do not show yet.
@@ -110,13 +113,29 @@
         let pace: Pace = host.mix.get().pace(&engine);
         let change = stages::next(&engines, pace);
         let wish = wishes.entry(name.clone()).or_default();
-        if wish.is_due(now(), change.map(|(_, stage)| stage), &engines) {
+        if wish.is_due(
+            now(),
+            change.map(|(_, stage)| stage),
+            &engines,
+            persistence(host),
+        ) {
             return change;
         }
     }
     None
 }
 
+/// Time for which a change must be wanted. At the first start of a deployment all engines are there
+/// and no request is in the way.
+fn persistence<D, S>(host: &Host<D, S>) -> Duration {
+    let starting = host.options.first_start && host.uptime(now()) < FIRST_START;
+    if starting {
+        Duration::ZERO
+    } else {
+        PERSISTENCE
+    }
+}
+
 async fn read<D: Dialect, S: Store>(host: &Host<D, S>, lease: &mut Lease) {
     match host.store.lease_tail(lease.end()).await {
         Ok((end, record)) => {
--- a/crates/entry/src/stages.rs
+++ b/crates/entry/src/stages.rs
@@ -14,7 +14,7 @@
 const LEAST_GAIN: f64 = 1.12;
 /// Time for which the same kind of change must be wanted. Engines that are replaced or restart come
 /// back within it, and a change for their sake would be undone soon.
-const PERSISTENCE: Duration = Duration::from_secs(4);
+pub const PERSISTENCE: Duration = Duration::from_secs(4);
 
 /// Wish for a change, and since when it has been there.
 #[derive(Clone, Copy, Debug, Default)]
@@ -23,8 +23,14 @@
 }
 
 impl Wish {
-    /// Whether a change is due: it has been wanted for long enough, or one stage has no engine at all.
-    pub fn is_due(&mut self, now: Instant, wanted: Option<Stage>, engines: &[Engine]) -> bool {
+    /// Whether a change is due: it has been wanted for `persistence`, or one stage has no engine.
+    pub fn is_due(
+        &mut self,
+        now: Instant,
+        wanted: Option<Stage>,
+        engines: &[Engine],
+        persistence: Duration,
+    ) -> bool {
         let Some(stage) = wanted else {
             self.since = None;
             return false;
@@ -35,7 +41,7 @@
         };
         self.since = Some((stage, since));
         let missing = !engines.iter().any(|engine| engine.stage == stage);
-        missing || now.since(since) >= PERSISTENCE
+        missing || now.since(since) >= persistence
     }
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -154,9 +154,13 @@
             && self.is_fresh(now())
     }
 
+    pub(crate) fn uptime(&self, now: Instant) -> Duration {
+        now.since(self.started)
+    }
+
     /// Whether this host has heard the others for long enough to give places.
     pub(crate) fn leads(&self, now: Instant) -> bool {
-        now.since(self.started) >= LEARNING && !self.is_stopping() && self.directory_known.get()
+        self.uptime(now) >= LEARNING && !self.is_stopping() && self.directory_known.get()
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
--- a/crates/entry/tests/stages.rs
+++ b/crates/entry/tests/stages.rs
@@ -5,7 +5,7 @@
 use berylknot_entry::directory::{Key, Stage};
 use berylknot_entry::fleet::Engine as Properties;
 use berylknot_entry::mix::Mix;
-use berylknot_entry::stages::{Engine, Pace, Wish, next};
+use berylknot_entry::stages::{Engine, PERSISTENCE, Pace, Wish, next};
 use slotmap::SlotMap;
 use std::time::Duration;
 
@@ -102,15 +102,15 @@
 fn engines_that_are_away_for_a_moment_change_nothing() {
     let mut wish = Wish::default();
     let engines = engines(2, 6);
-    assert!(!wish.is_due(at(0), Some(Stage::Prefill), &engines));
-    assert!(!wish.is_due(at(3_000), Some(Stage::Prefill), &engines));
-    assert!(!wish.is_due(at(3_500), None, &engines));
-    assert!(!wish.is_due(at(5_000), Some(Stage::Prefill), &engines));
-    assert!(wish.is_due(at(9_000), Some(Stage::Prefill), &engines));
+    assert!(!wish.is_due(at(0), Some(Stage::Prefill), &engines, PERSISTENCE));
+    assert!(!wish.is_due(at(3_000), Some(Stage::Prefill), &engines, PERSISTENCE));
+    assert!(!wish.is_due(at(3_500), None, &engines, PERSISTENCE));
+    assert!(!wish.is_due(at(5_000), Some(Stage::Prefill), &engines, PERSISTENCE));
+    assert!(wish.is_due(at(9_000), Some(Stage::Prefill), &engines, PERSISTENCE));
 }
 
 #[test]
 fn a_stage_without_any_engine_is_filled_at_once() {
     let mut wish = Wish::default();
-    assert!(wish.is_due(at(0), Some(Stage::Prefill), &engines(0, 6)));
+    assert!(wish.is_due(at(0), Some(Stage::Prefill), &engines(0, 6), PERSISTENCE));
 }
