Start elsewhere when the first event is late, and give up hope earlier

A waiting generation is refused half an objective before its caller leaves, and a resumable one starts elsewhere when the first event takes 1.2 s.

--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -25,10 +25,16 @@
 
 /// Part of the latency objective kept for prefill and transfer once room is found.
 const START_SHARE: f64 = 0.35;
+/// Part of the latency objective within which the first event of a start without delay arrives, with
+/// room for a full engine; a later start is lost on a caller who is about to leave.
+const LATEST_START_SHARE: f64 = 0.5;
+/// Longest time from a decode request to the head of its answer, after which a resumable stream starts
+/// elsewhere. It arrives with the first event, usually within 0.1 s.
+const FIRST_EVENT: Duration = Duration::from_millis(1_200);
 /// Longest time for a prefill beyond its backlog.
 const PREFILL_PATIENCE: Duration = Duration::from_millis(1_500);
-/// Longest time from a decode request to the head of its answer, and longest pause between events,
-/// after which a resumable stream goes on elsewhere. Callers leave after 3.6 s.
+/// Longest pause between events, after which a resumable stream goes on elsewhere. Callers leave after
+/// 3.6 s.
 const PAUSE: Duration = Duration::from_millis(1_500);
 /// Sends to decode engines for one attempt of a caller, refused ones included.
 const SENDS: usize = 4;
@@ -312,7 +318,7 @@
 
 /// Latest start that ends before the deadline and begins before the caller abandons the stream.
 fn hopeless_at(call: &Call, tokens: Tokens) -> Instant {
-    let start = call.route().target.mul_f64(START_SHARE);
+    let start = call.route().target.mul_f64(LATEST_START_SHARE);
     let abandoned = call.arrived + call.route().patience();
     earlier(call.deadline(), duration(tokens.output) + start).min(earlier(abandoned, start))
 }
@@ -496,7 +502,7 @@
     };
     let left = call.deadline().since(started);
     let head = if call.route().resumable {
-        left.min(PAUSE * 2)
+        left.min(FIRST_EVENT)
     } else {
         left
     };
