Keep the leader's link and processor free at hundreds of hosts

Reports between the periodic ones have the places only, and places are counted when a decision needs them.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -22,6 +22,7 @@
 use crate::http::Patience;
 use crate::ledger::{Grant, Room, Run};
 use crate::mix::PROMPT_TOKEN_MS;
+use crate::peer;
 use crate::platform::{Dialect, Store};
 use crate::quota::Class;
 use crate::state::{Host, jitter, now};
@@ -368,6 +369,7 @@
 /// The decode engine with the most room for a generation, filled to at most `fill`.
 fn best<D, S>(host: &Host<D, S>, service: &str, run: Run, tried: &[Key], fill: f64) -> Option<Key> {
     let engine = engine(host, service)?;
+    peer::count_peers(host);
     let ledger = host.ledger.borrow();
     let cost = |key, endpoint: &Endpoint| {
         let room = Room {
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -13,6 +13,7 @@
 use crate::http::{Error, Patience};
 use crate::ledger::Run;
 use crate::metrics::Label;
+use crate::peer;
 use crate::platform::{Dialect, Outbound, Store};
 use crate::refusal::Reason;
 use crate::request::{Call, Reply, answer_headers};
@@ -198,6 +199,7 @@
     {
         return Some((key, endpoint.clone()));
     }
+    peer::count_peers(host);
     let ledger = host.ledger.borrow();
     let cost = |key, endpoint: &Endpoint| {
         let counted = f64::from(ledger.requests(key)) / f64::from(endpoint.slots.max(1));
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -45,6 +45,8 @@
     pub leaving: bool,
     /// Whether the sender has heard the others for long enough to give places.
     pub leads: bool,
+    /// Whether the totals of customers and services are left out; those of the report before hold.
+    pub partial: bool,
     /// Tokens admitted since the start, by customer.
     pub customers: Vec<(String, i64)>,
     /// Requests and repeated sends since the start, by service.
@@ -73,6 +75,7 @@
             store_age_ms: 0,
             leaving: false,
             leads: false,
+            partial: false,
             customers: Vec::new(),
             services: Vec::new(),
             strikes: Vec::new(),
@@ -130,13 +133,21 @@
     }
 
     /// Applies a report; `None` if it is older than the last one of its sender.
-    pub fn hear(&mut self, now: Instant, from: SocketAddr, report: Report) -> Option<Delta> {
+    pub fn hear(&mut self, now: Instant, from: SocketAddr, mut report: Report) -> Option<Delta> {
         self.announce(now, from);
         let peer = self.peers.get_mut(&from)?;
         let known = &peer.report;
         if (report.incarnation, report.sequence) <= (known.incarnation, known.sequence) {
             return None;
         }
+        if report.partial {
+            if known.incarnation != report.incarnation {
+                // The totals of another start say nothing about this one.
+                return None;
+            }
+            report.customers.clone_from(&known.customers);
+            report.services.clone_from(&known.services);
+        }
         let first = known.incarnation == 0;
         let same_start = known.incarnation == report.incarnation;
         let mut delta = Delta::default();
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -135,14 +135,7 @@
             .borrow_mut()
             .counted_elsewhere(now, service, *count);
     }
-    {
-        let view = host.view.borrow();
-        let directory = host.directory.borrow();
-        let runs = view
-            .runs(now)
-            .filter_map(|(id, run)| Some((directory.key(id)?, run)));
-        host.ledger.borrow_mut().replace_peers(runs);
-    }
+    host.peers_changed.set(true);
     if host.lines.borrow().values().any(|line| !line.is_empty()) {
         host.room.notify_one();
     }
@@ -159,7 +152,8 @@
     let mut due = now();
     loop {
         sequence += 1;
-        let bytes = rmp_serde::to_vec(&current(&host, sequence));
+        let full = now() >= due;
+        let bytes = rmp_serde::to_vec(&current(&host, sequence, full));
         let bytes = match bytes {
             Ok(bytes) => bytes,
             Err(error) => {
@@ -168,7 +162,7 @@
                 continue;
             }
         };
-        if now() >= due {
+        if full {
             let peers: Vec<SocketAddr> = host.view.borrow().addresses().collect();
             due = now() + period(peers.len());
             for peer in peers {
@@ -190,7 +184,22 @@
     }
 }
 
-fn current<D, S>(host: &Host<D, S>, sequence: u64) -> Report {
+/// Counts the places that peers reported, if any report came since the last time.
+pub(crate) fn count_peers<D, S>(host: &Host<D, S>) {
+    if !host.peers_changed.replace(false) {
+        return;
+    }
+    let view = host.view.borrow();
+    let directory = host.directory.borrow();
+    let runs = view
+        .runs(now())
+        .filter_map(|(id, run)| Some((directory.key(id)?, run)));
+    host.ledger.borrow_mut().replace_peers(runs);
+}
+
+/// The report of this moment. The one that goes to the leader at each change has the places only, since
+/// the totals of all customers from hundreds of hosts would fill its link.
+fn current<D, S>(host: &Host<D, S>, sequence: u64, full: bool) -> Report {
     let mut report = Report::new(host.incarnation, sequence);
     report.configuration = host
         .fleet
@@ -200,18 +209,10 @@
     report.store_age_ms = store_age(host);
     report.leaving = host.is_stopping();
     report.leads = host.leads(now());
-    report.customers = host
-        .quotas
-        .borrow()
-        .report()
-        .map(|(name, total)| (name.to_owned(), total))
-        .collect();
-    report.services = host
-        .budgets
-        .borrow()
-        .report()
-        .map(|(name, count)| (name.to_owned(), count.requests, count.repeats))
-        .collect();
+    report.partial = !full;
+    if full {
+        fill_totals(host, &mut report);
+    }
     report.strikes = host
         .strikes
         .borrow()
@@ -237,6 +238,19 @@
     report
 }
 
+fn fill_totals<D, S>(host: &Host<D, S>, report: &mut Report) {
+    let quotas = host.quotas.borrow();
+    report.customers = quotas
+        .report()
+        .map(|(name, total)| (name.to_owned(), total))
+        .collect();
+    let budgets = host.budgets.borrow();
+    let services = budgets.report();
+    report.services = services
+        .map(|(name, count)| (name.to_owned(), count.requests, count.repeats))
+        .collect();
+}
+
 /// Does the rare upkeep: forgets silent peers, and asks peers for records while the store is away.
 pub(crate) async fn upkeep_always<D: Dialect, S: Store>(host: Rc<Host<D, S>>) {
     loop {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -87,6 +87,8 @@
     /// Hosts that did not answer a question for a place, and until when they are not asked.
     pub(crate) distrusted: RefCell<HashMap<SocketAddr, Instant>>,
     started: Instant,
+    /// Whether a peer reported since its places were counted.
+    pub(crate) peers_changed: Cell<bool>,
     /// Wakes the sender of reports when a place was taken or freed.
     pub(crate) changed: Notify,
     /// Average of the generations seen.
@@ -139,6 +141,7 @@
             stated: RefCell::default(),
             distrusted: RefCell::default(),
             started: now(),
+            peers_changed: Cell::new(false),
             changed: Notify::new(),
             mix: Cell::default(),
             room: Notify::new(),
--- a/crates/entry/tests/gossip.rs
+++ b/crates/entry/tests/gossip.rs
@@ -128,3 +128,16 @@
         assert!(Report::try_from(bytes).is_err());
     }
 }
+
+#[test]
+fn a_partial_report_keeps_the_totals_of_the_one_before() {
+    let mut view = View::default();
+    heard(&mut view, 0, report(1, 1, 500));
+    let mut partial = Report::new(1, 2);
+    partial.partial = true;
+    assert_eq!(heard(&mut view, 1, partial), Some(0));
+    assert_eq!(heard(&mut view, 2, report(1, 3, 700)), Some(200));
+    let mut restarted = Report::new(2, 1);
+    restarted.partial = true;
+    assert_eq!(heard(&mut view, 3, restarted), None);
+}
