--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -111,6 +111,15 @@
             .max_by_key(|route| route.prefix.len())
     }
 
+    /// Connections that the endpoints of every service accept from all hosts together.
+    #[must_use]
+    pub fn fewest_connections(&self) -> Option<u32> {
+        self.services
+            .values()
+            .map(|service| service.connections)
+            .min()
+    }
+
     /// Customer of a key.
     #[must_use]
     pub fn customer(&self, key: &str) -> Option<&Customer> {
--- a/crates/entry/src/http/pool.rs
+++ b/crates/entry/src/http/pool.rs
@@ -1,6 +1,6 @@
 //! Connections to endpoints, the store and peers.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -30,7 +30,7 @@
 const UNSTATED_IDLE: Duration = Duration::from_millis(700);
 /// Part of a stated idle timeout after which a connection is not used again.
 const IDLE_SHARE: f64 = 0.6;
-/// Idle connections kept for an address.
+/// Idle connections kept for an address at most.
 const IDLE_CONNECTIONS: usize = 16;
 const KEEP_ALIVE: &str = "keep-alive";
 
@@ -64,9 +64,19 @@
 }
 
 /// Connection pool.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Pool {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<Connection>>>>,
+    limit: Rc<Cell<usize>>,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self {
+            idle: Rc::default(),
+            limit: Rc::new(Cell::new(IDLE_CONNECTIONS)),
+        }
+    }
 }
 
 impl Pool {
@@ -114,12 +124,18 @@
         connection.used = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address).or_default();
-        if connections.len() >= IDLE_CONNECTIONS {
+        while connections.len() >= self.limit.get() {
             connections.remove(0);
         }
         connections.push(connection);
     }
 
+    /// Sets how many idle connections are kept for an address: the share of this host in what an
+    /// endpoint accepts from all hosts.
+    pub fn set_limit(&self, connections: usize) {
+        self.limit.set(connections.clamp(1, IDLE_CONNECTIONS));
+    }
+
     /// Closes connections that have been idle for too long, and forgets addresses without any.
     pub fn sweep(&self) {
         self.idle.borrow_mut().retain(|_, connections| {
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -270,6 +270,14 @@
     host.budgets
         .borrow_mut()
         .set_hosts(known + 1, silent, period(known) * 2);
+    let fewest = host
+        .fleet
+        .borrow()
+        .as_ref()
+        .and_then(|fleet| fleet.fewest_connections());
+    if let Some(fewest) = fewest {
+        host.pool.set_limit(fewest as usize / (known + 1));
+    }
     host.pool.sweep();
     host.ledger.borrow_mut().expire(now);
     host.backlogs.borrow_mut().retain(|_, until| *until > now);
