Ask peers for records only when the store is overdue

Hosts took the store for silent 0.9 s after its last answer, but read it only every 1.3 s since the reads became rarer, so each host copied all records from a peer in every pause.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -13,10 +13,6 @@
 /// Longest wait of a read for a change of the configuration. A silent connection shows within it by
 /// its keep-alive probes.
 const CONFIGURATION_WAIT: Duration = Duration::from_secs(10);
-/// Pause between reads of the endpoints' entries, as a part of the time after which a leaving
-/// endpoint must not get requests. Entries are written again at every heartbeat, so waiting reads
-/// would return at once each time.
-const ENDPOINT_PERIOD_SHARE: f64 = 0.65;
 /// First and longest pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
@@ -178,7 +174,7 @@
 
 /// Follows the entries of the endpoints.
 pub(crate) async fn endpoints<D: Dialect, S: Store>(host: Rc<Host<D, S>>) {
-    let period = host.options.bounds.drain().mul_f64(ENDPOINT_PERIOD_SHARE);
+    let period = host.endpoint_period();
     let mut position = None;
     let mut failures = 0;
     loop {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod args;
 pub mod budget;
+pub mod contact;
 pub mod directory;
 pub mod events;
 pub mod fleet;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::contact::is_overdue;
 use crate::gossip::Report;
 use crate::http::Patience;
 use crate::ledger::{Grant, Run};
@@ -29,9 +30,6 @@
 const SHORTEST_PAUSE: Duration = Duration::from_millis(20);
 /// Pause between the rare upkeep.
 const UPKEEP_PERIOD: Duration = Duration::from_millis(500);
-/// Age of the store's last answer, or lag behind a peer's configuration, from which records are
-/// asked of peers.
-const ASK_AFTER: Duration = Duration::from_millis(900);
 /// Longest time for a peer's answer.
 const ASK_PATIENCE: Duration = Duration::from_millis(500);
 /// Largest answer of a peer in bytes.
@@ -291,10 +289,7 @@
         .borrow()
         .as_ref()
         .map_or(0, |fleet| fleet.version);
-    let silent_store = host
-        .store_answered
-        .get()
-        .is_none_or(|at| now.since(at) > ASK_AFTER);
+    let silent_store = is_overdue(now, host.store_answered.get(), host.endpoint_period());
     let source = host
         .view
         .borrow()
@@ -338,7 +333,7 @@
         host.confirmed.set(Some(as_of));
     }
     // A peer that the store answers knows removals as well.
-    let complete = age < ASK_AFTER;
+    let complete = !is_overdue(asked, Some(as_of), host.endpoint_period());
     follow::merge_endpoints::<D, S>(host, answer.endpoints, complete);
     Ok(())
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -34,6 +34,10 @@
 const MISDIRECTION: Duration = Duration::from_millis(3_600);
 /// Time after which a stated load tells nothing any more; calls take tens of milliseconds.
 const STATED_LOAD_LIFETIME: Duration = Duration::from_millis(1_500);
+/// Pause between reads of the endpoints' entries, as a part of the time after which a leaving
+/// endpoint must not get requests. Entries are written again at every heartbeat, so waiting reads
+/// would return at once each time.
+const ENDPOINT_PERIOD_SHARE: f64 = 0.65;
 /// Cost of another data centre against load, as a share of an endpoint's slots.
 const DISTANCE: f64 = 0.35;
 /// Age of the last sign of a current configuration at which keys are no longer honoured (design
@@ -157,6 +161,11 @@
             && self.is_fresh(now())
     }
 
+    /// Pause between reads of the endpoints' entries.
+    pub(crate) fn endpoint_period(&self) -> Duration {
+        self.options.bounds.drain().mul_f64(ENDPOINT_PERIOD_SHARE)
+    }
+
     pub(crate) fn uptime(&self, now: Instant) -> Duration {
         now.since(self.started)
     }
