Share what is left of a limit when hosts are cut off

A host now compares the reports of all peers together with the number expected within 0.5 s, and the hosts it hears share what was left of each limit at the last contact.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -226,10 +226,7 @@
 async fn decide<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, ask: &Ask) -> Verdict {
     let now = now();
     if let Some(customer) = ask.customer.as_deref().filter(|_| ask.tokens > 0) {
-        let taken = host
-            .quotas
-            .borrow_mut()
-            .take(now, customer, ask.tokens, Class::Generation);
+        let taken = host.charge(now, customer, ask.tokens, Class::Generation);
         if let Err(wait) = taken {
             return Verdict::OverQuota {
                 wait_ms: wait.as_millis() as u64,
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -19,6 +19,17 @@
 pub const SILENT_AFTER: Duration = Duration::from_millis(1_200);
 /// The same for each peer, since reports are rarer with many.
 const SILENT_PER_PEER: Duration = Duration::from_millis(55);
+/// Pause between reports with few peers. An engine's place is held for seconds and found again in
+/// this time by the other hosts.
+pub(crate) const REPORT_PERIOD: Duration = Duration::from_millis(120);
+/// Reports that a host sends per second at most; with more peers the pause grows.
+const REPORTS_PER_S: f64 = 60.0;
+/// Time in which the reports of all peers together are counted. A fleet of sixty hosts sends thirty of
+/// them meanwhile, while a single peer counts as silent after 3.5 s only.
+const COUNTED: Duration = Duration::from_millis(500);
+/// Share of the expected reports below which the missing ones count as peers that are not heard;
+/// lossy links drop a few in a hundred.
+const FEWEST_REPORTS: f64 = 0.5;
 /// Time without a report after which a peer is forgotten. It exceeds the longest partition that the
 /// deployments rehearse (12 s), in which the peer goes on admitting requests.
 pub const FORGOTTEN_AFTER: Duration = Duration::from_secs(20);
@@ -57,6 +68,12 @@
     pub endpoints: Vec<(String, Vec<(Run, Grant)>)>,
 }
 
+/// Pause between reports to all peers, by their number.
+#[must_use]
+pub fn period(peers: usize) -> Duration {
+    REPORT_PERIOD.max(Duration::from_secs_f64(peers as f64 / REPORTS_PER_S))
+}
+
 /// A malformed report or one of another version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -221,6 +238,23 @@
         (silent, all)
     }
 
+    /// Share of the hosts, this one included, that are not heard. A host that is cut off finds that out
+    /// from the reports of all peers together, long before each of them counts as silent.
+    #[must_use]
+    pub fn unheard(&self, now: Instant) -> f64 {
+        let (silent, known) = self.silent(now);
+        let heard = self.peers.values().filter_map(|peer| peer.heard);
+        let recent = heard.filter(|heard| now.since(*heard) < COUNTED).count();
+        let expected = known as f64 * (COUNTED.div_duration_f64(period(known))).min(1.0);
+        let share = recent as f64 / expected.max(1.0);
+        let missing = if known > 0 && share < FEWEST_REPORTS {
+            known as f64 * (1.0 - share)
+        } else {
+            0.0
+        };
+        missing.max(silent as f64) / (known as f64 + 1.0)
+    }
+
     /// Requests that peers reported recently, by endpoint id.
     pub fn runs(&self, now: Instant) -> impl Iterator<Item = (&str, Run)> {
         self.peers
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -11,7 +11,7 @@
 use tokio::net::UdpSocket;
 
 use crate::contact::is_overdue;
-use crate::gossip::Report;
+use crate::gossip::{REPORT_PERIOD, Report, period};
 use crate::http::Patience;
 use crate::ledger::{Grant, Run};
 use crate::platform::{Dialect, Store};
@@ -19,11 +19,6 @@
 use crate::strikes::Fingerprint;
 use crate::{admission, follow};
 
-/// Pause between reports with few peers. An engine's place is held for seconds and found again in
-/// this time by the other hosts.
-const REPORT_PERIOD: Duration = Duration::from_millis(120);
-/// Reports that a host sends per second at most; with more peers the pause grows.
-const REPORTS_PER_S: f64 = 60.0;
 /// Largest report in bytes; a datagram on Ethernet carries about this much unfragmented.
 const DATAGRAM_BYTES: usize = 8 * 1_024;
 /// Pause between reports to the leader, so that a burst of changes goes out together.
@@ -139,11 +134,6 @@
     }
 }
 
-/// Pause between reports to all peers, by their number.
-fn period(peers: usize) -> Duration {
-    REPORT_PERIOD.max(Duration::from_secs_f64(peers as f64 / REPORTS_PER_S))
-}
-
 /// Sends reports: to all peers in turn, and to the leader as soon as a place was taken or freed.
 pub(crate) async fn report<D: Dialect, S: Store>(host: Rc<Host<D, S>>, socket: Rc<UdpSocket>) {
     let mut sequence = 0;
@@ -264,7 +254,7 @@
         view.expire(now);
         view.silent(now)
     };
-    host.quotas.borrow_mut().set_hosts(now, known + 1, silent);
+    host.count_hosts(now);
     host.budgets
         .borrow_mut()
         .set_hosts(known + 1, silent, period(known) * 2);
--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -9,8 +9,8 @@
 //! it a customer beyond its limit gets none of either.
 //!
 //! Every host counts its own admissions at once and those of its peers when it hears of them. A host
-//! that cannot hear a peer takes it to use its equal share, so that parts of a divided fleet stay
-//! below the limit together.
+//! that cannot hear a peer takes it to use its equal share of what was left of the limit when it was
+//! heard last, so that parts of a divided fleet stay below the limit together.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -33,6 +33,10 @@
 /// Plain calls that generations always leave room for.
 const RESERVED_CALLS: f64 = 4.0;
 
+/// Share of the hosts that may be unheard without being a part of their own; the overshoot that is
+/// allowed covers what they use twice.
+const TOLERATED: f64 = 0.05;
+
 /// What a request is counted as.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Class {
@@ -74,8 +78,10 @@
     window_ms: u64,
     /// Whether buckets start full, as at the first start of a deployment.
     full_start: bool,
-    /// Share of each limit that peers are taken to use unheard.
+    /// Share of the hosts that are not heard, and so of what is left of each limit.
     unheard: f64,
+    /// Since when more hosts than a few have not been heard.
+    apart_since: Option<Instant>,
     /// Hosts of the deployment, over which the calls of a customer are spread.
     hosts: f64,
 }
@@ -89,6 +95,7 @@
             window_ms,
             full_start,
             unheard: 0.0,
+            apart_since: None,
             hosts: 1.0,
         }
     }
@@ -122,15 +129,23 @@
         account.level = account.level.min(account.largest());
     }
 
-    /// Sets the number of hosts, and how many of them are not heard: these are taken to use their
-    /// equal share of each limit.
-    pub fn set_hosts(&mut self, now: Instant, hosts: usize, unheard: usize) {
-        let share = unheard as f64 / hosts.max(1) as f64;
+    /// Sets the number of hosts, and the share of them that are not heard: these are taken to use
+    /// their equal share of what was left of each limit when they were heard last.
+    pub fn set_hosts(&mut self, now: Instant, hosts: usize, unheard: f64) {
         self.hosts = hosts.max(1) as f64;
+        let unheard = unheard.clamp(0.0, 1.0);
+        if unheard.to_bits() == self.unheard.to_bits() {
+            return;
+        }
         for account in self.accounts.values_mut() {
             account.refill(now, self.unheard);
         }
-        self.unheard = share.clamp(0.0, 1.0);
+        self.unheard = unheard;
+        self.apart_since = if unheard > TOLERATED {
+            self.apart_since.or(Some(now))
+        } else {
+            None
+        };
     }
 
     /// Admits a request of a customer, or tells when its tokens will be there.
@@ -139,6 +154,7 @@
     /// Fails with the time until the request would be admitted.
     pub fn take(&mut self, now: Instant, customer: &str, tokens: u64, class: Class) -> Result<()> {
         let (unheard, window_ms, hosts) = (self.unheard, self.window_ms, self.hosts);
+        let apart_since = self.apart_since;
         let Some(account) = self
             .accounts
             .get_mut(customer)
@@ -158,7 +174,9 @@
         if account.level < needed {
             return Err(seconds((needed - account.level) / account.rate));
         }
-        let limit = account.limit(window_ms) * (1.0 - unheard) - reserve;
+        // What all hosts knew of the window is gone; of the rest each part has its share.
+        let common = apart_since.map_or(0.0, |since| account.used_before(since));
+        let limit = common + (account.limit(window_ms) - common) * (1.0 - unheard) - reserve;
         if account.used + wanted > limit && account.used > 0.0 {
             return Err(account.room_after(now, window_ms, account.used + wanted - limit));
         }
@@ -230,6 +248,15 @@
         self.plain_used -= forgotten(&mut self.plain_periods, start);
     }
 
+    /// Tokens of the window that were admitted before an instant.
+    fn used_before(&self, instant: Instant) -> f64 {
+        let before = self
+            .periods
+            .iter()
+            .take_while(|(period, _)| period * PERIOD_MS < instant.as_millis());
+        before.map(|(_, tokens)| tokens).sum()
+    }
+
     /// Tokens that generations leave to the plain calls of all hosts.
     fn reserve(&self, hosts: f64) -> f64 {
         let share = self.plain_used * hosts * RESERVED_SHARE + self.plain_call * RESERVED_CALLS;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -329,8 +329,7 @@
         let taken = if route.kind == Kind::Streaming {
             Ok(())
         } else {
-            let mut quotas = host.quotas.borrow_mut();
-            quotas.take(arrived, &customer.name, tokens, Class::Plain)
+            host.charge(arrived, &customer.name, tokens, Class::Plain)
         };
         if let Err(after) = taken {
             tracing::info!(
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -22,7 +22,7 @@
 use crate::metrics::Metrics;
 use crate::mix::Mix;
 use crate::options::Options;
-use crate::quota::Quotas;
+use crate::quota::{self, Class, Quotas};
 use crate::request::Call;
 use crate::shutdown::Shutdown;
 use crate::strikes::Strikes;
@@ -218,6 +218,29 @@
         true
     }
 
+    /// Tells the limits how many hosts there are and how many of them are heard.
+    pub(crate) fn count_hosts(&self, now: Instant) {
+        let view = self.view.borrow();
+        let (_, known) = view.silent(now);
+        let unheard = view.unheard(now);
+        self.quotas.borrow_mut().set_hosts(now, known + 1, unheard);
+    }
+
+    /// Charges a customer, or tells when its tokens will be there.
+    ///
+    /// # Errors
+    /// Fails with the time until the request would be admitted.
+    pub(crate) fn charge(
+        &self,
+        now: Instant,
+        customer: &str,
+        tokens: u64,
+        class: Class,
+    ) -> quota::Result<()> {
+        self.count_hosts(now);
+        self.quotas.borrow_mut().take(now, customer, tokens, class)
+    }
+
     /// Follows a change of the directory.
     pub(crate) fn directory_changed(&self, change: directory::Change) {
         let directory = self.directory.borrow();
--- a/crates/entry/tests/quota.rs
+++ b/crates/entry/tests/quota.rs
@@ -77,7 +77,8 @@
                 (true, 0) => HOSTS - 1,
                 (true, _) => 1,
             };
-            self.hosts[host].set_hosts(at(now), HOSTS, silent);
+            let unheard = silent as f64 / HOSTS as f64;
+            self.hosts[host].set_hosts(at(now), HOSTS, unheard);
         }
     }
 
