Ask engines what they keep when a caller goes on with a stream

The host that gives the place now asks the decode engines of the service for the parts they keep (once a second at most, up to 64 engines) when a caller goes on with a stream. An engine that keeps the prompt is preferred; another one copies it from there. The system's own resume after a broken connection copies from the engine that broke off, unless it fell silent. Orders, freed handles and these lists share one function for the system's own calls (own).

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -21,7 +21,9 @@
 use crate::fleet::Engine;
 use crate::http::Patience;
 use crate::ledger::{Grant, Room, Run};
+use crate::locate;
 use crate::mix::PROMPT_TOKEN_MS;
+use crate::parts::Part;
 use crate::peer;
 use crate::platform::{Dialect, Store};
 use crate::quota::Class;
@@ -46,6 +48,8 @@
 /// Backlog that a prefill engine in the data centre of the decode engine may have beyond that of
 /// others, in milliseconds: a transfer between data centres is priced several times as high.
 const NEAR_MS: f64 = 120.0;
+/// Gain of an engine that keeps the prompt, as a share of an engine; elsewhere it has to be copied.
+const KEPT: f64 = 0.2;
 /// Largest answer in bytes.
 const ANSWER_BYTES: usize = 16 * 1_024;
 
@@ -74,6 +78,8 @@
     pub(crate) doubtful: Vec<String>,
     /// Whether an engine that reads the prompt is wanted as well.
     pub(crate) prefill: bool,
+    /// Last part of a prompt that an engine may keep still.
+    pub(crate) part: Option<Part>,
 }
 
 /// Answer to a question for a place.
@@ -85,6 +91,8 @@
         endpoint: String,
         grant: Grant,
         prefill: Option<String>,
+        /// The engine that keeps parts of the prompt, which need not be the one above.
+        parts_at: Option<String>,
     },
     /// Nothing yet; ask again.
     Pending,
@@ -276,32 +284,45 @@
             .collect()
     };
     let repeated = !ask.tried.is_empty();
+    let kept_at = match ask.part {
+        Some(part) => locate::part(host, &ask.service, part).await,
+        None => None,
+    };
     let free = if waiting && !repeated {
         None
     } else {
-        best(host, &ask.service, ask.run, &tried, f64::INFINITY)
+        best(host, &ask.service, ask.run, &tried, kept_at, f64::INFINITY)
     };
     if let Some(key) = free {
         let grant = host
             .ledger
             .borrow_mut()
             .grant(key, ask.run, now + GRANT_LIFETIME);
-        return granted(host, ask, key, grant);
+        return granted(host, ask, key, grant, kept_at);
     }
     if repeated {
         return Verdict::NoRoom;
     }
     match wait(host, ask, now).await {
-        Ok((key, grant)) => granted(host, ask, key, grant),
+        Ok((key, grant)) => granted(host, ask, key, grant, kept_at),
         Err(verdict) => verdict,
     }
 }
 
-fn granted<D, S>(host: &Host<D, S>, ask: &Ask, key: Key, grant: Grant) -> Verdict {
-    let Some(endpoint) = host.directory.borrow().get(key).cloned() else {
+fn granted<D, S>(
+    host: &Host<D, S>,
+    ask: &Ask,
+    key: Key,
+    grant: Grant,
+    kept_at: Option<Key>,
+) -> Verdict {
+    let directory = host.directory.borrow();
+    let Some(endpoint) = directory.get(key).cloned() else {
         return Verdict::Pending;
     };
-    let prefill = if ask.prefill {
+    let parts_at = kept_at.and_then(|kept_at| Some(directory.get(kept_at)?.id.clone()));
+    drop(directory);
+    let prefill = if ask.prefill && kept_at.is_none() {
         prefill(host, ask, &endpoint)
     } else {
         None
@@ -310,6 +331,7 @@
         endpoint: endpoint.id,
         grant,
         prefill,
+        parts_at,
     }
 }
 
@@ -364,7 +386,14 @@
 }
 
 /// The decode engine with the most room for a generation, filled to at most `fill`.
-fn best<D, S>(host: &Host<D, S>, service: &str, run: Run, tried: &[Key], fill: f64) -> Option<Key> {
+fn best<D, S>(
+    host: &Host<D, S>,
+    service: &str,
+    run: Run,
+    tried: &[Key],
+    kept_at: Option<Key>,
+    fill: f64,
+) -> Option<Key> {
     let engine = engine(host, service)?;
     peer::count_peers(host);
     let ledger = host.ledger.borrow();
@@ -376,7 +405,8 @@
         let mut runs: Vec<Run> = ledger.runs(key).collect();
         runs.push(run);
         let share = room.share(&mut runs).filter(|share| *share <= fill)?;
-        Some(share + jitter(JITTER))
+        let saved = if kept_at == Some(key) { KEPT } else { 0.0 };
+        Some(share + jitter(JITTER) - saved)
     };
     host.choose(service, Some(Stage::Decode), tried, cost)
         .map(|(key, _)| key)
@@ -413,7 +443,7 @@
     for service in services {
         while let Some((ticket, waiter, timely)) = next(host, &service, now) {
             let fill = if timely { f64::INFINITY } else { LATE_FILL };
-            let Some(key) = best(host, &service, waiter.run, &[], fill) else {
+            let Some(key) = best(host, &service, waiter.run, &[], None, fill) else {
                 break;
             };
             let mut lines = host.lines.borrow_mut();
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -229,6 +229,7 @@
         customer: call.customer_name(),
         prefill: false,
         cache: None,
+        parts_at: None,
         after_event: None,
     };
     let Ok(request) = call.outbound::<D>(&outbound) else {
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -1,5 +1,6 @@
 //! Generations: room at a decode engine, prefill, decode, and resume of a broken stream.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use crate::ledger::Run;
 use crate::metrics::Label;
 use crate::mix::TOKEN_MS;
+use crate::own;
 use crate::platform::{Cache, Dialect, Head, Outbound, Store, Tokens};
 use crate::refusal::Reason;
 use crate::request::{Call, Cut, Reply, answer_headers};
@@ -135,6 +137,7 @@
     let mut runs = 0;
     let mut sends = 0;
     let mut cache: Option<Kept<D, S>> = None;
+    let mut parts_at = None;
     let mut first = true;
     while sends < SENDS && now() < call.deadline() {
         let place = match acquire(host, call, tokens, &tried, first).await {
@@ -150,10 +153,12 @@
             place,
             endpoint,
             prefill: reader,
+            parts_at: kept_at,
         } = place;
         tried.push(endpoint.id.clone());
         if first {
             first = false;
+            parts_at = kept_at;
             cache = match reader {
                 Some(reader) => prefill(host, call, tokens, &reader).await,
                 None => None,
@@ -163,8 +168,13 @@
             continue;
         }
         let usable = cache.take().filter(Kept::is_usable);
-        let handle = usable.as_ref().map(|kept| &kept.cache);
-        match decode(host, call, &endpoint, handle, call.head.after_event).await {
+        let memory = match &usable {
+            Some(kept) => Memory::Handle(&kept.cache),
+            None => parts_at
+                .filter(|address| *address != endpoint.address)
+                .map_or(Memory::None, Memory::Parts),
+        };
+        match decode(host, call, &endpoint, memory, call.head.after_event).await {
             Decoded::Started(exchange) => {
                 if let Some(kept) = usable {
                     kept.taken();
@@ -189,6 +199,7 @@
                 // Either the engine is full, or the handle lapsed before its time.
                 if let Some(kept) = usable {
                     host.suspect(kept.key);
+                    parts_at = Some(kept.cache.address);
                 }
                 host.metrics.retry("refused");
             }
@@ -226,6 +237,8 @@
     endpoint: Endpoint,
     /// Id of the engine that reads the prompt.
     prefill: Option<String>,
+    /// The engine that keeps parts of the prompt.
+    parts_at: Option<SocketAddr>,
 }
 
 /// Gets a place at a decode engine; the customer is charged for the first one only.
@@ -255,6 +268,11 @@
         tried: tried.to_vec(),
         doubtful: host.suspected(),
         prefill: first,
+        // Other prompts are new to the engines, or were read too long ago.
+        part: call
+            .head
+            .last_part
+            .filter(|_| first && call.head.after_event.is_some()),
     };
     let verdict = admission::ask(host, ask).await;
     tracing::info!(
@@ -270,12 +288,17 @@
             endpoint,
             grant,
             prefill,
+            parts_at,
         } => {
-            let known = {
+            let (known, parts_at) = {
                 let directory = host.directory.borrow();
-                directory
+                let known = directory
                     .key(&endpoint)
-                    .and_then(|key| Some((key, directory.get(key)?.clone())))
+                    .and_then(|key| Some((key, directory.get(key)?.clone())));
+                let parts_at = parts_at
+                    .and_then(|id| directory.get(directory.key(&id)?))
+                    .map(|endpoint| endpoint.address);
+                (known, parts_at)
             };
             // The leader may know an endpoint that this host has not read of yet.
             let (key, endpoint) = known.ok_or(Failed::Reason(Reason::NoEndpoint, Some(RETRY)))?;
@@ -284,6 +307,7 @@
                 place,
                 endpoint,
                 prefill,
+                parts_at,
             })
         }
         Verdict::Full { wait_ms } => Err(Failed::Reason(
@@ -352,25 +376,19 @@
         if self.taken || now() >= self.until {
             return;
         }
-        let (method, target) = D::release(&self.cache.handle);
-        let request = http::Request::builder()
-            .method(method)
-            .uri(target)
-            .body(http_body_util::Full::default());
-        let Ok(request) = request else {
-            return;
-        };
+        let release = D::release(&self.cache.handle);
         let (pool, address) = (self.host.pool.clone(), self.cache.address);
         actix_rt::spawn(async move {
-            let patience = Patience {
-                connect: CONNECT,
-                head: CONNECT,
-                reuse: Duration::MAX,
-            };
-            let freed = async {
-                let mut exchange = pool.send(address, request, patience).await?;
-                exchange.read(PREFILL_ANSWER_BYTES, CONNECT).await
-            };
+            let reuse = Duration::MAX;
+            let freed = own::send::<D>(
+                &pool,
+                address,
+                None,
+                release,
+                CONNECT,
+                reuse,
+                PREFILL_ANSWER_BYTES,
+            );
             if let Err(error) = freed.await {
                 // The handle expires by itself.
                 tracing::debug!(%error, "prefill: handle not freed");
@@ -408,6 +426,7 @@
         customer: call.customer_name(),
         prefill: true,
         cache: None,
+        parts_at: None,
         after_event: call.head.after_event,
     };
     let request = call.outbound::<D>(&outbound).ok()?;
@@ -481,20 +500,36 @@
     Lost,
 }
 
+/// What is left of the work on a prompt.
+#[derive(Clone, Copy)]
+enum Memory<'a> {
+    None,
+    /// KV cache that waits for this request.
+    Handle(&'a Cache),
+    /// An engine that may keep parts of the prompt.
+    Parts(SocketAddr),
+}
+
 async fn decode<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     call: &Call,
     endpoint: &Endpoint,
-    cache: Option<&Cache>,
+    memory: Memory<'_>,
     after_event: Option<u64>,
 ) -> Decoded {
     let started = now();
+    let (cache, parts_at) = match memory {
+        Memory::None => (None, None),
+        Memory::Handle(cache) => (Some(cache), None),
+        Memory::Parts(address) => (None, Some(address)),
+    };
     let outbound = Outbound {
         deadline: call.caller_deadline.since(started),
         endpoint: &endpoint.id,
         customer: call.customer_name(),
         prefill: false,
         cache,
+        parts_at,
         after_event,
     };
     let Ok(request) = call.outbound::<D>(&outbound) else {
@@ -536,6 +571,7 @@
         endpoint = endpoint.id,
         status = exchange.status.as_u16(),
         cached = cache.is_some(),
+        parts_at = parts_at.map(tracing::field::display),
         prompt = call.head.tokens.map(|tokens| tokens.prompt),
         after_event,
         waited_ms = started.since(call.arrived).as_millis() as u64,
@@ -576,6 +612,9 @@
     }
 }
 
+/// Why a stream that fell silent is broken.
+const NO_EVENT: &str = "no event";
+
 type Sender = mpsc::Sender<Result<bytes::Bytes, Cut>>;
 
 /// Passes the events on until the stream ends or its caller leaves.
@@ -659,7 +698,7 @@
                 host.strike(call, &run.endpoint);
                 "connection lost"
             }
-            Err(_) => "no event",
+            Err(_) => NO_EVENT,
         };
         tracing::info!(
             id = call.head.id,
@@ -673,7 +712,9 @@
         }
         host.outcome(run.place.key, Outcome::Failed);
         events.discard_tail();
-        run = resume(host, call, run, events.last())
+        // A silent engine would hold up the copy.
+        let parts_at = (broken != NO_EVENT).then_some(run.endpoint.address);
+        run = resume(host, call, run, events.last(), parts_at)
             .await
             .ok_or(Cut(broken))?;
     }
@@ -685,6 +726,7 @@
     call: &Call,
     broken: Running<D, S>,
     after_event: Option<u64>,
+    parts_at: Option<SocketAddr>,
 ) -> Option<Running<D, S>> {
     let Running {
         exchange,
@@ -699,6 +741,7 @@
         return None;
     }
     let mut tried = vec![endpoint.id.clone()];
+    let memory = parts_at.map_or(Memory::None, Memory::Parts);
     for _ in 0..SENDS {
         let acquired = acquire(host, call, expected(call), &tried, false)
             .await
@@ -713,7 +756,7 @@
             ..
         } = acquired;
         tried.push(next.id.clone());
-        match decode(host, call, &next, None, after_event).await {
+        match decode(host, call, &next, memory, after_event).await {
             Decoded::Started(exchange) => {
                 host.metrics.retry("resumed");
                 tracing::info!(
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -6,10 +6,10 @@
 
 use berylknot_coordination::clock::Instant;
 
-use crate::directory::{Directory, Key, Stage};
-use crate::http::{Error as Broken, Patience};
+use crate::directory::{Directory, Endpoint, Key, Stage};
 use crate::lease::{Lease, Step};
-use crate::platform::{Dialect, Error, Order, Store};
+use crate::own;
+use crate::platform::{Dialect, Order, Result, Store};
 use crate::stages::{self, PERSISTENCE, Pace, Wish};
 use crate::state::{Host, now};
 
@@ -201,28 +201,20 @@
 
 async fn send<D: Dialect, S: Store>(
     host: &Host<D, S>,
-    endpoint: &crate::directory::Endpoint,
+    endpoint: &Endpoint,
     order: &Order,
-) -> Result<http::StatusCode, Error> {
-    let (method, target, body) = D::order(order);
-    let mut request = http::Request::builder()
-        .method(method)
-        .uri(target)
-        .header(http::header::HOST, endpoint.address.to_string())
-        .header(http::header::CONTENT_TYPE, "application/json")
-        .body(http_body_util::Full::new(body))
-        .map_err(|_| Error::Malformed("order"))?;
-    D::expect(&endpoint.id, request.headers_mut());
+) -> Result<http::StatusCode> {
     // A connection of its own: an order must not wait in the buffer of a silent one.
-    let patience = Patience {
-        connect: ORDER_PATIENCE,
-        head: ORDER_PATIENCE,
-        reuse: Duration::ZERO,
-    };
-    let mut exchange = host.pool.send(endpoint.address, request, patience).await?;
-    let status = exchange.status;
-    match exchange.read(ANSWER_BYTES, ORDER_PATIENCE).await {
-        Ok(_) | Err(Broken::TooLarge) => Ok(status),
-        Err(error) => Err(error.into()),
-    }
+    let reuse = Duration::ZERO;
+    let (status, _) = own::send::<D>(
+        &host.pool,
+        endpoint.address,
+        Some(&endpoint.id),
+        D::order(order),
+        ORDER_PATIENCE,
+        reuse,
+        ANSWER_BYTES,
+    )
+    .await?;
+    Ok(status)
 }
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -10,6 +10,7 @@
 
 use crate::directory::Endpoint;
 use crate::fleet::Fleet;
+use crate::parts::{Kept, Part};
 
 /// Error of a platform call or of a record that cannot be decoded.
 #[derive(Debug)]
@@ -60,6 +61,19 @@
     pub output_hint: Option<u32>,
     /// Last event that the caller has.
     pub after_event: Option<u64>,
+    /// Last part of the prompt, which other requests do not share.
+    pub last_part: Option<Part>,
+}
+
+/// A call of the system's own to an endpoint.
+#[derive(Clone, Debug)]
+pub struct Command {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    /// JSON; empty if there is none.
+    pub body: Bytes,
 }
 
 /// KV cache of a prompt, kept at the endpoint that read it.
@@ -84,6 +98,8 @@
     pub prefill: bool,
     /// KV cache to go on from.
     pub cache: Option<&'a Cache>,
+    /// Engine that may keep parts of the prompt, which are copied from there instead of read again.
+    pub parts_at: Option<SocketAddr>,
     /// Last event that was delivered.
     pub after_event: Option<u64>,
 }
@@ -121,10 +137,17 @@
     /// # Errors
     /// Fails when the body is malformed.
     fn prefilled(body: &[u8]) -> Result<String>;
-    /// Call that frees a handle.
-    fn release(handle: &str) -> (Method, String);
-    /// Call that orders an engine to take a stage.
-    fn order(order: &Order) -> (Method, String, Bytes);
+    /// Frees a handle.
+    fn release(handle: &str) -> Command;
+    /// Asks an engine which parts of prompts it keeps.
+    fn list_parts() -> Command;
+    /// Parts in the answer to that.
+    ///
+    /// # Errors
+    /// Fails when the body is malformed.
+    fn parts(body: &[u8]) -> Result<Vec<Kept>>;
+    /// Orders an engine to take a stage.
+    fn order(order: &Order) -> Command;
     /// Adds the id of the endpoint that a call of the system's own is for.
     fn expect(endpoint: &str, headers: &mut HeaderMap);
     /// Path that answers readiness checks.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -10,7 +10,7 @@
 use berylknot_coordination::clock::Instant;
 use berylknot_coordination::eject::{Change, Detector, Outcome};
 use rand::Rng;
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 
 use crate::admission::Line;
 use crate::budget::Budgets;
@@ -22,6 +22,7 @@
 use crate::metrics::Metrics;
 use crate::mix::Mix;
 use crate::options::Options;
+use crate::parts::Parts;
 use crate::quota::{self, Class, Quotas};
 use crate::request::Call;
 use crate::shutdown::Shutdown;
@@ -86,6 +87,8 @@
     pub(crate) open: Cell<usize>,
     /// Time until which each prefill engine has prompts to read, as far as this host gave them.
     pub(crate) backlogs: RefCell<HashMap<Key, Instant>>,
+    /// Parts that the engines of each service keep; locked while the engines are asked.
+    pub(crate) parts: RefCell<HashMap<String, Rc<Mutex<Parts>>>>,
     /// Load that each endpoint stated last, as a share of its slots.
     stated: RefCell<HashMap<Key, (Instant, f64)>>,
     /// Hosts that did not answer a question for a place, and until when they are not asked.
@@ -142,6 +145,7 @@
             directory_known: Cell::new(false),
             open: Cell::new(0),
             backlogs: RefCell::default(),
+            parts: RefCell::default(),
             stated: RefCell::default(),
             distrusted: RefCell::default(),
             started: now(),
