Be ready only when the other hosts are known

Cause: a test of the daemon failed once in about ten runs of all tests. A host was ready as soon as it knew the configuration and the endpoints; the announcements of the other hosts are read by another task. When the store went away in between, the host never met its peers: it had nobody to ask for records and took all of each customer's limit for itself.

A host is ready once it has read the announcements or hears a peer.

Proof: a store that answers announcements 0.7 s late made the new test fail every time before and pass after; the whole daemon suite passed three times.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -250,5 +250,6 @@
             .borrow_mut()
             .announce(now(), SocketAddr::new(address, own.port()));
     }
+    host.hosts_known.set(true);
     Ok(())
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -83,6 +83,8 @@
     /// Time of the last sign that the configuration is current, from the store or a peer.
     pub(crate) confirmed: Cell<Option<Instant>>,
     pub(crate) directory_known: Cell<bool>,
+    /// Whether the announcements of the other hosts were read.
+    pub(crate) hosts_known: Cell<bool>,
     pub(crate) shutdown: Cell<Shutdown>,
     pub(crate) open: Cell<usize>,
     /// Time until which each prefill engine has prompts to read, as far as this host gave them.
@@ -143,6 +145,7 @@
             store_answered: Cell::new(None),
             confirmed: Cell::new(None),
             directory_known: Cell::new(false),
+            hosts_known: Cell::new(false),
             open: Cell::new(0),
             backlogs: RefCell::default(),
             parts: RefCell::default(),
@@ -157,9 +160,12 @@
         }
     }
 
-    /// Whether the host may serve: it knows a configuration and the endpoints, and neither is stale.
+    /// Whether the host may serve: it knows a configuration and the endpoints, neither is stale, and it
+    /// knows the other hosts. One that has met nobody takes all of each limit for itself, and has
+    /// nobody to ask when the store goes away.
     pub(crate) fn is_ready(&self) -> bool {
-        self.fleet.borrow().is_some()
+        let met = self.hosts_known.get() || self.view.borrow().heard(now()).next().is_some();
+        met && self.fleet.borrow().is_some()
             && self.directory_known.get()
             && !self.is_stopping()
             && self.is_fresh(now())
