Offer a prompt's handle again when an answer is lost

Cause: when a decode engine reset the connection at the head of its answer, the next engine read the prompt itself although the handle was still there: the engine that broke off at once had not taken it.

A handle is kept for the next engine after a lost answer. If it was taken, the engine refuses, which states that nothing ran; that refusal does not count against the engine that read the prompt.

--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -198,7 +198,9 @@
                 sends += 1;
                 // Either the engine is full, or the handle lapsed before its time.
                 if let Some(kept) = usable {
-                    host.suspect(kept.key);
+                    if !kept.offered {
+                        host.suspect(kept.key);
+                    }
                     parts_at = Some(kept.cache.address);
                 }
                 host.metrics.retry("refused");
@@ -211,6 +213,8 @@
             Decoded::Lost => {
                 sends += 1;
                 runs += 1;
+                // An engine that broke off at once has not taken the prompt yet.
+                cache = usable.map(Kept::offered);
                 host.outcome(place.key, Outcome::Failed);
                 host.metrics.retry("lost");
                 if !call.route().resumable || runs >= call.route().attempts {
@@ -358,6 +362,8 @@
     /// The engine that keeps it.
     key: Key,
     until: Instant,
+    /// Whether an engine may have taken it already.
+    offered: bool,
     taken: bool,
 }
 
@@ -366,6 +372,11 @@
         now() + HANDLE_MARGIN < self.until
     }
 
+    fn offered(mut self) -> Self {
+        self.offered = true;
+        self
+    }
+
     fn taken(mut self) {
         self.taken = true;
     }
@@ -487,6 +498,7 @@
         cache,
         key,
         until: now() + hold,
+        offered: false,
         taken: false,
     })
 }
