Let a generation whose engine was lost wait for room elsewhere

A repeated place waits like a first one, without the engines that were tried. A stream that goes on ranks before all others until its caller would leave, counted from the last event, and is counted with the output that is left. Denied retries are logged.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -102,15 +102,23 @@
     Hopeless,
     /// The customer is over its limit; the time until it is not.
     OverQuota { wait_ms: u64 },
-    /// No other engine has room.
-    NoRoom,
 }
 
 /// Waiting generations of one service.
 #[derive(Debug)]
 pub(crate) struct Line {
     queue: Queue,
-    turns: HashMap<Ticket, oneshot::Sender<(Key, Grant)>>,
+    turns: HashMap<Ticket, Turn>,
+}
+
+/// How a waiting generation gets its place.
+#[derive(Debug)]
+struct Turn {
+    sender: oneshot::Sender<(Key, Grant)>,
+    /// Engines that are not to be given.
+    tried: Vec<Key>,
+    /// The engine that keeps parts of the prompt.
+    kept_at: Option<Key>,
 }
 
 impl Line {
@@ -300,10 +308,7 @@
             .grant(key, ask.run, now + GRANT_LIFETIME);
         return granted(host, ask, key, grant, kept_at);
     }
-    if repeated {
-        return Verdict::NoRoom;
-    }
-    match wait(host, ask, now).await {
+    match wait(host, ask, tried, kept_at, now).await {
         Ok((key, grant)) => granted(host, ask, key, grant, kept_at),
         Err(verdict) => verdict,
     }
@@ -339,6 +344,8 @@
 async fn wait<D, S>(
     host: &Rc<Host<D, S>>,
     ask: &Ask,
+    tried: Vec<Key>,
+    kept_at: Option<Key>,
     now: Instant,
 ) -> Result<(Key, Grant), Verdict> {
     let waiter = Waiter {
@@ -360,7 +367,12 @@
                 },
                 Refusal::Hopeless => Verdict::Hopeless,
             })?;
-        line.turns.insert(ticket, sender);
+        let turn = Turn {
+            sender,
+            tried,
+            kept_at,
+        };
+        line.turns.insert(ticket, turn);
         ticket
     };
     let _waiting = Waiting {
@@ -443,20 +455,25 @@
     for service in services {
         while let Some((ticket, waiter, timely)) = next(host, &service, now) {
             let fill = if timely { f64::INFINITY } else { LATE_FILL };
-            let Some(key) = best(host, &service, waiter.run, &[], None, fill) else {
-                break;
-            };
             let mut lines = host.lines.borrow_mut();
             let Some(line) = lines.get_mut(&service) else {
                 break;
             };
+            let Some(turn) = line.turns.get(&ticket) else {
+                line.queue.remove(ticket);
+                continue;
+            };
+            let place = best(host, &service, waiter.run, &turn.tried, turn.kept_at, fill);
+            let Some(key) = place else {
+                break;
+            };
             line.queue.start(now, ticket);
             let Some(turn) = line.turns.remove(&ticket) else {
                 continue;
             };
             let mut ledger = host.ledger.borrow_mut();
             let grant = ledger.grant(key, waiter.run, now + GRANT_LIFETIME);
-            if turn.send((key, grant)).is_err() {
+            if turn.sender.send((key, grant)).is_err() {
                 ledger.settle(grant);
             }
         }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -92,8 +92,7 @@
         let Some((key, endpoint)) = choose(host, call, &tried) else {
             break;
         };
-        if sent > 0 && !host.budgets.borrow_mut().repeat(now, &call.service) {
-            host.metrics.retry("denied");
+        if sent > 0 && !host.may_repeat(call) {
             break;
         }
         tried.push(key);
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -133,20 +133,25 @@
     call: &Call,
 ) -> Result<Started<D, S>, Failed> {
     let tokens = expected(call);
+    let mut wish = Wish {
+        tokens,
+        priority: call.priority(),
+        start_by: call.arrived + call.route().target.mul_f64(1.0 - START_SHARE),
+        hopeless_at: hopeless_at(call, tokens, call.arrived),
+        is_first: true,
+    };
     let mut tried = Vec::new();
     let mut runs = 0;
     let mut sends = 0;
     let mut cache: Option<Kept<D, S>> = None;
     let mut parts_at = None;
-    let mut first = true;
     while sends < SENDS && now() < call.deadline() {
-        let place = match acquire(host, call, tokens, &tried, first).await {
+        let place = match acquire(host, call, wish, &tried).await {
             Ok(place) => place,
-            Err(refused) if first => return Err(refused),
+            Err(refused) if wish.is_first => return Err(refused),
             Err(_) => break,
         };
-        if sends > 0 && !host.budgets.borrow_mut().repeat(now(), &call.service) {
-            host.metrics.retry("denied");
+        if sends > 0 && !host.may_repeat(call) {
             break;
         }
         let Acquired {
@@ -156,8 +161,8 @@
             parts_at: kept_at,
         } = place;
         tried.push(endpoint.id.clone());
-        if first {
-            first = false;
+        if wish.is_first {
+            wish.is_first = false;
             parts_at = kept_at;
             cache = match reader {
                 Some(reader) => prefill(host, call, tokens, &reader).await,
@@ -245,16 +250,30 @@
     parts_at: Option<SocketAddr>,
 }
 
-/// Gets a place at a decode engine; the customer is charged for the first one only.
+/// What a generation needs.
+#[derive(Clone, Copy, Debug)]
+struct Wish {
+    /// Tokens with the expected output.
+    tokens: Tokens,
+    /// Rank; 0 is the most urgent.
+    priority: u8,
+    /// Latest start that meets the latency objective.
+    start_by: Instant,
+    /// Latest start that is of use.
+    hopeless_at: Instant,
+    /// Whether it is the first place of the request; the customer is charged for that one only.
+    is_first: bool,
+}
+
+/// Gets a place at a decode engine.
 async fn acquire<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     call: &Call,
-    tokens: Tokens,
+    wish: Wish,
     tried: &[String],
-    first: bool,
 ) -> Result<Acquired<D, S>, Failed> {
     let asked = now();
-    let start_by = call.arrived + call.route().target.mul_f64(1.0 - START_SHARE);
+    let tokens = wish.tokens;
     let run = Run {
         held: tokens.prompt,
         left: tokens.output,
@@ -264,19 +283,19 @@
         host: host.options.host.clone(),
         service: call.service.clone(),
         customer: call.customer_name().map(str::to_owned),
-        tokens: if first { call.tokens } else { 0 },
+        tokens: if wish.is_first { call.tokens } else { 0 },
         run,
-        priority: call.priority(),
-        start_in_ms: until(asked, start_by),
-        hopeless_in_ms: until(asked, hopeless_at(call, tokens)),
+        priority: wish.priority,
+        start_in_ms: until(asked, wish.start_by),
+        hopeless_in_ms: until(asked, wish.hopeless_at),
         tried: tried.to_vec(),
         doubtful: host.suspected(),
-        prefill: first,
+        prefill: wish.is_first,
         // Other prompts are new to the engines, or were read too long ago.
         part: call
             .head
             .last_part
-            .filter(|_| first && call.head.after_event.is_some()),
+            .filter(|_| wish.is_first && call.head.after_event.is_some()),
     };
     let verdict = admission::ask(host, ask).await;
     tracing::info!(
@@ -323,9 +342,7 @@
             Some(Duration::from_millis(wait_ms)),
         )),
         Verdict::Hopeless => Err(Failed::Reason(Reason::Hopeless, None)),
-        Verdict::Pending | Verdict::NoRoom => {
-            Err(Failed::Reason(Reason::EndpointsRefused, Some(RETRY)))
-        }
+        Verdict::Pending => Err(Failed::Reason(Reason::EndpointsRefused, Some(RETRY))),
     }
 }
 
@@ -344,10 +361,11 @@
         .is_some_and(|endpoint| endpoint.state == State::Ready)
 }
 
-/// Latest start that ends before the deadline and begins before the caller abandons the stream.
-fn hopeless_at(call: &Call, tokens: Tokens) -> Instant {
+/// Latest start that ends before the deadline and begins before the caller, who has had nothing since
+/// an instant, abandons the stream.
+fn hopeless_at(call: &Call, tokens: Tokens, since: Instant) -> Instant {
     let start = call.route().target.mul_f64(LATEST_START_SHARE);
-    let abandoned = call.arrived + call.route().patience();
+    let abandoned = since + call.route().patience();
     earlier(call.deadline(), duration(tokens.output) + start).min(earlier(abandoned, start))
 }
 
@@ -661,6 +679,7 @@
     let tokens_per_event = engine(host, &call.service).map_or(1, |engine| engine.tokens_per_event);
     let most = call.head.tokens.unwrap_or(UNSTATED).output;
     let mut delivered = 0;
+    let mut last_event = now();
     loop {
         let left = call.deadline().since(now());
         if left.is_zero() {
@@ -677,6 +696,7 @@
                 Ok(whole) => {
                     let made = events.count() - delivered;
                     delivered += made;
+                    last_event = now();
                     run.place.progress(
                         made * tokens_per_event,
                         most.saturating_sub(delivered * tokens_per_event),
@@ -724,21 +744,40 @@
         }
         host.outcome(run.place.key, Outcome::Failed);
         events.discard_tail();
-        // A silent engine would hold up the copy.
-        let parts_at = (broken != NO_EVENT).then_some(run.endpoint.address);
-        run = resume(host, call, run, events.last(), parts_at)
-            .await
-            .ok_or(Cut(broken))?;
+        let made = delivered * tokens_per_event;
+        let gap = Gap {
+            after_event: events.last(),
+            made,
+            since: last_event,
+            // A silent engine would hold up the copy.
+            parts_at: (broken != NO_EVENT).then_some(run.endpoint.address),
+        };
+        run = resume(host, call, run, gap).await.ok_or(Cut(broken))?;
     }
 }
 
+/// Where a stream broke.
+#[derive(Clone, Copy, Debug)]
+struct Gap {
+    /// Last event that the caller has.
+    after_event: Option<u64>,
+    /// Output tokens that the caller has.
+    made: u32,
+    /// When it got the last event, or when the stream began.
+    since: Instant,
+    /// Engine that may keep the prompt.
+    parts_at: Option<SocketAddr>,
+}
+
+/// Rank of a stream that goes on: its prompt was read, and its caller waits for the next event.
+const RESUME_PRIORITY: u8 = 0;
+
 /// Goes on with a broken stream at another engine.
 async fn resume<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     call: &Call,
     broken: Running<D, S>,
-    after_event: Option<u64>,
-    parts_at: Option<SocketAddr>,
+    gap: Gap,
 ) -> Option<Running<D, S>> {
     let Running {
         exchange,
@@ -753,13 +792,22 @@
         return None;
     }
     let mut tried = vec![endpoint.id.clone()];
-    let memory = parts_at.map_or(Memory::None, Memory::Parts);
+    let memory = gap.parts_at.map_or(Memory::None, Memory::Parts);
+    let after_event = gap.after_event;
+    let mut tokens = expected(call);
+    tokens.prompt += gap.made;
+    tokens.output = tokens.output.saturating_sub(gap.made);
+    let hopeless_at = hopeless_at(call, tokens, gap.since);
+    let wish = Wish {
+        tokens,
+        priority: RESUME_PRIORITY,
+        start_by: hopeless_at,
+        hopeless_at,
+        is_first: false,
+    };
     for _ in 0..SENDS {
-        let acquired = acquire(host, call, expected(call), &tried, false)
-            .await
-            .ok()?;
-        if !host.budgets.borrow_mut().repeat(now(), &call.service) {
-            host.metrics.retry("denied");
+        let acquired = acquire(host, call, wish, &tried).await.ok()?;
+        if !host.may_repeat(call) {
             return None;
         }
         let Acquired {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -331,6 +331,16 @@
             .collect()
     }
 
+    /// Takes a repeated send from the budget that all hosts share.
+    pub(crate) fn may_repeat(&self, call: &Call) -> bool {
+        let granted = self.budgets.borrow_mut().repeat(now(), &call.service);
+        if !granted {
+            self.metrics.retry("denied");
+            tracing::info!(id = call.head.id, service = call.service, "retry: denied");
+        }
+        granted
+    }
+
     /// Counts that an endpoint broke off a request.
     pub(crate) fn strike(&self, call: &Call, endpoint: &Endpoint) {
         self.strikes
