--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -202,7 +202,7 @@
     let ledger = host.ledger.borrow();
     let cost = |key, endpoint: &Endpoint| {
         let counted = f64::from(ledger.requests(key)) / f64::from(endpoint.slots.max(1));
-        let share = counted.max(host.stated_load(key));
+        let share = counted.max(host.health.borrow().stated_load(now(), key));
         Some(share + host.distance(endpoint) + jitter(JITTER))
     };
     let fresh = host.choose(&call.service, None, tried, cost);
@@ -283,10 +283,10 @@
         return Attempt::Foreign;
     }
     if let Some(load) = answer.load {
-        host.note_load(key, load);
+        host.health.borrow_mut().note_load(now(), key, load);
     }
     if answer.misdirected {
-        host.misdirected(key);
+        host.health.borrow_mut().misdirected(now(), key);
     }
     if answer.not_run {
         let left = patience.head.saturating_sub(now().since(started));
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -486,7 +486,7 @@
         }
     };
     if answer.misdirected {
-        host.misdirected(key);
+        host.health.borrow_mut().misdirected(now(), key);
     }
     if !status.is_success() || answer.id.is_some_and(|id| id != call.head.id) {
         host.budgets.borrow_mut().charge(now(), &call.service);
@@ -610,7 +610,7 @@
     if answer.misdirected
         && let Some(key) = host.directory.borrow().key(&endpoint.id)
     {
-        host.misdirected(key);
+        host.health.borrow_mut().misdirected(now(), key);
     }
     if answer.not_run {
         drop(exchange.read(PREFILL_ANSWER_BYTES, CONNECT).await);
--- /dev/null
+++ b/crates/entry/src/health.rs
@@ -0,0 +1,137 @@
+//! Health of each endpoint as this host sees it: suspicions, ejections and stated loads.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use berylknot_coordination::clock::Instant;
+use berylknot_coordination::eject::{Change, Detector, Outcome};
+
+use crate::directory::{Endpoint, Key, Stage};
+
+/// Time for which an endpoint that failed a connection or lost an exchange is chosen last.
+const SUSPICION: Duration = Duration::from_millis(800);
+/// The same for an endpoint at whose address another one answered: three heartbeats, after which the
+/// directory has removed its entry.
+const MISDIRECTION: Duration = Duration::from_millis(3_600);
+/// Time after which a stated load tells nothing any more; calls take tens of milliseconds.
+const STATED_LOAD_LIFETIME: Duration = Duration::from_millis(1_500);
+
+/// Endpoints whose failures and latencies are comparable.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Group {
+    /// Name of the service.
+    pub service: String,
+    /// Stage of the engines; none for plain services.
+    pub stage: Option<Stage>,
+}
+
+impl Group {
+    /// The group of an endpoint.
+    #[must_use]
+    pub fn of(endpoint: &Endpoint) -> Self {
+        Self {
+            service: endpoint.service.clone(),
+            stage: endpoint.stage,
+        }
+    }
+}
+
+/// Health of all endpoints.
+#[derive(Debug, Default)]
+pub struct Health {
+    detectors: HashMap<Group, Detector<Key>>,
+    suspects: HashMap<Key, Instant>,
+    stated: HashMap<Key, (Instant, f64)>,
+}
+
+impl Health {
+    /// Adds an endpoint or follows a change of its entry.
+    pub fn add(&mut self, key: Key, group: Group) {
+        self.detectors.entry(group).or_default().add(key);
+    }
+
+    /// Clears what was suspected before an endpoint started anew.
+    pub fn restarted(&mut self, key: Key) {
+        self.suspects.remove(&key);
+    }
+
+    /// Forgets an endpoint.
+    pub fn remove(&mut self, key: Key) {
+        for detector in self.detectors.values_mut() {
+            detector.remove(key);
+        }
+        self.suspects.remove(&key);
+        self.stated.remove(&key);
+    }
+
+    /// Notes the load that an endpoint stated: running requests, waiting requests and slots.
+    pub fn note_load(
+        &mut self,
+        now: Instant,
+        key: Key,
+        (running, waiting, slots): (u32, u32, u32),
+    ) {
+        let share = f64::from(running + waiting) / f64::from(slots.max(1));
+        self.stated.insert(key, (now, share));
+    }
+
+    /// Load that an endpoint stated a short while ago, as a share of its slots; less the older it is.
+    #[must_use]
+    pub fn stated_load(&self, now: Instant, key: Key) -> f64 {
+        let Some((at, share)) = self.stated.get(&key) else {
+            return 0.0;
+        };
+        let age = now.since(*at).as_secs_f64() / STATED_LOAD_LIFETIME.as_secs_f64();
+        share * (1.0 - age).max(0.0)
+    }
+
+    /// Has an endpoint chosen last for a while.
+    pub fn suspect(&mut self, now: Instant, key: Key) {
+        self.suspect_until(key, now + SUSPICION);
+    }
+
+    /// Has an endpoint chosen last until its entry changes, but no longer than a stale entry stays.
+    pub fn misdirected(&mut self, now: Instant, key: Key) {
+        self.suspect_until(key, now + MISDIRECTION);
+    }
+
+    fn suspect_until(&mut self, key: Key, until: Instant) {
+        let known = self.suspects.entry(key).or_insert(until);
+        *known = until.max(*known);
+    }
+
+    /// Endpoints that are suspected now.
+    pub fn suspected(&self, now: Instant) -> impl Iterator<Item = Key> {
+        let current = self.suspects.iter().filter(move |(_, until)| **until > now);
+        current.map(|(key, _)| *key)
+    }
+
+    /// Counts the outcome of a request; tells whether the endpoint was ejected or returned by it.
+    pub fn outcome(
+        &mut self,
+        now: Instant,
+        key: Key,
+        group: &Group,
+        outcome: Outcome,
+    ) -> Option<Change> {
+        if outcome == Outcome::Failed {
+            self.suspect(now, key);
+        }
+        self.detectors.get_mut(group)?.outcome(now, key, outcome)
+    }
+
+    /// Whether an endpoint should be chosen only when no other is left.
+    #[must_use]
+    pub fn is_doubtful(&self, now: Instant, key: Key, group: &Group) -> bool {
+        self.suspects.get(&key).is_some_and(|until| *until > now)
+            || self
+                .detectors
+                .get(group)
+                .is_some_and(|detector| detector.is_ejected(key))
+    }
+
+    /// An ejected endpoint whose turn for a probe has come.
+    pub fn probe(&mut self, now: Instant, group: &Group) -> Option<Key> {
+        self.detectors.get_mut(group)?.probe(now)
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod events;
 pub mod fleet;
 pub mod gossip;
+pub mod health;
 pub mod http;
 pub mod lease;
 pub mod ledger;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
-use berylknot_coordination::eject::{Change, Detector, Outcome};
+use berylknot_coordination::eject::{Change, Outcome};
 use rand::Rng;
 use tokio::sync::{Mutex, Notify};
 
@@ -17,6 +17,7 @@
 use crate::directory::{self, Directory, Endpoint, Key, Stage};
 use crate::fleet::Fleet;
 use crate::gossip::View;
+use crate::health::{Group, Health};
 use crate::http::Pool;
 use crate::ledger::{Grant, Ledger, Run, Ticket};
 use crate::metrics::Metrics;
@@ -28,13 +29,6 @@
 use crate::shutdown::Shutdown;
 use crate::strikes::Strikes;
 
-/// Time for which an endpoint that failed a connection or lost an exchange is chosen last.
-const SUSPICION: Duration = Duration::from_millis(800);
-/// The same for an endpoint at whose address another one answered: three heartbeats, after which the
-/// directory has removed its entry.
-const MISDIRECTION: Duration = Duration::from_millis(3_600);
-/// Time after which a stated load tells nothing any more; calls take tens of milliseconds.
-const STATED_LOAD_LIFETIME: Duration = Duration::from_millis(1_500);
 /// Pause between reads of the endpoints' entries, as a part of the time after which a leaving
 /// endpoint must not get requests. Entries are written again at every heartbeat, so waiting reads
 /// would return at once each time.
@@ -76,8 +70,7 @@
     pub(crate) view: RefCell<View>,
     pub(crate) strikes: RefCell<Strikes>,
     pub(crate) lines: RefCell<HashMap<String, Line>>,
-    detectors: RefCell<HashMap<String, Detector<Key>>>,
-    suspects: RefCell<HashMap<Key, Instant>>,
+    pub(crate) health: RefCell<Health>,
     /// Time of the last answer of the store.
     pub(crate) store_answered: Cell<Option<Instant>>,
     /// Time of the last sign that the configuration is current, from the store or a peer.
@@ -91,8 +84,6 @@
     pub(crate) backlogs: RefCell<HashMap<Key, Instant>>,
     /// Parts that the engines of each service keep; locked while the engines are asked.
     pub(crate) parts: RefCell<HashMap<String, Rc<Mutex<Parts>>>>,
-    /// Load that each endpoint stated last, as a share of its slots.
-    stated: RefCell<HashMap<Key, (Instant, f64)>>,
     /// Hosts that did not answer a question for a place, and until when they are not asked.
     pub(crate) distrusted: RefCell<HashMap<SocketAddr, Instant>>,
     started: Instant,
@@ -140,8 +131,7 @@
             view: RefCell::default(),
             strikes: RefCell::default(),
             lines: RefCell::default(),
-            detectors: RefCell::default(),
-            suspects: RefCell::default(),
+            health: RefCell::default(),
             store_answered: Cell::new(None),
             confirmed: Cell::new(None),
             directory_known: Cell::new(false),
@@ -149,7 +139,6 @@
             open: Cell::new(0),
             backlogs: RefCell::default(),
             parts: RefCell::default(),
-            stated: RefCell::default(),
             distrusted: RefCell::default(),
             started: now(),
             peers_changed: Cell::new(false),
@@ -260,12 +249,12 @@
                 let Some(endpoint) = directory.get(key) else {
                     return;
                 };
+                let mut health = self.health.borrow_mut();
                 if matches!(change, directory::Change::Started(_)) {
                     self.pool.forget(endpoint.address);
-                    self.suspects.borrow_mut().remove(&key);
+                    health.restarted(key);
                 }
-                let mut detectors = self.detectors.borrow_mut();
-                detectors.entry(group(endpoint)).or_default().add(key);
+                health.add(key, Group::of(endpoint));
                 tracing::info!(
                     endpoint = endpoint.id,
                     service = endpoint.service,
@@ -278,56 +267,23 @@
             }
             directory::Change::Removed(key) => {
                 tracing::info!(?key, "directory: endpoint gone");
-                for detector in self.detectors.borrow_mut().values_mut() {
-                    detector.remove(key);
-                }
-                self.suspects.borrow_mut().remove(&key);
-                self.stated.borrow_mut().remove(&key);
+                self.health.borrow_mut().remove(key);
             }
         }
     }
 
-    /// Notes the load that an endpoint stated: running requests, waiting requests and slots.
-    pub(crate) fn note_load(&self, key: Key, (running, waiting, slots): (u32, u32, u32)) {
-        let share = f64::from(running + waiting) / f64::from(slots.max(1));
-        self.stated.borrow_mut().insert(key, (now(), share));
-    }
-
-    /// Load that an endpoint stated a short while ago, as a share of its slots; less the older it is.
-    pub(crate) fn stated_load(&self, key: Key) -> f64 {
-        let stated = self.stated.borrow();
-        let Some((at, share)) = stated.get(&key) else {
-            return 0.0;
-        };
-        let age = now().since(*at).as_secs_f64() / STATED_LOAD_LIFETIME.as_secs_f64();
-        share * (1.0 - age).max(0.0)
-    }
-
     /// Has an endpoint chosen last for a while.
     pub(crate) fn suspect(&self, key: Key) {
-        self.suspect_for(key, SUSPICION);
-    }
-
-    /// Has an endpoint chosen last until its entry changes, but no longer than a stale entry stays.
-    pub(crate) fn misdirected(&self, key: Key) {
-        self.suspect_for(key, MISDIRECTION);
-    }
-
-    fn suspect_for(&self, key: Key, time: Duration) {
-        let until = now() + time;
-        let mut suspects = self.suspects.borrow_mut();
-        let known = suspects.entry(key).or_insert(until);
-        *known = until.max(*known);
+        self.health.borrow_mut().suspect(now(), key);
     }
 
     /// Ids of the endpoints that this host chooses last, for the host that gives the places.
     pub(crate) fn suspected(&self) -> Vec<String> {
-        let now = now();
         let directory = self.directory.borrow();
-        let suspects = self.suspects.borrow();
-        let current = suspects.iter().filter(|(_, until)| **until > now);
-        current
-            .filter_map(|(key, _)| Some(directory.get(*key)?.id.clone()))
+        let health = self.health.borrow();
+        let suspected = health.suspected(now());
+        suspected
+            .filter_map(|key| Some(directory.get(key)?.id.clone()))
             .collect()
     }
 
@@ -355,34 +311,14 @@
         let Some(endpoint) = directory.get(key) else {
             return;
         };
-        if outcome == Outcome::Failed {
-            self.suspect(key);
-        }
-        let mut detectors = self.detectors.borrow_mut();
-        let Some(detector) = detectors.get_mut(&group(endpoint)) else {
-            return;
-        };
-        if let Some(change) = detector.outcome(now, key, outcome) {
+        let group = Group::of(endpoint);
+        let change = self.health.borrow_mut().outcome(now, key, &group, outcome);
+        if let Some(change) = change {
             let ejected = change == Change::Ejected;
             tracing::info!(endpoint = endpoint.id, ejected, "eject: endpoint changed");
         }
     }
 
-    /// Whether an endpoint should be chosen only when no other is left.
-    fn is_doubtful(&self, now: Instant, key: Key, endpoint: &Endpoint) -> bool {
-        let suspect = self
-            .suspects
-            .borrow()
-            .get(&key)
-            .is_some_and(|until| *until > now);
-        suspect
-            || self
-                .detectors
-                .borrow()
-                .get(&group(endpoint))
-                .is_some_and(|detector| detector.is_ejected(key))
-    }
-
     /// The best endpoint of a service by a cost; `None` as cost excludes an endpoint.
     pub(crate) fn choose(
         &self,
@@ -393,6 +329,7 @@
     ) -> Option<(Key, Endpoint)> {
         let now = now();
         let directory = self.directory.borrow();
+        let health = self.health.borrow();
         let mut best: Option<(f64, Key, &Endpoint)> = None;
         for (key, endpoint) in directory.ready(service) {
             if tried.contains(&key) || stage.is_some() && endpoint.stage != stage {
@@ -401,7 +338,7 @@
             let Some(mut cost) = cost(key, endpoint) else {
                 continue;
             };
-            if self.is_doubtful(now, key, endpoint) {
+            if health.is_doubtful(now, key, &Group::of(endpoint)) {
                 cost += DOUBT;
             }
             if best.is_none_or(|(lowest, _, _)| cost < lowest) {
@@ -413,10 +350,11 @@
 
     /// An ejected endpoint whose turn for a probe has come.
     pub(crate) fn probe(&self, service: &str, stage: Option<Stage>) -> Option<Key> {
-        let mut detectors = self.detectors.borrow_mut();
-        detectors
-            .get_mut(&(service.to_owned() + stage_name(stage)))?
-            .probe(now())
+        let group = Group {
+            service: service.to_owned(),
+            stage,
+        };
+        self.health.borrow_mut().probe(now(), &group)
     }
 
     /// Cost of the distance to an endpoint.
@@ -432,19 +370,6 @@
 /// Cost that puts an endpoint behind all sound ones.
 const DOUBT: f64 = 1_000.0;
 
-fn stage_name(stage: Option<Stage>) -> &'static str {
-    match stage {
-        None => "",
-        Some(Stage::Prefill) => "/prefill",
-        Some(Stage::Decode) => "/decode",
-    }
-}
-
-/// Endpoints whose failures and latencies are comparable.
-fn group(endpoint: &Endpoint) -> String {
-    endpoint.service.clone() + stage_name(endpoint.stage)
-}
-
 /// A small random cost, so that hosts with the same knowledge do not all choose the same endpoint.
 pub(crate) fn jitter(largest: f64) -> f64 {
     rand::rng().random_range(0.0..largest)
