Weigh faults of engines against load instead of choosing faulty engines last

Each loss put an engine behind all others for 0.8 s, so all prompts went to the one prefill engine that had not failed just then; its backlog grew to the limit of 1.2 s, seven prompts timed out and were read once more at decode engines.

An endpoint that broke off or refused is faulty, one that did not answer is silent. Plain calls avoid both as before, since most of them may not be repeated. The backlogs of prompts become decision code of their own (backlog), with a played load.

Ruled out as the cause of the timeouts: the engine itself, which answered all prompts in time before and after.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -19,6 +19,7 @@
 
 use crate::directory::{Endpoint, Key, Stage};
 use crate::fleet::Engine;
+use crate::health::Doubt;
 use crate::http::Patience;
 use crate::ledger::{Grant, Room, Run};
 use crate::locate;
@@ -27,7 +28,7 @@
 use crate::peer;
 use crate::platform::{Dialect, Store};
 use crate::quota::Class;
-use crate::state::{Host, jitter, now};
+use crate::state::{Host, LAST, jitter, now};
 use crate::waiting::{LATE_FILL, Queue, Refusal, Ticket, Waiter};
 
 /// Generations of one service that may wait. The expected wait bounds the queue long before.
@@ -43,13 +44,13 @@
 const GRANT_LIFETIME: Duration = Duration::from_millis(1_500);
 /// Random cost in a choice, as a share of an engine.
 const JITTER: f64 = 0.03;
-/// Backlog of prompts, in milliseconds, beyond which the decode engine reads the prompt itself.
-const LONGEST_BACKLOG_MS: f64 = 1_200.0;
-/// Backlog that a prefill engine in the data centre of the decode engine may have beyond that of
-/// others, in milliseconds: a transfer between data centres is priced several times as high.
-const NEAR_MS: f64 = 120.0;
+/// Random cost of a prefill engine, in milliseconds of backlog.
+const JITTER_MS: f64 = 10.0;
 /// Gain of an engine that keeps the prompt, as a share of an engine; elsewhere it has to be copied.
 const KEPT: f64 = 0.2;
+/// Cost of a faulty decode engine, as a share of an engine: a lost answer is repeated elsewhere in a
+/// few milliseconds, which a wait for room is not worth.
+const FAULTY: f64 = 0.4;
 /// Largest answer in bytes.
 const ANSWER_BYTES: usize = 16 * 1_024;
 
@@ -75,7 +76,7 @@
     /// Endpoints that are not to be given.
     pub(crate) tried: Vec<String>,
     /// Endpoints that the asker has had trouble with a moment ago.
-    pub(crate) doubtful: Vec<String>,
+    pub(crate) doubtful: Vec<(String, Doubt)>,
     /// Whether an engine that reads the prompt is wanted as well.
     pub(crate) prefill: bool,
     /// Last part of a prompt that an engine may keep still.
@@ -222,10 +223,10 @@
     body: &[u8],
 ) -> Option<Bytes> {
     let ask: Ask = rmp_serde::from_slice(body).ok()?;
-    for id in &ask.doubtful {
+    for (id, doubt) in &ask.doubtful {
         let key = host.directory.borrow().key(id);
         if let Some(key) = key {
-            host.suspect(key);
+            host.suspect(key, *doubt);
         }
     }
     let verdict = decide(host, &ask).await;
@@ -409,7 +410,12 @@
     let engine = engine(host, service)?;
     peer::count_peers(host);
     let ledger = host.ledger.borrow();
-    let cost = |key, endpoint: &Endpoint| {
+    let cost = |key, endpoint: &Endpoint, doubt| {
+        let fault = match doubt {
+            None => 0.0,
+            Some(Doubt::Faulty) => FAULTY,
+            Some(Doubt::Silent) => LAST,
+        };
         let room = Room {
             slots: engine.slots.min(endpoint.slots),
             capacity: u64::from(engine.capacity),
@@ -418,7 +424,7 @@
         runs.push(run);
         let share = room.share(&mut runs).filter(|share| *share <= fill)?;
         let saved = if kept_at == Some(key) { KEPT } else { 0.0 };
-        Some(share + jitter(JITTER) - saved)
+        Some(share + fault + jitter(JITTER) - saved)
     };
     host.choose(service, Some(Stage::Decode), tried, cost)
         .map(|(key, _)| key)
@@ -427,24 +433,16 @@
 /// The engine that reads the prompt soonest, preferably in the data centre of the decode engine.
 fn prefill<D, S>(host: &Host<D, S>, ask: &Ask, decode: &Endpoint) -> Option<String> {
     let now = now();
-    let mut backlogs = host.backlogs.borrow_mut();
-    let backlog = |key: Key| {
-        backlogs
-            .get(&key)
-            .map_or(0.0, |until| until.since(now).as_secs_f64() * 1_000.0)
-    };
-    let cost = |key, endpoint: &Endpoint| {
-        let backlog = backlog(key);
-        let distance = if endpoint.data_centre == decode.data_centre {
-            0.0
-        } else {
-            NEAR_MS
+    let (key, endpoint) = {
+        let backlogs = host.backlogs.borrow();
+        let cost = |key, endpoint: &Endpoint, doubt| {
+            let is_near = endpoint.data_centre == decode.data_centre;
+            Some(backlogs.cost(now, key, is_near, doubt)? + jitter(JITTER_MS))
         };
-        (backlog <= LONGEST_BACKLOG_MS).then(|| backlog + distance + jitter(10.0))
+        host.choose(&ask.service, Some(Stage::Prefill), &[], cost)?
     };
-    let (key, endpoint) = host.choose(&ask.service, Some(Stage::Prefill), &[], cost)?;
-    let busy = backlog(key) + f64::from(ask.run.held) * PROMPT_TOKEN_MS;
-    backlogs.insert(key, now + Duration::from_secs_f64(busy / 1_000.0));
+    let time = Duration::from_secs_f64(f64::from(ask.run.held) * PROMPT_TOKEN_MS / 1_000.0);
+    host.backlogs.borrow_mut().add(now, key, time);
     Some(endpoint.id)
 }
 
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
-use berylknot_coordination::eject::Outcome;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 
 use crate::directory::{Endpoint, Key};
 use crate::fleet::Kind;
+use crate::health::Doubt;
 use crate::http::{Error, Patience};
 use crate::ledger::Run;
 use crate::metrics::Label;
@@ -17,7 +17,7 @@
 use crate::platform::{Dialect, Outbound, Store};
 use crate::refusal::Reason;
 use crate::request::{Call, Reply, answer_headers};
-use crate::state::{Host, NO_GRANT, Place, jitter, now};
+use crate::state::{Host, LAST, NO_GRANT, Place, jitter, now};
 
 /// Time until a connection stands. Links take a few milliseconds; a lost packet is sent again after
 /// a second, and another endpoint is tried before that.
@@ -200,10 +200,11 @@
     }
     peer::count_peers(host);
     let ledger = host.ledger.borrow();
-    let cost = |key, endpoint: &Endpoint| {
+    let cost = |key, endpoint: &Endpoint, doubt: Option<Doubt>| {
         let counted = f64::from(ledger.requests(key)) / f64::from(endpoint.slots.max(1));
         let share = counted.max(host.health.borrow().stated_load(now(), key));
-        Some(share + host.distance(endpoint) + jitter(JITTER))
+        let last = if doubt.is_some() { LAST } else { 0.0 };
+        Some(share + host.distance(endpoint) + last + jitter(JITTER))
     };
     let fresh = host.choose(&call.service, None, tried, cost);
     // A second send may go to the same endpoint when there is no other.
@@ -246,20 +247,20 @@
     };
     let _place = Place::take(host, key, Run::default(), NO_GRANT);
     let attempt = exchange::<D, S>(host, call, key, endpoint, request, patience, started).await;
-    let outcome = match &attempt {
-        Attempt::Answered { status, .. } if status.is_server_error() => None,
-        Attempt::Answered { .. } => Some(Outcome::Answered {
-            millis: now().since(started).as_secs_f64() * 1_000.0,
-        }),
-        Attempt::Refused => None,
-        Attempt::Lost(Error::Lost(_) | Error::Broken(_)) => {
-            host.strike(call, endpoint);
-            Some(Outcome::Failed)
+    match &attempt {
+        Attempt::Answered { status, .. } if status.is_server_error() => {}
+        Attempt::Answered { .. } => {
+            host.answered(key, now().since(started).as_secs_f64() * 1_000.0);
         }
-        Attempt::NotSent | Attempt::Lost(_) | Attempt::Foreign => Some(Outcome::Failed),
-    };
-    if let Some(outcome) = outcome {
-        host.outcome(key, outcome);
+        Attempt::Refused => {}
+        Attempt::Lost(error) => {
+            if matches!(error, Error::Lost(_) | Error::Broken(_)) {
+                host.strike(call, endpoint);
+            }
+            host.failed(key, Doubt::from(error));
+        }
+        Attempt::NotSent => host.failed(key, Doubt::Silent),
+        Attempt::Foreign => host.failed(key, Doubt::Faulty),
     }
     attempt
 }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
-use berylknot_coordination::eject::Outcome;
 use http::HeaderMap;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -15,6 +14,7 @@
 use crate::directory::{Endpoint, Key, State};
 use crate::events::Events;
 use crate::fleet::{Kind, Route};
+use crate::health::Doubt;
 use crate::http::{Error, Exchange, Patience};
 use crate::ledger::Run;
 use crate::metrics::Label;
@@ -204,7 +204,7 @@
                 // Either the engine is full, or the handle lapsed before its time.
                 if let Some(kept) = usable {
                     if !kept.offered {
-                        host.suspect(kept.key);
+                        host.suspect(kept.key, Doubt::Faulty);
                     }
                     parts_at = Some(kept.cache.address);
                 }
@@ -212,15 +212,15 @@
             }
             Decoded::NotSent => {
                 cache = usable;
-                host.outcome(place.key, Outcome::Failed);
+                host.failed(place.key, Doubt::Silent);
                 host.metrics.retry("not_sent");
             }
-            Decoded::Lost => {
+            Decoded::Lost(doubt) => {
                 sends += 1;
                 runs += 1;
                 // An engine that broke off at once has not taken the prompt yet.
                 cache = usable.map(Kept::offered);
-                host.outcome(place.key, Outcome::Failed);
+                host.failed(place.key, doubt);
                 host.metrics.retry("lost");
                 if !call.route().resumable || runs >= call.route().attempts {
                     return Err(Failed::Reason(Reason::EndpointLost, None));
@@ -480,7 +480,7 @@
         Ok(result) => result,
         Err(error) => {
             host.budgets.borrow_mut().charge(now(), &call.service);
-            host.outcome(key, Outcome::Failed);
+            host.failed(key, Doubt::from(&error));
             tracing::info!(id = call.head.id, endpoint = endpoint.id, %error, "prefill: failed");
             return None;
         }
@@ -490,7 +490,7 @@
     }
     if !status.is_success() || answer.id.is_some_and(|id| id != call.head.id) {
         host.budgets.borrow_mut().charge(now(), &call.service);
-        host.suspect(key);
+        host.suspect(key, Doubt::Faulty);
         tracing::info!(
             id = call.head.id,
             endpoint = endpoint.id,
@@ -506,7 +506,7 @@
             return None;
         }
     };
-    host.outcome(key, Outcome::Answered { millis: 1.0 });
+    host.answered(key, 1.0);
     let cache = Cache {
         address: endpoint.address,
         handle,
@@ -527,7 +527,7 @@
     Answered(Reply),
     Refused,
     NotSent,
-    Lost,
+    Lost(Doubt),
 }
 
 /// What is left of the work on a prompt.
@@ -589,12 +589,12 @@
                 host.strike(call, endpoint);
             }
             tracing::info!(id = call.head.id, endpoint = endpoint.id, %error, "decode: lost");
-            return Decoded::Lost;
+            return Decoded::Lost(Doubt::from(&error));
         }
     };
     let answer = D::answer(exchange.status, &exchange.headers);
     if answer.id.as_deref().is_some_and(|id| id != call.head.id) {
-        return Decoded::Lost;
+        return Decoded::Lost(Doubt::Faulty);
     }
     tracing::info!(
         id = call.head.id,
@@ -621,13 +621,13 @@
             .headers
             .contains_key(http::header::CONTENT_ENCODING)
     {
-        return Decoded::Lost;
+        return Decoded::Lost(Doubt::Faulty);
     }
     if exchange.status.is_success() {
         return if answer.signed {
             Decoded::Started(exchange)
         } else {
-            Decoded::Lost
+            Decoded::Lost(Doubt::Faulty)
         };
     }
     let status = exchange.status;
@@ -638,7 +638,7 @@
             headers,
             body,
         }),
-        Err(_) => Decoded::Lost,
+        Err(_) => Decoded::Lost(Doubt::Faulty),
     }
 }
 
@@ -709,7 +709,7 @@
                 Err(_) => "malformed events",
             },
             Ok(Ok(None)) if events.is_whole() => {
-                host.outcome(run.place.key, Outcome::Answered { millis: 1.0 });
+                host.answered(run.place.key, 1.0);
                 if let Some(tokens) = call.head.tokens {
                     let mut mix = host.mix.get();
                     mix.add(tokens.prompt, delivered * tokens_per_event);
@@ -742,7 +742,12 @@
         if call.deadline() <= now() {
             return Err(Cut("route timeout"));
         }
-        host.outcome(run.place.key, Outcome::Failed);
+        let doubt = if broken == NO_EVENT {
+            Doubt::Silent
+        } else {
+            Doubt::Faulty
+        };
+        host.failed(run.place.key, doubt);
         events.discard_tail();
         let made = delivered * tokens_per_event;
         let gap = Gap {
@@ -834,7 +839,7 @@
                 });
             }
             Decoded::Refused | Decoded::NotSent => {}
-            Decoded::Answered(_) | Decoded::Lost => return None,
+            Decoded::Answered(_) | Decoded::Lost(_) => return None,
         }
     }
     None
--- a/crates/entry/src/health.rs
+++ b/crates/entry/src/health.rs
@@ -5,8 +5,10 @@
 
 use berylknot_coordination::clock::Instant;
 use berylknot_coordination::eject::{Change, Detector, Outcome};
+use serde::{Deserialize, Serialize};
 
 use crate::directory::{Endpoint, Key, Stage};
+use crate::http::Error;
 
 /// Time for which an endpoint that failed a connection or lost an exchange is chosen last.
 const SUSPICION: Duration = Duration::from_millis(800);
@@ -16,6 +18,26 @@
 /// Time after which a stated load tells nothing any more; calls take tens of milliseconds.
 const STATED_LOAD_LIFETIME: Duration = Duration::from_millis(1_500);
 
+/// Why an endpoint is chosen later than others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub enum Doubt {
+    /// It refused or broke off a request: the next one is likely to be served, and fails at once
+    /// otherwise.
+    Faulty,
+    /// It did not answer, another endpoint answered at its address, or most requests failed there.
+    Silent,
+}
+
+impl From<&Error> for Doubt {
+    fn from(error: &Error) -> Self {
+        match error {
+            Error::Lost(_) | Error::Broken(_) | Error::TooLarge => Self::Faulty,
+            Error::NotSent(_) | Error::TimedOut => Self::Silent,
+        }
+    }
+}
+
 /// Endpoints whose failures and latencies are comparable.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Group {
@@ -40,7 +62,7 @@
 #[derive(Debug, Default)]
 pub struct Health {
     detectors: HashMap<Group, Detector<Key>>,
-    suspects: HashMap<Key, Instant>,
+    suspects: HashMap<Key, (Instant, Doubt)>,
     stated: HashMap<Key, (Instant, f64)>,
 }
 
@@ -85,49 +107,68 @@
         share * (1.0 - age).max(0.0)
     }
 
-    /// Has an endpoint chosen last for a while.
-    pub fn suspect(&mut self, now: Instant, key: Key) {
-        self.suspect_until(key, now + SUSPICION);
+    /// Has an endpoint chosen later than others for a while.
+    pub fn suspect(&mut self, now: Instant, key: Key, doubt: Doubt) {
+        self.suspect_until(now, key, now + SUSPICION, doubt);
     }
 
     /// Has an endpoint chosen last until its entry changes, but no longer than a stale entry stays.
     pub fn misdirected(&mut self, now: Instant, key: Key) {
-        self.suspect_until(key, now + MISDIRECTION);
+        self.suspect_until(now, key, now + MISDIRECTION, Doubt::Silent);
     }
 
-    fn suspect_until(&mut self, key: Key, until: Instant) {
-        let known = self.suspects.entry(key).or_insert(until);
-        *known = until.max(*known);
+    fn suspect_until(&mut self, now: Instant, key: Key, until: Instant, doubt: Doubt) {
+        let known = self.suspects.entry(key).or_insert((until, doubt));
+        if known.0 <= now || doubt > known.1 {
+            *known = (until, doubt);
+        } else if doubt == known.1 {
+            known.0 = until.max(known.0);
+        }
     }
 
     /// Endpoints that are suspected now.
-    pub fn suspected(&self, now: Instant) -> impl Iterator<Item = Key> {
-        let current = self.suspects.iter().filter(move |(_, until)| **until > now);
-        current.map(|(key, _)| *key)
+    pub fn suspected(&self, now: Instant) -> impl Iterator<Item = (Key, Doubt)> {
+        let suspects = self.suspects.iter();
+        suspects
+            .filter(move |(_, (until, _))| *until > now)
+            .map(|(key, (_, doubt))| (*key, *doubt))
     }
 
-    /// Counts the outcome of a request; tells whether the endpoint was ejected or returned by it.
-    pub fn outcome(
+    /// Counts a request that was answered in that many milliseconds; tells whether the endpoint
+    /// returned by it.
+    pub fn answered(
         &mut self,
         now: Instant,
         key: Key,
         group: &Group,
-        outcome: Outcome,
+        millis: f64,
     ) -> Option<Change> {
-        if outcome == Outcome::Failed {
-            self.suspect(now, key);
-        }
-        self.detectors.get_mut(group)?.outcome(now, key, outcome)
+        let detector = self.detectors.get_mut(group)?;
+        detector.outcome(now, key, Outcome::Answered { millis })
     }
 
-    /// Whether an endpoint should be chosen only when no other is left.
+    /// Counts a request that failed; tells whether the endpoint was ejected by it.
+    pub fn failed(
+        &mut self,
+        now: Instant,
+        key: Key,
+        group: &Group,
+        doubt: Doubt,
+    ) -> Option<Change> {
+        self.suspect(now, key, doubt);
+        let detector = self.detectors.get_mut(group)?;
+        detector.outcome(now, key, Outcome::Failed)
+    }
+
+    /// Why an endpoint should be chosen later than others.
     #[must_use]
-    pub fn is_doubtful(&self, now: Instant, key: Key, group: &Group) -> bool {
-        self.suspects.get(&key).is_some_and(|until| *until > now)
-            || self
-                .detectors
-                .get(group)
-                .is_some_and(|detector| detector.is_ejected(key))
+    pub fn doubt(&self, now: Instant, key: Key, group: &Group) -> Option<Doubt> {
+        let detector = self.detectors.get(group);
+        if detector.is_some_and(|detector| detector.is_ejected(key)) {
+            return Some(Doubt::Silent);
+        }
+        let (until, doubt) = self.suspects.get(&key)?;
+        (*until > now).then_some(*doubt)
     }
 
     /// An ejected endpoint whose turn for a probe has come.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! time and an event and has no I/O. The platform it runs on is a type parameter ([`platform`]).
 
 pub mod args;
+pub mod backlog;
 pub mod budget;
 pub mod contact;
 pub mod directory;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -268,7 +268,7 @@
     }
     host.pool.sweep();
     host.ledger.borrow_mut().expire(now);
-    host.backlogs.borrow_mut().retain(|_, until| *until > now);
+    host.backlogs.borrow_mut().expire(now);
     host.distrusted.borrow_mut().retain(|_, until| *until > now);
     let lapsed = host.directory.borrow_mut().expire(now);
     for change in lapsed {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -8,16 +8,17 @@
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
-use berylknot_coordination::eject::{Change, Outcome};
+use berylknot_coordination::eject::Change;
 use rand::Rng;
 use tokio::sync::{Mutex, Notify};
 
 use crate::admission::Line;
+use crate::backlog::Backlogs;
 use crate::budget::Budgets;
 use crate::directory::{self, Directory, Endpoint, Key, Stage};
 use crate::fleet::Fleet;
 use crate::gossip::View;
-use crate::health::{Group, Health};
+use crate::health::{Doubt, Group, Health};
 use crate::http::Pool;
 use crate::ledger::{Grant, Ledger, Run, Ticket};
 use crate::metrics::Metrics;
@@ -80,8 +81,8 @@
     pub(crate) hosts_known: Cell<bool>,
     pub(crate) shutdown: Cell<Shutdown>,
     pub(crate) open: Cell<usize>,
-    /// Time until which each prefill engine has prompts to read, as far as this host gave them.
-    pub(crate) backlogs: RefCell<HashMap<Key, Instant>>,
+    /// Prompts at each prefill engine.
+    pub(crate) backlogs: RefCell<Backlogs>,
     /// Parts that the engines of each service keep; locked while the engines are asked.
     pub(crate) parts: RefCell<HashMap<String, Rc<Mutex<Parts>>>>,
     /// Hosts that did not answer a question for a place, and until when they are not asked.
@@ -272,18 +273,18 @@
         }
     }
 
-    /// Has an endpoint chosen last for a while.
-    pub(crate) fn suspect(&self, key: Key) {
-        self.health.borrow_mut().suspect(now(), key);
+    /// Has an endpoint chosen later than others for a while.
+    pub(crate) fn suspect(&self, key: Key, doubt: Doubt) {
+        self.health.borrow_mut().suspect(now(), key, doubt);
     }
 
-    /// Ids of the endpoints that this host chooses last, for the host that gives the places.
-    pub(crate) fn suspected(&self) -> Vec<String> {
+    /// Ids of the endpoints that this host suspects, for the host that gives the places.
+    pub(crate) fn suspected(&self) -> Vec<(String, Doubt)> {
         let directory = self.directory.borrow();
         let health = self.health.borrow();
         let suspected = health.suspected(now());
         suspected
-            .filter_map(|key| Some(directory.get(key)?.id.clone()))
+            .filter_map(|(key, doubt)| Some((directory.get(key)?.id.clone(), doubt)))
             .collect()
     }
 
@@ -304,15 +305,24 @@
             .strike(now(), call.fingerprint, &endpoint.id, true);
     }
 
-    /// Counts the outcome of a request at an endpoint.
-    pub(crate) fn outcome(&self, key: Key, outcome: Outcome) {
-        let now = now();
+    /// Counts a request that an endpoint answered in that many milliseconds.
+    pub(crate) fn answered(&self, key: Key, millis: f64) {
+        self.judge(key, |health, group| {
+            health.answered(now(), key, group, millis)
+        });
+    }
+
+    /// Counts a request that failed at an endpoint.
+    pub(crate) fn failed(&self, key: Key, doubt: Doubt) {
+        self.judge(key, |health, group| health.failed(now(), key, group, doubt));
+    }
+
+    fn judge(&self, key: Key, judge: impl FnOnce(&mut Health, &Group) -> Option<Change>) {
         let directory = self.directory.borrow();
         let Some(endpoint) = directory.get(key) else {
             return;
         };
-        let group = Group::of(endpoint);
-        let change = self.health.borrow_mut().outcome(now, key, &group, outcome);
+        let change = judge(&mut self.health.borrow_mut(), &Group::of(endpoint));
         if let Some(change) = change {
             let ejected = change == Change::Ejected;
             tracing::info!(endpoint = endpoint.id, ejected, "eject: endpoint changed");
@@ -325,7 +335,7 @@
         service: &str,
         stage: Option<Stage>,
         tried: &[Key],
-        cost: impl Fn(Key, &Endpoint) -> Option<f64>,
+        cost: impl Fn(Key, &Endpoint, Option<Doubt>) -> Option<f64>,
     ) -> Option<(Key, Endpoint)> {
         let now = now();
         let directory = self.directory.borrow();
@@ -335,12 +345,10 @@
             if tried.contains(&key) || stage.is_some() && endpoint.stage != stage {
                 continue;
             }
-            let Some(mut cost) = cost(key, endpoint) else {
+            let doubt = health.doubt(now, key, &Group::of(endpoint));
+            let Some(cost) = cost(key, endpoint, doubt) else {
                 continue;
             };
-            if health.is_doubtful(now, key, &Group::of(endpoint)) {
-                cost += DOUBT;
-            }
             if best.is_none_or(|(lowest, _, _)| cost < lowest) {
                 best = Some((cost, key, endpoint));
             }
@@ -367,8 +375,8 @@
     }
 }
 
-/// Cost that puts an endpoint behind all sound ones.
-const DOUBT: f64 = 1_000.0;
+/// Cost that puts an endpoint behind all others; it exceeds every load.
+pub(crate) const LAST: f64 = 1_000.0;
 
 /// A small random cost, so that hosts with the same knowledge do not all choose the same endpoint.
 pub(crate) fn jitter(largest: f64) -> f64 {
--- /dev/null
+++ b/crates/entry/tests/backlog.rs
@@ -0,0 +1,102 @@
+//! Guards against prompts that wait at one engine while others are idle.
+
+use std::time::Duration;
+
+use berylknot_coordination::clock::Instant;
+use berylknot_entry::backlog::Backlogs;
+use berylknot_entry::directory::{Key, Stage};
+use berylknot_entry::health::{Doubt, Group, Health};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use slotmap::SlotMap;
+
+/// Time to read a prompt of 5,000 tokens at a prefill engine; a decode engine takes twice as long.
+const READ_MS: u64 = 90;
+/// Latest time at which a prompt is of use for the latency objective (0.9 s less queue and decode).
+const IN_TIME_MS: u64 = 500;
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+fn keys(count: usize) -> Vec<Key> {
+    let mut keys: SlotMap<Key, ()> = SlotMap::with_key();
+    (0..count).map(|_| keys.insert(())).collect()
+}
+
+#[test]
+fn a_silent_engine_gets_no_prompt() {
+    let key = keys(1)[0];
+    let backlogs = Backlogs::default();
+    assert_eq!(backlogs.cost(at(0), key, true, Some(Doubt::Silent)), None);
+    assert_eq!(backlogs.cost(at(0), key, true, None), Some(0.0));
+}
+
+#[test]
+fn a_backlog_shrinks_with_time_and_excludes_an_engine_while_it_is_long() {
+    let key = keys(1)[0];
+    let mut backlogs = Backlogs::default();
+    backlogs.add(at(0), key, Duration::from_millis(1_000));
+    backlogs.add(at(0), key, Duration::from_millis(500));
+    assert_eq!(backlogs.cost(at(0), key, true, None), None);
+    assert_eq!(backlogs.cost(at(400), key, true, None), Some(1_100.0));
+    backlogs.expire(at(1_500));
+    assert_eq!(backlogs.cost(at(1_500), key, true, None), Some(0.0));
+}
+
+#[test]
+fn the_own_data_centre_is_preferred_up_to_a_small_backlog() {
+    let key = keys(1)[0];
+    let backlogs = Backlogs::default();
+    let near = backlogs.cost(at(0), key, true, None);
+    let far = backlogs.cost(at(0), key, false, None);
+    assert!(near < far && far < Some(READ_MS as f64 * 2.0));
+}
+
+/// Plays four seconds in which three of four engines lose two answers in five, with 22 prompts of
+/// 5,000 tokens a second; returns the share of prompts that are read in time.
+fn play(seed: u64) -> f64 {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let engines = keys(4);
+    let group = Group {
+        service: "engines".to_owned(),
+        stage: Some(Stage::Prefill),
+    };
+    let mut health = Health::default();
+    for engine in &engines {
+        health.add(*engine, group.clone());
+    }
+    let mut backlogs = Backlogs::default();
+    let mut busy_until = [0; 4];
+    let (mut asked, mut in_time) = (0, 0);
+    for now in (0..4_000).step_by(45) {
+        asked += 1;
+        let costs = engines.iter().enumerate().filter_map(|(index, key)| {
+            let doubt = health.doubt(at(now), *key, &group);
+            Some((backlogs.cost(at(now), *key, true, doubt)?, index))
+        });
+        let Some((_, index)) = costs.min_by(|one, other| one.0.total_cmp(&other.0)) else {
+            in_time += 1;
+            continue;
+        };
+        backlogs.add(at(now), engines[index], Duration::from_millis(READ_MS));
+        if index > 0 && random.random::<f64>() < 0.4 {
+            // The answer is lost at once, and the decode engine reads the prompt.
+            health.failed(at(now), engines[index], &group, Doubt::Faulty);
+            in_time += 1;
+            continue;
+        }
+        health.answered(at(now), engines[index], &group, 1.0);
+        busy_until[index] = now.max(busy_until[index]) + READ_MS;
+        in_time += u32::from(busy_until[index] - now <= IN_TIME_MS);
+    }
+    f64::from(in_time) / f64::from(asked)
+}
+
+#[test]
+fn prompts_are_read_in_time_while_most_engines_lose_answers() {
+    for seed in 0..10 {
+        let share = play(seed);
+        assert!(share > 0.95, "seed {seed}: {share}");
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/health.rs
@@ -0,0 +1,103 @@
+//! Guards against endpoints that are chosen although they fail, and against sound ones that get all
+//! requests because others failed once.
+
+use berylknot_coordination::clock::Instant;
+use berylknot_coordination::eject::Change;
+use berylknot_entry::directory::{Key, Stage};
+use berylknot_entry::health::{Doubt, Group, Health};
+use slotmap::SlotMap;
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+fn group() -> Group {
+    Group {
+        service: "engines".to_owned(),
+        stage: Some(Stage::Prefill),
+    }
+}
+
+fn endpoints(health: &mut Health, count: usize) -> Vec<Key> {
+    let mut keys: SlotMap<Key, ()> = SlotMap::with_key();
+    let keys: Vec<Key> = (0..count).map(|_| keys.insert(())).collect();
+    for key in &keys {
+        health.add(*key, group());
+    }
+    keys
+}
+
+#[test]
+fn a_doubt_ends_by_itself() {
+    let mut health = Health::default();
+    let keys = endpoints(&mut health, 4);
+    health.failed(at(0), keys[0], &group(), Doubt::Faulty);
+    assert_eq!(
+        health.doubt(at(700), keys[0], &group()),
+        Some(Doubt::Faulty)
+    );
+    assert_eq!(health.doubt(at(800), keys[0], &group()), None);
+    assert_eq!(health.doubt(at(0), keys[1], &group()), None);
+}
+
+#[test]
+fn a_fault_does_not_hide_silence() {
+    let mut health = Health::default();
+    let keys = endpoints(&mut health, 4);
+    health.misdirected(at(0), keys[0]);
+    health.suspect(at(100), keys[0], Doubt::Faulty);
+    assert_eq!(
+        health.doubt(at(3_500), keys[0], &group()),
+        Some(Doubt::Silent)
+    );
+    health.suspect(at(5_000), keys[0], Doubt::Faulty);
+    assert_eq!(
+        health.doubt(at(5_000), keys[0], &group()),
+        Some(Doubt::Faulty)
+    );
+}
+
+#[test]
+fn an_ejected_endpoint_counts_as_silent_until_it_answers_a_probe() {
+    let mut health = Health::default();
+    let keys = endpoints(&mut health, 4);
+    let mut now = 0;
+    while health.failed(at(now), keys[0], &group(), Doubt::Faulty) != Some(Change::Ejected) {
+        now += 10;
+        assert!(now < 1_000, "not ejected after {} failures", now / 10);
+    }
+    now += 5_000;
+    assert_eq!(
+        health.doubt(at(now), keys[0], &group()),
+        Some(Doubt::Silent)
+    );
+    for _ in 0..100 {
+        now += 1_000;
+        if health.probe(at(now), &group()) != Some(keys[0]) {
+            continue;
+        }
+        if health.answered(at(now), keys[0], &group(), 1.0) == Some(Change::Returned) {
+            assert_eq!(health.doubt(at(now), keys[0], &group()), None);
+            return;
+        }
+    }
+    panic!("it did not come back");
+}
+
+#[test]
+fn a_restart_clears_what_was_suspected_before() {
+    let mut health = Health::default();
+    let keys = endpoints(&mut health, 2);
+    health.misdirected(at(0), keys[0]);
+    health.restarted(keys[0]);
+    assert_eq!(health.doubt(at(1), keys[0], &group()), None);
+}
+
+#[test]
+fn a_stated_load_fades() {
+    let mut health = Health::default();
+    let keys = endpoints(&mut health, 1);
+    health.note_load(at(0), keys[0], (6, 3, 6));
+    let loads = [0, 750, 1_500].map(|now| health.stated_load(at(now), keys[0]));
+    assert!((loads[0] - 1.5).abs() < 1e-9 && (loads[1] - 0.75).abs() < 1e-9 && loads[2] == 0.0);
+}
