Spread the reports of hosts over their period

Each host now reports at a random phase of the period, counted from a fixed origin. Sixteen reports missing in a row (0.27 s with 65 hosts) show a host that is cut off from all; the count over 0.6 of the period shows parts.

The new test fails with reports that are sent together.

--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -24,9 +24,15 @@
 pub(crate) const REPORT_PERIOD: Duration = Duration::from_millis(120);
 /// Reports that a host sends per second at most; with more peers the pause grows.
 const REPORTS_PER_S: f64 = 60.0;
-/// Time in which the reports of all peers together are counted. A fleet of sixty hosts sends thirty of
-/// them meanwhile, while a single peer counts as silent after 3.5 s only.
+/// Shortest time in which the reports of all peers together are counted; a single peer counts as
+/// silent after 1.2 s.
 const COUNTED: Duration = Duration::from_millis(500);
+/// The same as a part of the pause between reports. Sixty hosts send forty reports in it, and with
+/// random phases never less than half of that.
+const COUNTED_SHARE: f64 = 0.6;
+/// Reports of all peers that must be missing in a row until a host takes itself to be cut off from all
+/// of them; 0.27 s with sixty hosts.
+const MISSING_IN_A_ROW: f64 = 16.0;
 /// Share of the expected reports below which the missing ones count as peers that are not heard;
 /// lossy links drop a few in a hundred.
 const FEWEST_REPORTS: f64 = 0.5;
@@ -74,6 +80,16 @@
     REPORT_PERIOD.max(Duration::from_secs_f64(peers as f64 / REPORTS_PER_S))
 }
 
+/// Time of the next report to all peers. `phase` is a random number in 0..1 that a host keeps: hosts
+/// that started together would otherwise all report at once and seem to be silent in between.
+#[must_use]
+pub fn next_report(now: Instant, peers: usize, phase: f64) -> Instant {
+    let period = period(peers).as_millis() as u64;
+    let offset = (phase * period as f64) as u64 % period;
+    let rounds = (now.as_millis() + period - offset) / period;
+    Instant::from_millis(rounds * period + offset)
+}
+
 /// A malformed report or one of another version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -243,9 +259,15 @@
     #[must_use]
     pub fn unheard(&self, now: Instant) -> f64 {
         let (silent, known) = self.silent(now);
-        let heard = self.peers.values().filter_map(|peer| peer.heard);
-        let recent = heard.filter(|heard| now.since(*heard) < COUNTED).count();
-        let expected = known as f64 * (COUNTED.div_duration_f64(period(known))).min(1.0);
+        let counted = COUNTED.max(period(known).mul_f64(COUNTED_SHARE));
+        let heard = || self.peers.values().filter_map(|peer| peer.heard);
+        let quiet = now.since(heard().max().unwrap_or(now));
+        let most = period(known).mul_f64(MISSING_IN_A_ROW / known.max(1) as f64);
+        if quiet > most {
+            return known as f64 / (known as f64 + 1.0);
+        }
+        let recent = heard().filter(|heard| now.since(*heard) < counted).count();
+        let expected = known as f64 * counted.div_duration_f64(period(known)).min(1.0);
         let share = recent as f64 / expected.max(1.0);
         let missing = if known > 0 && share < FEWEST_REPORTS {
             known as f64 * (1.0 - share)
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use rand::Rng;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
 use crate::contact::is_overdue;
-use crate::gossip::{REPORT_PERIOD, Report, period};
+use crate::gossip::{REPORT_PERIOD, Report, next_report, period};
 use crate::http::Patience;
 use crate::ledger::{Grant, Run};
 use crate::platform::{Dialect, Store};
@@ -137,6 +138,7 @@
 /// Sends reports: to all peers in turn, and to the leader as soon as a place was taken or freed.
 pub(crate) async fn report<D: Dialect, S: Store>(host: Rc<Host<D, S>>, socket: Rc<UdpSocket>) {
     let mut sequence = 0;
+    let phase = rand::rng().random_range(0.0..1.0);
     let mut due = now();
     loop {
         sequence += 1;
@@ -152,7 +154,7 @@
         };
         if full {
             let peers: Vec<SocketAddr> = host.view.borrow().addresses().collect();
-            due = now() + period(peers.len());
+            due = next_report(now(), peers.len(), phase);
             for peer in peers {
                 send(&socket, &bytes, peer);
             }
--- a/crates/entry/tests/partition.rs
+++ b/crates/entry/tests/partition.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use berylknot_coordination::clock::Instant;
-use berylknot_entry::gossip::{Report, View, period};
+use berylknot_entry::gossip::{Report, View, next_report};
 use berylknot_entry::quota::{Class, Quotas};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -87,15 +87,17 @@
 fn play(seed: u64, times: f64) -> Vec<(u64, usize)> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut hosts: Vec<Host> = (0..HOSTS).map(|_| Host::new()).collect();
-    let period = period(HOSTS - 1).as_millis() as u64;
-    let phases: Vec<u64> = (0..HOSTS).map(|_| random.random_range(0..period)).collect();
+    let phases: Vec<f64> = (0..HOSTS).map(|_| random.random_range(0.0..1.0)).collect();
+    // All start together.
+    let mut due = [0; HOSTS];
     let mut admitted = Vec::new();
     let mut owed = 0.0;
     for now in 0..END_MS {
         for from in 0..HOSTS {
-            if now % period != phases[from] {
+            if now < due[from] {
                 continue;
             }
+            due[from] = next_report(at(now), HOSTS - 1, phases[from]).as_millis();
             let report = hosts[from].report();
             for (to, host) in hosts.iter_mut().enumerate() {
                 if to != from && !is_cut(from, now) && !is_cut(to, now) {
@@ -142,6 +144,28 @@
     }
 }
 
+#[test]
+fn hosts_that_started_together_hear_one_another_all_the_time() {
+    for seed in 0..5 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let phases: Vec<f64> = (0..HOSTS).map(|_| random.random_range(0.0..1.0)).collect();
+        let mut due = [0; HOSTS];
+        let (mut view, mut sequence) = (View::default(), 0);
+        for now in 0..20_000 {
+            for from in 1..HOSTS {
+                if now < due[from] {
+                    continue;
+                }
+                due[from] = next_report(at(now), HOSTS - 1, phases[from]).as_millis();
+                sequence += 1;
+                view.hear(at(now), address(from), Report::new(1, sequence));
+            }
+            let unheard = view.unheard(at(now));
+            assert!(unheard == 0.0, "seed {seed}, at {now} ms: {unheard}");
+        }
+    }
+}
+
 #[test]
 fn a_customer_at_a_third_of_its_limit_is_served_by_hosts_that_were_just_cut_off() {
     let (mut asked, mut served) = (0, 0);
