Keep the next leaders informed, and notice a divided fleet from the reports that are due

The network was divided into 20 hosts with the leader and 45 others. The 45 had heard the leader's totals up to 1.1 s before, in which it had given out 283,000 tokens, and noticed the division after 3.5 s only, since two thirds of the reports still came.

The leader reports to the three hosts next in line every 120 ms. A part is noticed from the share of missing ones among the reports that were due a moment ago (0.4 s), and a peer is overdue for the limits after one period and 0.15 s.

Admission lines name the customer.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -233,6 +233,7 @@
     tracing::info!(
         id = ask.id,
         host = ask.host,
+        customer = ask.customer,
         ?verdict,
         "admission: decided for a peer"
     );
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -301,6 +301,7 @@
     tracing::info!(
         id = call.head.id,
         ?verdict,
+        customer = call.customer_name(),
         tokens = call.tokens,
         waited_ms = now().since(asked).as_millis() as u64,
         configuration = call.fleet.version,
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -24,18 +24,22 @@
 pub(crate) const REPORT_PERIOD: Duration = Duration::from_millis(120);
 /// Reports that a host sends per second at most; with more peers the pause grows.
 const REPORTS_PER_S: f64 = 60.0;
-/// Shortest time in which the reports of all peers together are counted; a single peer counts as
-/// silent after 1.2 s.
-const COUNTED: Duration = Duration::from_millis(500);
-/// The same as a part of the pause between reports. Sixty hosts send forty reports in it, and with
-/// random phases never less than half of that.
-const COUNTED_SHARE: f64 = 0.6;
+/// Time without a report after which a peer's part of the customers' limits counts as used by it, with
+/// few peers.
+const OVERDUE_AFTER: Duration = Duration::from_millis(500);
+/// Time by which a report may be late with many peers.
+const LATE: Duration = Duration::from_millis(150);
+/// Part of the pause between reports over which reports that came and reports that did not are
+/// compared, and its smallest length.
+const COMPARED_SHARE: f64 = 0.4;
+const COMPARED: Duration = Duration::from_millis(300);
+/// Reports and share of reports that must be missing in that time to show that a part of the hosts is
+/// cut off; lossy links drop a few in a hundred.
+const FEWEST_MISSING: u32 = 3;
+const MISSING_SHARE: f64 = 0.15;
 /// Reports of all peers that must be missing in a row until a host takes itself to be cut off from all
 /// of them; 0.27 s with sixty hosts.
 const MISSING_IN_A_ROW: f64 = 16.0;
-/// Share of the expected reports below which the missing ones count as peers that are not heard;
-/// lossy links drop a few in a hundred.
-const FEWEST_REPORTS: f64 = 0.5;
 /// Time without a report after which a peer is forgotten. It exceeds the longest partition that the
 /// deployments rehearse (12 s), in which the peer goes on admitting requests.
 pub const FORGOTTEN_AFTER: Duration = Duration::from_secs(20);
@@ -90,6 +94,10 @@
     Instant::from_millis(rounds * period + offset)
 }
 
+/// Hosts next in line that the host which gives the places keeps informed as often as with few peers:
+/// the one that takes over must know what was given out a moment before.
+pub const DEPUTIES: usize = 3;
+
 /// A malformed report or one of another version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -230,6 +238,19 @@
         self.peers.keys().copied()
     }
 
+    /// Addresses of the deputies of a host that gives the places.
+    #[must_use]
+    pub fn deputies(&self, now: Instant, own: SocketAddr) -> Vec<SocketAddr> {
+        let heard = self.heard(now);
+        let mut next: Vec<SocketAddr> = heard
+            .filter(|(address, report)| *address > own && !report.leaving)
+            .map(|(address, _)| address)
+            .collect();
+        next.sort_unstable();
+        next.truncate(DEPUTIES);
+        next
+    }
+
     fn silent_after(&self) -> Duration {
         SILENT_AFTER.max(SILENT_PER_PEER * self.peers.len() as u32)
     }
@@ -254,27 +275,42 @@
         (silent, all)
     }
 
-    /// Share of the hosts, this one included, that are not heard. A host that is cut off finds that out
-    /// from the reports of all peers together, long before each of them counts as silent.
+    /// Time without a report after which a peer's use of the limits is not known.
+    fn overdue_after(&self) -> Duration {
+        OVERDUE_AFTER.max(period(self.peers.len()) + LATE)
+    }
+
+    /// Share of the hosts, this one included, that are not heard.
+    ///
+    /// With many peers it takes a second until all that are cut off are overdue. Before that the
+    /// share of missing ones among the reports that were due a moment ago stands for all, and a
+    /// host that hears nobody takes itself to be alone.
     #[must_use]
     pub fn unheard(&self, now: Instant) -> f64 {
-        let (silent, known) = self.silent(now);
-        let counted = COUNTED.max(period(known).mul_f64(COUNTED_SHARE));
-        let heard = || self.peers.values().filter_map(|peer| peer.heard);
-        let quiet = now.since(heard().max().unwrap_or(now));
-        let most = period(known).mul_f64(MISSING_IN_A_ROW / known.max(1) as f64);
+        let overdue_after = self.overdue_after();
+        let ages = self.peers.values().filter_map(|peer| peer.heard);
+        let compared = COMPARED.max(period(self.peers.len()).mul_f64(COMPARED_SHARE));
+        let (mut known, mut overdue, mut quiet) = (0_u32, 0_u32, Duration::MAX);
+        let (mut came, mut missing) = (0_u32, 0_u32);
+        for age in ages.map(|heard| now.since(heard)) {
+            known += 1;
+            overdue += u32::from(age >= overdue_after);
+            missing += u32::from(age >= overdue_after && age < overdue_after + compared);
+            came += u32::from(age < compared);
+            quiet = quiet.min(age);
+        }
+        if known == 0 {
+            return 0.0;
+        }
+        let hosts = f64::from(known + 1);
+        let most = period(known as usize).mul_f64(MISSING_IN_A_ROW / f64::from(known));
         if quiet > most {
-            return known as f64 / (known as f64 + 1.0);
+            return f64::from(known) / hosts;
         }
-        let recent = heard().filter(|heard| now.since(*heard) < counted).count();
-        let expected = known as f64 * counted.div_duration_f64(period(known)).min(1.0);
-        let share = recent as f64 / expected.max(1.0);
-        let missing = if known > 0 && share < FEWEST_REPORTS {
-            known as f64 * (1.0 - share)
-        } else {
-            0.0
-        };
-        missing.max(silent as f64) / (known as f64 + 1.0)
+        let sample = f64::from(missing) / f64::from(came + missing).max(1.0);
+        let shows = missing >= FEWEST_MISSING && sample >= MISSING_SHARE;
+        let sample = if shows { sample } else { 0.0 };
+        sample.max(f64::from(overdue) / hosts)
     }
 
     /// Requests that peers reported recently, by endpoint id.
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -135,14 +135,19 @@
     }
 }
 
-/// Sends reports: to all peers in turn, and to the leader as soon as a place was taken or freed.
+/// Sends reports: to all peers in each period, to the leader as soon as a place was taken or freed,
+/// and as the leader to its deputies.
 pub(crate) async fn report<D: Dialect, S: Store>(host: Rc<Host<D, S>>, socket: Rc<UdpSocket>) {
     let mut sequence = 0;
     let phase = rand::rng().random_range(0.0..1.0);
     let mut due = now();
+    let mut deputies_due = due;
     loop {
         sequence += 1;
-        let full = now() >= due;
+        let leader = admission::leader(&host);
+        let to_all = now() >= due;
+        let to_deputies = leader.is_none() && now() >= deputies_due;
+        let full = to_all || to_deputies;
         let bytes = rmp_serde::to_vec(&current(&host, sequence, full));
         let bytes = match bytes {
             Ok(bytes) => bytes,
@@ -152,18 +157,30 @@
                 continue;
             }
         };
-        if full {
+        let receivers = if to_all {
             let peers: Vec<SocketAddr> = host.view.borrow().addresses().collect();
             due = next_report(now(), peers.len(), phase);
-            for peer in peers {
-                send(&socket, &bytes, peer);
-            }
-        } else if let Some(leader) = admission::leader(&host) {
-            send(&socket, &bytes, leader);
+            peers
+        } else if to_deputies {
+            let own = SocketAddr::new(host.options.address, host.options.listen.peer_port);
+            host.view.borrow().deputies(now(), own)
+        } else {
+            leader.into_iter().collect()
+        };
+        if full {
+            deputies_due = now() + REPORT_PERIOD;
+        }
+        for receiver in receivers {
+            send(&socket, &bytes, receiver);
         }
         tokio::time::sleep(SHORTEST_PAUSE).await;
+        let pause = if leader.is_none() {
+            due.min(deputies_due)
+        } else {
+            due
+        };
         // A place that changes meanwhile leaves a permit behind.
-        drop(tokio::time::timeout(due.since(now()), host.changed.notified()).await);
+        drop(tokio::time::timeout(pause.since(now()), host.changed.notified()).await);
     }
 }
 
--- a/crates/entry/tests/partition.rs
+++ b/crates/entry/tests/partition.rs
@@ -1,10 +1,10 @@
-//! Guards against customers beyond their limit while many of sixty hosts are cut off, each from all
-//! others: each decides alone, and hears of no admission elsewhere.
+//! Guards against customers beyond their limit while sixty hosts are divided: each part decides by
+//! itself, and hears of no admission elsewhere.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use berylknot_coordination::clock::Instant;
-use berylknot_entry::gossip::{Report, View, next_report};
+use berylknot_entry::gossip::{DEPUTIES, Report, View, next_report};
 use berylknot_entry::quota::{Class, Quotas};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -17,6 +17,8 @@
 const CUT_UNTIL_MS: u64 = 16_000;
 const END_MS: u64 = 26_000;
 const WINDOW_MS: u64 = 8_000;
+/// Pause between the reports of the deciding host to its deputies.
+const DEPUTIES_MS: u64 = 120;
 const RATE: u64 = 123_000;
 const BURST: u64 = 123_000;
 /// Bound of the users beside the limit itself.
@@ -78,13 +80,31 @@
     }
 }
 
-const fn is_cut(host: usize, now: u64) -> bool {
-    // The hosts that come last, so that the one that decides for all is not among them.
-    host >= HOSTS - LONE && now >= CUT_FROM_MS && now < CUT_UNTIL_MS
+/// How the hosts are divided while the network is.
+#[derive(Clone, Copy, Debug)]
+enum Division {
+    /// The last hosts are cut off, each from all others.
+    Lone,
+    /// The last hosts are cut off together, and with them the one that decides for all.
+    Group,
+}
+
+impl Division {
+    /// The part of a host, by its first host, which decides for it.
+    const fn decider(self, host: usize, now: u64) -> usize {
+        if now < CUT_FROM_MS || now >= CUT_UNTIL_MS {
+            return 0;
+        }
+        match self {
+            Self::Lone if host >= HOSTS - LONE => host,
+            Self::Group if host > 0 && host < HOSTS - LONE => 1,
+            Self::Lone | Self::Group => 0,
+        }
+    }
 }
 
 /// Plays a customer that asks for `times` its rate; returns its admissions with the hosts that asked.
-fn play(seed: u64, times: f64) -> Vec<(u64, usize)> {
+fn play(seed: u64, times: f64, division: Division) -> Vec<(u64, usize)> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut hosts: Vec<Host> = (0..HOSTS).map(|_| Host::new()).collect();
     let phases: Vec<f64> = (0..HOSTS).map(|_| random.random_range(0.0..1.0)).collect();
@@ -94,13 +114,16 @@
     let mut owed = 0.0;
     for now in 0..END_MS {
         for from in 0..HOSTS {
-            if now < due[from] {
+            let is_full = now >= due[from];
+            if !is_full && (from > 0 || now % DEPUTIES_MS > 0) {
                 continue;
             }
+            let informed = if is_full { HOSTS } else { 1 + DEPUTIES };
             due[from] = next_report(at(now), HOSTS - 1, phases[from]).as_millis();
             let report = hosts[from].report();
-            for (to, host) in hosts.iter_mut().enumerate() {
-                if to != from && !is_cut(from, now) && !is_cut(to, now) {
+            for (to, host) in hosts.iter_mut().enumerate().take(informed) {
+                let apart = division.decider(from, now) != division.decider(to, now);
+                if to != from && !apart {
                     host.hear(at(now), from, report.clone());
                 }
             }
@@ -109,8 +132,7 @@
         while owed >= GENERATION as f64 {
             owed -= GENERATION as f64;
             let asked = random.random_range(0..HOSTS);
-            let deciding = if is_cut(asked, now) { asked } else { 0 };
-            if hosts[deciding].admits(at(now)) {
+            if hosts[division.decider(asked, now)].admits(at(now)) {
                 admitted.push((now, asked));
             }
         }
@@ -135,11 +157,13 @@
     let bound = (limit * (1.0 + OVERSHOOT) + SLACK) as u64;
     for seed in 0..5 {
         for times in [3.0, 6.0] {
-            let most = most_in_a_window(&play(seed, times));
-            assert!(
-                most <= bound,
-                "seed {seed}, {times} times the rate: {most} of {bound}"
-            );
+            for division in [Division::Lone, Division::Group] {
+                let most = most_in_a_window(&play(seed, times, division));
+                assert!(
+                    most <= bound,
+                    "seed {seed}, {times} times the rate, {division:?}: {most} of {bound}"
+                );
+            }
         }
     }
 }
@@ -173,10 +197,10 @@
         // A third of the rate arrives everywhere, so a lone host sees a part of what is left.
         let arrivals = (CUT_UNTIL_MS - CUT_FROM_MS) * RATE / 3_000 * LONE as u64 / HOSTS as u64;
         asked += arrivals / GENERATION;
-        let lone = play(seed, 1.0 / 3.0);
+        let lone = play(seed, 1.0 / 3.0, Division::Lone);
         served += lone
             .iter()
-            .filter(|(now, host)| is_cut(*host, *now))
+            .filter(|(now, host)| Division::Lone.decider(*host, *now) > 0)
             .count() as u64;
     }
     assert!(served * 2 >= asked, "{served} of {asked} served");
