Ask different peers for records

Every host that missed a configuration or the store asked the one peer with the newest configuration and the freshest store, and got all entries of 2,999 servers, 0.9 MB, also when it missed the configuration only.

A host asks one of the peers that know as much, at random, and gets the entries only when it misses the store.

Ruled out: the reads of the store after the loss.

The new tests fail with the old choice, which names one peer only.

--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -94,6 +94,9 @@
     Instant::from_millis(rounds * period + offset)
 }
 
+/// Difference in the age of the last answer of the store up to which peers know as much as each other;
+/// the pause between two reads of the endpoints' entries.
+const FRESH: Duration = Duration::from_secs(2);
 /// Hosts next in line that the host which gives the places keeps informed as often as with few peers:
 /// the one that takes over must know what was given out a moment before.
 pub const DEPUTIES: usize = 3;
@@ -238,6 +241,36 @@
         self.peers.keys().copied()
     }
 
+    /// The peer to ask for records: one of those with the newest configuration that the store answered a
+    /// moment ago, by a random number in 0..1. When hundreds of hosts asked the same one it ran out of
+    /// memory. `None` if no peer knows more than a host with this configuration.
+    #[must_use]
+    pub fn source(
+        &self,
+        now: Instant,
+        configuration: u64,
+        without_store: bool,
+        draw: f64,
+    ) -> Option<SocketAddr> {
+        let known = |report: &Report| report.configuration > configuration || without_store;
+        let newest = self
+            .heard(now)
+            .filter(|(_, report)| known(report))
+            .map(|(_, report)| report.configuration)
+            .max()?;
+        let mut sources: Vec<(u64, SocketAddr)> = self
+            .heard(now)
+            .filter(|(_, report)| report.configuration == newest)
+            .map(|(address, report)| (report.store_age_ms, address))
+            .collect();
+        sources.sort_unstable();
+        let freshest = sources.first()?.0;
+        let limit = freshest.saturating_add(FRESH.as_millis() as u64);
+        let fresh = sources.partition_point(|(age, _)| *age <= limit);
+        let index = (draw * fresh as f64) as usize;
+        Some(sources[index.min(fresh - 1)].1)
+    }
+
     /// Addresses of the deputies of a host that gives the places.
     #[must_use]
     pub fn deputies(&self, now: Instant, own: SocketAddr) -> Vec<SocketAddr> {
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -35,7 +35,10 @@
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
 struct Question {
+    /// Version that the asker has.
     configuration: u64,
+    /// Whether it wants the endpoints' entries, which take a thousand times the bytes.
+    endpoints: bool,
 }
 
 /// Newest records of a peer.
@@ -62,12 +65,15 @@
     let answer = Answer {
         age_ms: store_age(host),
         configuration: newer.then(|| host.document.borrow().clone()),
-        endpoints: host
-            .entries
-            .borrow()
-            .iter()
-            .map(|(id, value)| (id.clone(), value.clone()))
-            .collect(),
+        endpoints: if question.endpoints {
+            let entries = host.entries.borrow();
+            let entries = entries.iter();
+            entries
+                .map(|(id, value)| (id.clone(), value.clone()))
+                .collect()
+        } else {
+            Vec::new()
+        },
     };
     rmp_serde::to_vec(&answer).ok().map(Bytes::from)
 }
@@ -299,17 +305,16 @@
         .as_ref()
         .map_or(0, |fleet| fleet.version);
     let silent_store = is_overdue(now, host.store_answered.get(), host.endpoint_period());
-    let source = host
-        .view
-        .borrow()
-        .heard(now)
-        .filter(|(_, report)| report.configuration > version || silent_store)
-        .min_by_key(|(_, report)| (std::cmp::Reverse(report.configuration), report.store_age_ms))
-        .map(|(address, _)| address);
+    let draw = rand::rng().random_range(0.0..1.0);
+    let source = host.view.borrow().source(now, version, silent_store, draw);
     let Some(source) = source else {
         return;
     };
-    if let Err(error) = ask(host, source, version).await {
+    let question = Question {
+        configuration: version,
+        endpoints: silent_store,
+    };
+    if let Err(error) = ask(host, source, &question).await {
         tracing::info!(peer = %source, %error, "peer: no answer");
     }
 }
@@ -317,10 +322,10 @@
 async fn ask<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     peer: SocketAddr,
-    configuration: u64,
+    question: &Question,
 ) -> eyre::Result<()> {
     let asked = now();
-    let body = rmp_serde::to_vec(&Question { configuration })?;
+    let body = rmp_serde::to_vec(question)?;
     let request = http::Request::post("/v1/records")
         .header(http::header::HOST, "peer")
         .body(http_body_util::Full::new(Bytes::from(body)))?;
--- a/crates/entry/tests/gossip.rs
+++ b/crates/entry/tests/gossip.rs
@@ -141,3 +141,36 @@
     restarted.partial = true;
     assert_eq!(heard(&mut view, 3, restarted), None);
 }
+
+fn peer(number: u8) -> SocketAddr {
+    SocketAddr::new(std::net::Ipv4Addr::new(10, 0, 0, number).into(), 7_500)
+}
+
+/// A view of peers with these versions of the configuration and ages of the store's last answer.
+fn peers(reports: &[(u64, u64)]) -> View {
+    let mut view = View::default();
+    for (index, (configuration, store_age_ms)) in reports.iter().enumerate() {
+        let mut report = Report::new(1, 1);
+        report.configuration = *configuration;
+        report.store_age_ms = *store_age_ms;
+        view.hear(at(0), peer(index as u8), report);
+    }
+    view
+}
+
+#[test]
+fn hosts_that_need_records_ask_different_peers() {
+    let view = peers(&[(7, 100), (7, 900), (6, 0), (7, 60_000), (7, 500)]);
+    let asked: std::collections::BTreeSet<SocketAddr> = (0..100)
+        .filter_map(|draw| view.source(at(10), 5, false, f64::from(draw) / 100.0))
+        .collect();
+    assert_eq!(asked, [peer(0), peer(1), peer(4)].into());
+}
+
+#[test]
+fn only_peers_that_know_more_are_asked() {
+    let view = peers(&[(7, 100), (7, 900)]);
+    assert_eq!(view.source(at(10), 7, false, 0.5), None);
+    assert!(view.source(at(10), 7, true, 0.5).is_some());
+    assert_eq!(View::default().source(at(10), 0, true, 0.5), None);
+}
