--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -16,7 +16,7 @@
 use crate::peer;
 use crate::platform::{Dialect, Outbound, Store};
 use crate::refusal::Reason;
-use crate::request::{Call, Reply, answer_headers};
+use crate::request::{Call, Judgement, Reply, answer_headers};
 use crate::state::{Host, LAST, NO_GRANT, Place, jitter, now};
 
 /// Time until a connection stands. Links take a few milliseconds; a lost packet is sent again after
@@ -280,30 +280,17 @@
         Err(error) => return Attempt::Lost(error),
     };
     let answer = D::answer(exchange.status, &exchange.headers);
-    if answer.id.as_deref().is_some_and(|id| id != call.head.id) {
-        return Attempt::Foreign;
-    }
-    if let Some(load) = answer.load {
-        host.health.borrow_mut().note_load(now(), key, load);
-    }
-    if answer.misdirected {
-        host.health.borrow_mut().misdirected(now(), key);
-    }
-    if answer.not_run {
-        let left = patience.head.saturating_sub(now().since(started));
-        // The body is read so that the connection can be used again.
-        drop(exchange.read(LARGEST_BODY, left).await);
-        return Attempt::Refused;
-    }
-    if answer.id.is_none()
-        || exchange
-            .headers
-            .contains_key(http::header::CONTENT_ENCODING)
-    {
-        return Attempt::Foreign;
-    }
-    if exchange.status.is_success() && !answer.signed {
-        return Attempt::Foreign;
+    let judgement = call.judge(&answer, exchange.status, &exchange.headers);
+    host.note(key, &answer, judgement);
+    match judgement {
+        Judgement::Own => {}
+        Judgement::Foreign => return Attempt::Foreign,
+        Judgement::NotRun => {
+            let left = patience.head.saturating_sub(now().since(started));
+            // The body is read so that the connection can be used again.
+            drop(exchange.read(LARGEST_BODY, left).await);
+            return Attempt::Refused;
+        }
     }
     let left = patience.head.saturating_sub(now().since(started));
     match exchange.read(LARGEST_BODY, left).await {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 
 use crate::fleet::{Fleet, Route};
-use crate::platform::{Dialect, Head, Outbound};
+use crate::platform::{AnswerHead, Dialect, Head, Outbound};
 use crate::strikes::Fingerprint;
 
 /// A request as it came.
@@ -87,6 +87,26 @@
         customer.unwrap_or(self.route().priority)
     }
 
+    /// What the head of an answer means for the request.
+    pub(crate) fn judge(
+        &self,
+        answer: &AnswerHead,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Judgement {
+        if answer.id.as_deref().is_some_and(|id| id != self.head.id) {
+            return Judgement::Foreign;
+        }
+        if answer.not_run {
+            return Judgement::NotRun;
+        }
+        let is_encoded = headers.contains_key(http::header::CONTENT_ENCODING);
+        if answer.id.is_none() || is_encoded || (status.is_success() && !answer.signed) {
+            return Judgement::Foreign;
+        }
+        Judgement::Own
+    }
+
     /// The request as an endpoint gets it.
     pub(crate) fn outbound<D: Dialect>(
         &self,
@@ -109,6 +129,17 @@
     }
 }
 
+/// What the head of an answer means for the request it came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Judgement {
+    /// It is the endpoint's answer to it.
+    Own,
+    /// The endpoint states that the request did not run.
+    NotRun,
+    /// It is none to this request, or not as the endpoint made it.
+    Foreign,
+}
+
 /// Headers that concern one connection only, or that are set anew for the next one.
 const HOP_BY_HOP: [HeaderName; 12] = [
     http::header::AUTHORIZATION,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -25,8 +25,9 @@
 use crate::mix::Mix;
 use crate::options::Options;
 use crate::parts::Parts;
+use crate::platform::AnswerHead;
 use crate::quota::{self, Class, Quotas};
-use crate::request::Call;
+use crate::request::{Call, Judgement};
 use crate::shutdown::Shutdown;
 use crate::strikes::Strikes;
 
@@ -305,6 +306,20 @@
             .strike(now(), call.fingerprint, &endpoint.id, true);
     }
 
+    /// Notes what the head of an answer says about its endpoint.
+    pub(crate) fn note(&self, key: Key, answer: &AnswerHead, judgement: Judgement) {
+        if judgement == Judgement::Foreign {
+            return;
+        }
+        let mut health = self.health.borrow_mut();
+        if let Some(load) = answer.load {
+            health.note_load(now(), key, load);
+        }
+        if answer.misdirected {
+            health.misdirected(now(), key);
+        }
+    }
+
     /// Counts a request that an endpoint answered in that many milliseconds.
     pub(crate) fn answered(&self, key: Key, millis: f64) {
         self.judge(key, |health, group| {
