Repeat errors of engines elsewhere, and count errors in the health of endpoints

A resumable generation that an engine answers with an error is repeated at another one within its attempts; the caller gets the error when there is none left. For plain calls an error counts towards ejection only, since some calls fail wherever they run.

The new tests of the daemon fail before.

--- a/crates/coordination/src/eject.rs
+++ b/crates/coordination/src/eject.rs
@@ -135,6 +135,12 @@
             .is_some_and(|track| track.ejected.is_some())
     }
 
+    /// End of an endpoint's ejection, from which on it gets probes.
+    #[must_use]
+    pub fn ejected_until(&self, endpoint: E) -> Option<Instant> {
+        Some(self.tracks.get(&endpoint)?.ejected?.until)
+    }
+
     /// An endpoint that should get the next request as a probe. Ask before each choice.
     pub fn probe(&mut self, now: Instant) -> Option<E> {
         for (endpoint, track) in &mut self.tracks {
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -248,7 +248,7 @@
     let _place = Place::take(host, key, Run::default(), NO_GRANT);
     let attempt = exchange::<D, S>(host, call, key, endpoint, request, patience, started).await;
     match &attempt {
-        Attempt::Answered { status, .. } if status.is_server_error() => {}
+        Attempt::Answered { status, .. } if status.is_server_error() => host.erred(key),
         Attempt::Answered { .. } => {
             host.answered(key, now().since(started).as_secs_f64() * 1_000.0);
         }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -124,6 +124,7 @@
     let mut sends = 0;
     let mut cache: Option<Kept<D, S>> = None;
     let mut parts_at = None;
+    let mut last = None;
     while sends < SENDS && now() < call.deadline() {
         let place = match acquire(host, call, wish, &tried).await {
             Ok(place) => place,
@@ -186,7 +187,21 @@
                     headers,
                 });
             }
-            Decoded::Answered(reply) => return Err(Failed::Answer(reply)),
+            Decoded::Answered(reply) => {
+                sends += 1;
+                runs += 1;
+                let failed = reply.status().is_server_error();
+                if failed {
+                    // An engine that fails at once looks idle and would draw all requests.
+                    host.failed(place.key, Doubt::Faulty);
+                }
+                if !failed || !call.route().resumable || runs >= call.route().attempts {
+                    return Err(Failed::Answer(reply));
+                }
+                host.metrics.retry("endpoint_error");
+                parts_at = Some(endpoint.address);
+                last = Some(reply);
+            }
             Decoded::Refused => {
                 sends += 1;
                 // Either the engine is full, or the handle lapsed before its time.
@@ -216,6 +231,9 @@
             }
         }
     }
+    if let Some(reply) = last {
+        return Err(Failed::Answer(reply));
+    }
     if runs > 0 {
         return Err(Failed::Reason(Reason::EndpointLost, None));
     }
--- a/crates/entry/src/health.rs
+++ b/crates/entry/src/health.rs
@@ -160,11 +160,23 @@
         detector.outcome(now, key, Outcome::Failed)
     }
 
+    /// Counts an error of the endpoint's own. Some calls fail wherever they run, so a single one raises
+    /// no doubt.
+    pub fn erred(&mut self, now: Instant, key: Key, group: &Group) -> Option<Change> {
+        let detector = self.detectors.get_mut(group)?;
+        detector.outcome(now, key, Outcome::Failed)
+    }
+
     /// Why an endpoint should be chosen later than others.
+    ///
+    /// An ejected engine is tried again when its time is over, since requests for engines are not sent
+    /// as probes; the next failure ejects it for twice as long.
     #[must_use]
     pub fn doubt(&self, now: Instant, key: Key, group: &Group) -> Option<Doubt> {
         let detector = self.detectors.get(group);
-        if detector.is_some_and(|detector| detector.is_ejected(key)) {
+        if let Some(until) = detector.and_then(|detector| detector.ejected_until(key))
+            && (group.stage.is_none() || now < until)
+        {
             return Some(Doubt::Silent);
         }
         let (until, doubt) = self.suspects.get(&key)?;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -47,6 +47,14 @@
     },
 }
 
+impl Reply {
+    pub(crate) const fn status(&self) -> StatusCode {
+        match self {
+            Self::Whole { status, .. } | Self::Stream { status, .. } => *status,
+        }
+    }
+}
+
 /// An accepted request on its way.
 #[derive(Debug)]
 pub(crate) struct Call {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -332,6 +332,11 @@
         self.judge(key, |health, group| health.failed(now(), key, group, doubt));
     }
 
+    /// Counts an error of an endpoint's own.
+    pub(crate) fn erred(&self, key: Key) {
+        self.judge(key, |health, group| health.erred(now(), key, group));
+    }
+
     fn judge(&self, key: Key, judge: impl FnOnce(&mut Health, &Group) -> Option<Change>) {
         let directory = self.directory.borrow();
         let Some(endpoint) = directory.get(key) else {
--- a/crates/entry/tests/health.rs
+++ b/crates/entry/tests/health.rs
@@ -19,10 +19,14 @@
 }
 
 fn endpoints(health: &mut Health, count: usize) -> Vec<Key> {
+    endpoints_of(health, count, &group())
+}
+
+fn endpoints_of(health: &mut Health, count: usize, group: &Group) -> Vec<Key> {
     let mut keys: SlotMap<Key, ()> = SlotMap::with_key();
     let keys: Vec<Key> = (0..count).map(|_| keys.insert(())).collect();
     for key in &keys {
-        health.add(*key, group());
+        health.add(*key, group.clone());
     }
     keys
 }
@@ -57,33 +61,61 @@
     );
 }
 
+/// Fails requests at an endpoint until it is ejected; returns the time.
+fn eject(health: &mut Health, key: Key, group: &Group) -> u64 {
+    for now in (0..1_000).step_by(10) {
+        if health.failed(at(now), key, group, Doubt::Faulty) == Some(Change::Ejected) {
+            return now;
+        }
+    }
+    panic!("not ejected after a hundred failures");
+}
+
 #[test]
-fn an_ejected_endpoint_counts_as_silent_until_it_answers_a_probe() {
+fn an_ejected_endpoint_counts_as_silent_until_it_answers_probes() {
+    let group = Group {
+        stage: None,
+        ..group()
+    };
     let mut health = Health::default();
-    let keys = endpoints(&mut health, 4);
-    let mut now = 0;
-    while health.failed(at(now), keys[0], &group(), Doubt::Faulty) != Some(Change::Ejected) {
-        now += 10;
-        assert!(now < 1_000, "not ejected after {} failures", now / 10);
-    }
-    now += 5_000;
-    assert_eq!(
-        health.doubt(at(now), keys[0], &group()),
-        Some(Doubt::Silent)
-    );
+    let keys = endpoints_of(&mut health, 4, &group);
+    let mut now = eject(&mut health, keys[0], &group) + 5_000;
+    assert_eq!(health.doubt(at(now), keys[0], &group), Some(Doubt::Silent));
     for _ in 0..100 {
         now += 1_000;
-        if health.probe(at(now), &group()) != Some(keys[0]) {
+        if health.probe(at(now), &group) != Some(keys[0]) {
             continue;
         }
-        if health.answered(at(now), keys[0], &group(), 1.0) == Some(Change::Returned) {
-            assert_eq!(health.doubt(at(now), keys[0], &group()), None);
+        if health.answered(at(now), keys[0], &group, 1.0) == Some(Change::Returned) {
+            assert_eq!(health.doubt(at(now), keys[0], &group), None);
             return;
         }
     }
     panic!("it did not come back");
 }
 
+#[test]
+fn an_ejected_engine_is_tried_again_when_its_time_is_over() {
+    let mut health = Health::default();
+    let keys = endpoints(&mut health, 4);
+    let ejected = eject(&mut health, keys[0], &group());
+    let doubt = |health: &Health, after| health.doubt(at(ejected + after), keys[0], &group());
+    assert_eq!(doubt(&health, 1_900), Some(Doubt::Silent));
+    assert_eq!(doubt(&health, 2_000), None);
+    health.failed(at(ejected + 2_100), keys[0], &group(), Doubt::Faulty);
+    assert_eq!(doubt(&health, 5_900), Some(Doubt::Silent), "twice as long");
+}
+
+#[test]
+fn errors_eject_an_endpoint_and_a_single_one_raises_no_doubt() {
+    let mut health = Health::default();
+    let keys = endpoints(&mut health, 4);
+    assert_eq!(health.erred(at(0), keys[0], &group()), None);
+    assert_eq!(health.doubt(at(0), keys[0], &group()), None);
+    let ejected = (1..20).any(|now| health.erred(at(now), keys[0], &group()).is_some());
+    assert!(ejected && health.doubt(at(20), keys[0], &group()) == Some(Doubt::Silent));
+}
+
 #[test]
 fn a_restart_clears_what_was_suspected_before() {
     let mut health = Health::default();
