Choose engines also by the share of requests that fails there

With 65 hosts each host sees few failures, so nobody ejects an engine, a doubt reported to the leader lasts 0.8 s, and an engine that fails at once is always the emptiest.

The host that gives the places counts what it gave to each engine and what failed there; askers name the engine that failed them when they ask again. The share that failed in the last seconds costs up to one and a half engines.

Ruled out: longer suspicions, which would also put engines last that lose two answers in five and serve the others.

The played load (four of 25 engines fail at once) sends less than a tenth of the requests there after one second; without the share more than half.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -51,6 +51,9 @@
 /// Cost of a faulty decode engine, as a share of an engine: a lost answer is repeated elsewhere in a
 /// few milliseconds, which a wait for room is not worth.
 const FAULTY: f64 = 0.4;
+/// Cost of an engine at which all requests fail. It exceeds a whole engine, since an engine that fails
+/// at once is always empty.
+const FAILING: f64 = 1.5;
 /// Largest answer in bytes.
 const ANSWER_BYTES: usize = 16 * 1_024;
 
@@ -77,6 +80,8 @@
     pub(crate) tried: Vec<String>,
     /// Endpoints that the asker has had trouble with a moment ago.
     pub(crate) doubtful: Vec<(String, Doubt)>,
+    /// Id of the engine that failed the request since the question before.
+    pub(crate) failed: Option<String>,
     /// Whether an engine that reads the prompt is wanted as well.
     pub(crate) prefill: bool,
     /// Last part of a prompt that an engine may keep still.
@@ -193,6 +198,8 @@
         if verdict != Verdict::Pending {
             return verdict;
         }
+        // The answer shows that it was counted.
+        ask.failed = None;
     }
 }
 
@@ -243,6 +250,10 @@
 /// Decides about a question.
 async fn decide<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, ask: &Ask) -> Verdict {
     let now = now();
+    let failed = ask.failed.as_deref();
+    if let Some(key) = failed.and_then(|id| host.directory.borrow().key(id)) {
+        host.health.borrow_mut().lost(now, key);
+    }
     if let Some(customer) = ask.customer.as_deref().filter(|_| ask.tokens > 0) {
         let taken = host.charge(now, customer, ask.tokens, Class::Generation);
         if let Err(wait) = taken {
@@ -327,6 +338,7 @@
     let Some(endpoint) = directory.get(key).cloned() else {
         return Verdict::Pending;
     };
+    host.health.borrow_mut().given(now(), key);
     let parts_at = kept_at.and_then(|kept_at| Some(directory.get(kept_at)?.id.clone()));
     drop(directory);
     let prefill = if ask.prefill && kept_at.is_none() {
@@ -410,6 +422,8 @@
 ) -> Option<Key> {
     let engine = engine(host, service)?;
     peer::count_peers(host);
+    let now = now();
+    let health = host.health.borrow();
     let ledger = host.ledger.borrow();
     let cost = |key, endpoint: &Endpoint, doubt| {
         let fault = match doubt {
@@ -424,8 +438,9 @@
         let mut runs: Vec<Run> = ledger.runs(key).collect();
         runs.push(run);
         let share = room.share(&mut runs).filter(|share| *share <= fill)?;
+        let failing = health.failing(now, key) * FAILING;
         let saved = if kept_at == Some(key) { KEPT } else { 0.0 };
-        Some(share + fault + jitter(JITTER) - saved)
+        Some(share + fault + failing + jitter(JITTER) - saved)
     };
     host.choose(service, Some(Stage::Decode), tried, cost)
         .map(|(key, _)| key)
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -119,14 +119,14 @@
         hopeless_at: hopeless_at(call, tokens, call.arrived),
         is_first: true,
     };
-    let mut tried = Vec::new();
+    let mut tried = Tried::default();
     let mut runs = 0;
     let mut sends = 0;
     let mut cache: Option<Kept<D, S>> = None;
     let mut parts_at = None;
     let mut last = None;
     while sends < SENDS && now() < call.deadline() {
-        let place = match acquire(host, call, wish, &tried).await {
+        let place = match acquire(host, call, wish, &mut tried).await {
             Ok(place) => place,
             Err(refused) if wish.is_first => return Err(refused),
             Err(_) => break,
@@ -140,7 +140,7 @@
             prefill: reader,
             parts_at: kept_at,
         } = place;
-        tried.push(endpoint.id.clone());
+        tried.ids.push(endpoint.id.clone());
         if wish.is_first {
             wish.is_first = false;
             parts_at = kept_at;
@@ -199,6 +199,7 @@
                     return Err(Failed::Answer(reply));
                 }
                 host.metrics.retry("endpoint_error");
+                tried.failed = Some(endpoint.id);
                 parts_at = Some(endpoint.address);
                 last = Some(reply);
             }
@@ -224,6 +225,7 @@
                 // An engine that broke off at once has not taken the prompt yet.
                 cache = usable.map(Kept::offered);
                 host.failed(place.key, doubt);
+                tried.failed = Some(endpoint.id);
                 host.metrics.retry("lost");
                 if !call.route().resumable || runs >= call.route().attempts {
                     return Err(Failed::Reason(Reason::EndpointLost, None));
@@ -271,12 +273,20 @@
     pub(crate) is_first: bool,
 }
 
+/// Engines that a request was sent to.
+#[derive(Debug, Default)]
+pub(crate) struct Tried {
+    pub(crate) ids: Vec<String>,
+    /// The one that failed it since the last question for a place.
+    pub(crate) failed: Option<String>,
+}
+
 /// Gets a place at a decode engine.
 pub(crate) async fn acquire<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     call: &Call,
     wish: Wish,
-    tried: &[String],
+    tried: &mut Tried,
 ) -> Result<Acquired<D, S>, Failed> {
     let asked = now();
     let tokens = wish.tokens;
@@ -294,8 +304,9 @@
         priority: wish.priority,
         start_in_ms: until(asked, wish.start_by),
         hopeless_in_ms: until(asked, wish.hopeless_at),
-        tried: tried.to_vec(),
+        tried: tried.ids.clone(),
         doubtful: host.suspected(),
+        failed: tried.failed.take(),
         prefill: wish.is_first,
         // Other prompts are new to the engines, or were read too long ago.
         part: call
--- a/crates/entry/src/health.rs
+++ b/crates/entry/src/health.rs
@@ -15,6 +15,8 @@
 /// The same for an endpoint at whose address another one answered: three heartbeats, after which the
 /// directory has removed its entry.
 const MISDIRECTION: Duration = Duration::from_millis(3_600);
+/// Time in which the record of an endpoint fades to a third.
+const RECORD_LIFETIME: Duration = Duration::from_secs(4);
 /// Time after which a stated load tells nothing any more; calls take tens of milliseconds.
 const STATED_LOAD_LIFETIME: Duration = Duration::from_millis(1_500);
 
@@ -58,9 +60,27 @@
     }
 }
 
+/// Requests that were given to an endpoint and those that failed there, both fading.
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    given: f64,
+    failed: f64,
+    at: Instant,
+}
+
+impl Record {
+    fn fade(&mut self, now: Instant) {
+        let fading = (-now.since(self.at).as_secs_f64() / RECORD_LIFETIME.as_secs_f64()).exp();
+        self.given *= fading;
+        self.failed *= fading;
+        self.at = now;
+    }
+}
+
 /// Health of all endpoints.
 #[derive(Debug, Default)]
 pub struct Health {
+    records: HashMap<Key, Record>,
     detectors: HashMap<Group, Detector<Key>>,
     suspects: HashMap<Key, (Instant, Doubt)>,
     stated: HashMap<Key, (Instant, f64)>,
@@ -75,6 +95,7 @@
     /// Clears what was suspected before an endpoint started anew.
     pub fn restarted(&mut self, key: Key) {
         self.suspects.remove(&key);
+        self.records.remove(&key);
     }
 
     /// Forgets an endpoint.
@@ -84,6 +105,37 @@
         }
         self.suspects.remove(&key);
         self.stated.remove(&key);
+        self.records.remove(&key);
+    }
+
+    fn record(&mut self, now: Instant, key: Key) -> &mut Record {
+        let record = self.records.entry(key).or_insert(Record {
+            given: 0.0,
+            failed: 0.0,
+            at: now,
+        });
+        record.fade(now);
+        record
+    }
+
+    /// Counts a request that this host gave to an endpoint, for itself or another host.
+    pub fn given(&mut self, now: Instant, key: Key) {
+        self.record(now, key).given += 1.0;
+    }
+
+    /// Counts one of those that failed there.
+    pub fn lost(&mut self, now: Instant, key: Key) {
+        self.record(now, key).failed += 1.0;
+    }
+
+    /// Share of the requests given to an endpoint in the last seconds that failed there.
+    #[must_use]
+    pub fn failing(&self, now: Instant, key: Key) -> f64 {
+        let Some(mut record) = self.records.get(&key).copied() else {
+            return 0.0;
+        };
+        record.fade(now);
+        record.failed / (record.given.max(record.failed) + 1.0)
     }
 
     /// Notes the load that an endpoint stated: running requests, waiting requests and slots.
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -10,7 +10,7 @@
 
 use crate::admission::engine;
 use crate::completion::{
-    Acquired, Decoded, Memory, SENDS, UNSTATED, Wish, acquire, decode, expected, hopeless_at,
+    Acquired, Decoded, Memory, SENDS, Tried, UNSTATED, Wish, acquire, decode, expected, hopeless_at,
 };
 use crate::directory::Endpoint;
 use crate::events::Events;
@@ -190,7 +190,10 @@
     if !call.route().resumable || runs >= call.route().attempts {
         return None;
     }
-    let mut tried = vec![endpoint.id.clone()];
+    let mut tried = Tried {
+        ids: vec![endpoint.id.clone()],
+        failed: Some(endpoint.id.clone()),
+    };
     let memory = gap.parts_at.map_or(Memory::None, Memory::Parts);
     let after_event = gap.after_event;
     let mut tokens = expected(call);
@@ -205,7 +208,7 @@
         is_first: false,
     };
     for _ in 0..SENDS {
-        let acquired = acquire(host, call, wish, &tried).await.ok()?;
+        let acquired = acquire(host, call, wish, &mut tried).await.ok()?;
         if !host.may_repeat(call) {
             return None;
         }
@@ -214,7 +217,7 @@
             endpoint: next,
             ..
         } = acquired;
-        tried.push(next.id.clone());
+        tried.ids.push(next.id.clone());
         match decode(host, call, place.key, &next, memory, after_event).await {
             Decoded::Started(exchange) => {
                 host.metrics.retry("resumed");
--- a/crates/entry/tests/health.rs
+++ b/crates/entry/tests/health.rs
@@ -5,6 +5,8 @@
 use berylknot_coordination::eject::Change;
 use berylknot_entry::directory::{Key, Stage};
 use berylknot_entry::health::{Doubt, Group, Health};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use slotmap::SlotMap;
 
 fn at(millis: u64) -> Instant {
@@ -133,3 +135,60 @@
     let loads = [0, 750, 1_500].map(|now| health.stated_load(at(now), keys[0]));
     assert!((loads[0] - 1.5).abs() < 1e-9 && (loads[1] - 0.75).abs() < 1e-9 && loads[2] == 0.0);
 }
+
+/// Plays eight seconds in which four of 25 engines fail every request at once, and 22 requests a second
+/// stay for four seconds at the others; returns the share of requests that failed after the first
+/// second. The cost is the one by which engines are chosen.
+fn play(seed: u64, weight: f64) -> f64 {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut health = Health::default();
+    let engines = endpoints(&mut health, 25);
+    let mut running: Vec<Vec<u64>> = vec![vec![4_000; 4]; engines.len()];
+    let (mut asked, mut failed) = (0, 0);
+    for now in (0..8_000).step_by(45) {
+        for ends in &mut running {
+            ends.retain(|end| *end > now);
+        }
+        let costs = running.iter().enumerate().map(|(index, ends)| {
+            let load = ends.len() as f64 / 10.0;
+            let cost = load + weight * health.failing(at(now), engines[index]);
+            (cost + random.random::<f64>() * 0.03, index)
+        });
+        let (_, index) = costs
+            .min_by(|one, other| one.0.total_cmp(&other.0))
+            .expect("engines");
+        health.given(at(now), engines[index]);
+        let fails = index < 4;
+        if fails {
+            running[index].clear();
+            health.lost(at(now), engines[index]);
+        } else {
+            running[index].push(now + 4_000);
+        }
+        if now >= 1_000 {
+            asked += 1;
+            failed += u32::from(fails);
+        }
+    }
+    f64::from(failed) / f64::from(asked)
+}
+
+#[test]
+fn engines_that_fail_at_once_do_not_draw_the_requests() {
+    for seed in 0..10 {
+        let share = play(seed, 1.5);
+        assert!(share < 0.1, "seed {seed}: {share}");
+        assert!(play(seed, 0.0) > 0.5, "seed {seed} shows nothing");
+    }
+}
+
+#[test]
+fn a_record_fades_and_one_failure_weighs_little() {
+    let mut health = Health::default();
+    let keys = endpoints(&mut health, 1);
+    assert!(health.failing(at(0), keys[0]) == 0.0);
+    health.given(at(0), keys[0]);
+    health.lost(at(0), keys[0]);
+    assert!(health.failing(at(0), keys[0]) <= 0.5);
+    assert!(health.failing(at(20_000), keys[0]) < 0.01);
+}
