Log when a host notices that others are not heard

A customer that is refused by a host in a divided fleet could not be told from one over its limit: the share of hosts that are heard is an input of the decision and stood in no line. The line is written at the change. An engine's failure is counted by the next leader when the asked one is lost before it answers.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -183,9 +183,17 @@
         ask.start_in_ms = start_in - waited;
         ask.hopeless_in_ms = hopeless_in - waited;
         let verdict = match leader(host) {
-            None => decide(host, &ask).await,
+            None => {
+                let verdict = decide(host, &ask).await;
+                ask.failed = None;
+                verdict
+            }
             Some(leader) => match remote(host, leader, &ask).await {
-                Ok(verdict) => verdict,
+                Ok(verdict) => {
+                    // The leader has counted it.
+                    ask.failed = None;
+                    verdict
+                }
                 Err(error) => {
                     tracing::info!(%leader, %error, "admission: leader lost");
                     host.distrusted
@@ -198,8 +206,6 @@
         if verdict != Verdict::Pending {
             return verdict;
         }
-        // The answer shows that it was counted.
-        ask.failed = None;
     }
 }
 
--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -148,6 +148,12 @@
         };
     }
 
+    /// Whether so many hosts are not heard that limits are shared with them unseen.
+    #[must_use]
+    pub const fn is_apart(&self) -> bool {
+        self.apart_since.is_some()
+    }
+
     /// Admits a request of a customer, or tells when its tokens will be there.
     ///
     /// # Errors
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -224,7 +224,13 @@
         let view = self.view.borrow();
         let (_, known) = view.silent(now);
         let unheard = view.unheard(now);
-        self.quotas.borrow_mut().set_hosts(now, known + 1, unheard);
+        let mut quotas = self.quotas.borrow_mut();
+        let was_apart = quotas.is_apart();
+        quotas.set_hosts(now, known + 1, unheard);
+        if quotas.is_apart() != was_apart {
+            let apart = quotas.is_apart();
+            tracing::info!(hosts = known + 1, unheard, apart, "quota: hosts heard");
+        }
     }
 
     /// Charges a customer, or tells when its tokens will be there.
