Tell the store's outages from a host's own

The store turned one host away for seven seconds and served the others. When it answered again, the host kept entries that were missing for 2.3 s, as after an outage of the store in which entries lapse; an endpoint whose entry had been removed got requests 2.3 s after that, 0.3 s too long.

A host notes whether the store answered peers all the while that it was overdue here; a missing entry is then gone at once. The line of the regained store says which it was.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -99,8 +99,11 @@
     match result {
         Ok(_) | Err(Error::Expired) => {
             if *failures > 0 {
-                tracing::info!(?feed, failures = *failures, "store: regained");
-                host.directory.borrow_mut().store_returned(now);
+                let is_own = host.outage.get().is_own(now);
+                tracing::info!(?feed, failures = *failures, is_own, "store: regained");
+                if !is_own {
+                    host.directory.borrow_mut().store_returned(now);
+                }
             }
             *failures = 0;
             host.store_answered.set(Some(now));
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -241,6 +241,14 @@
         self.peers.keys().copied()
     }
 
+    /// Whether the store answered any heard peer within that time before its report.
+    #[must_use]
+    pub fn is_answered(&self, now: Instant, within: Duration) -> bool {
+        let within = within.as_millis() as u64;
+        let mut heard = self.heard(now);
+        heard.any(|(_, report)| report.store_age_ms <= within)
+    }
+
     /// The peer to ask for records: one of those with the newest configuration that the store answered a
     /// moment ago, by a random number in 0..1. When hundreds of hosts asked the same one it ran out of
     /// memory. `None` if no peer knows more than a host with this configuration.
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -305,6 +305,10 @@
         .as_ref()
         .map_or(0, |fleet| fleet.version);
     let silent_store = is_overdue(now, host.store_answered.get(), host.endpoint_period());
+    let answers_peers = host.view.borrow().is_answered(now, host.endpoint_period());
+    let mut outage = host.outage.get();
+    outage.observe(now, silent_store, answers_peers);
+    host.outage.set(outage);
     let draw = rand::rng().random_range(0.0..1.0);
     let source = host.view.borrow().source(now, version, silent_store, draw);
     let Some(source) = source else {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -15,6 +15,7 @@
 use crate::admission::Line;
 use crate::backlog::Backlogs;
 use crate::budget::Budgets;
+use crate::contact::Outage;
 use crate::directory::{self, Directory, Endpoint, Key, Stage};
 use crate::fleet::Fleet;
 use crate::gossip::View;
@@ -78,6 +79,7 @@
     /// Time of the last sign that the configuration is current, from the store or a peer.
     pub(crate) confirmed: Cell<Option<Instant>>,
     pub(crate) directory_known: Cell<bool>,
+    pub(crate) outage: Cell<Outage>,
     /// Whether the announcements of the other hosts were read.
     pub(crate) hosts_known: Cell<bool>,
     pub(crate) shutdown: Cell<Shutdown>,
@@ -137,6 +139,7 @@
             store_answered: Cell::new(None),
             confirmed: Cell::new(None),
             directory_known: Cell::new(false),
+            outage: Cell::default(),
             hosts_known: Cell::new(false),
             open: Cell::new(0),
             backlogs: RefCell::default(),
