Bound the time in which engines are asked what they keep

Found by reading: a dark engine could hold up its list for three steps of 0.1 s, and a round of 0.35 s followed, so that the asker took the leader for lost (0.5 s) and did not ask it for 2 s. A list takes 0.1 s at most, and the round ends 0.35 s after the question came.

It has no test of its own: only time shows it.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -360,7 +360,7 @@
     }
 }
 
-/// Waits for a turn, for at most a round.
+/// Waits for a turn, until a round after the question came.
 async fn wait<D, S>(
     host: &Rc<Host<D, S>>,
     ask: &Ask,
@@ -401,7 +401,8 @@
         ticket,
     };
     host.room.notify_one();
-    match timeout(ROUND, turn).await {
+    let left = (now + ROUND).since(self::now());
+    match timeout(left, turn).await {
         Ok(Ok(place)) => Ok(place),
         Ok(Err(_)) => Err(Verdict::Hopeless),
         Err(_) => Err(Verdict::Pending),
--- a/crates/entry/src/locate.rs
+++ b/crates/entry/src/locate.rs
@@ -9,7 +9,7 @@
 use crate::platform::{Dialect, Result, Store};
 use crate::state::{Host, now};
 
-/// Longest time for a list; the caller waits for it.
+/// Longest time for a list. It is a part of a round of the question for a place.
 const PATIENCE: Duration = Duration::from_millis(100);
 /// Largest list in bytes.
 const LIST_BYTES: usize = 1_024 * 1_024;
@@ -40,15 +40,21 @@
         if engines.len() > MOST_ENGINES {
             return None;
         }
-        let lists = engines.iter().map(|(_, endpoint)| list(host, endpoint));
+        let lists = engines.iter().map(|(_, endpoint)| {
+            // A dark engine must not hold up the answer to the asker.
+            tokio::time::timeout(PATIENCE, list(host, endpoint))
+        });
         let lists = futures_util::future::join_all(lists).await;
         let mut known = Vec::new();
         for ((key, endpoint), list) in engines.into_iter().zip(lists) {
             match list {
-                Ok(list) => known.push((key, list)),
-                Err(error) => {
+                Ok(Ok(list)) => known.push((key, list)),
+                Ok(Err(error)) => {
                     tracing::info!(endpoint = endpoint.id, %error, "locate: no list");
                 }
+                Err(error) => {
+                    tracing::info!(endpoint = endpoint.id, %error, "locate: no list in time");
+                }
             }
         }
         let count: usize = known.iter().map(|(_, list)| list.len()).sum();
