Learn each service's decode speed; scale the expected rest of a generation

Cause: the split of engines and the latest useful start assumed 0.85 ms per output token, and a generation past its estimate counted with 600 more tokens. Both fit one model.

Ruled out: a longer debounce alone, since the wrong capacity is lasting.

Change: averages per service, started from the events per stream and their interval, which the configuration's tokens per event scale; the pace is measured from the events of unbroken streams. The least remaining output is a share of the estimate. Tests play both models.

--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -16,7 +16,7 @@
 use crate::health::Suspicion;
 use crate::http::{Error, Exchange, Timeouts};
 use crate::ledger::Run;
-use crate::mix::DECODE_MS_PER_TOKEN;
+use crate::mix::Mix;
 use crate::platform::{Cache, Dialect, Head, Outbound, Store, Tokens};
 use crate::prefill::{self, KvHandle};
 use crate::refusal::Reason;
@@ -42,17 +42,12 @@
 
 /// Upper bound on the duration of a request: the route's timeout for a plain call; for a generation
 /// the decode time of its largest output plus the latency objective, within that timeout.
-pub(crate) fn max_duration(head: &Head, route: &Route) -> Duration {
+pub(crate) fn max_duration(head: &Head, route: &Route, mix: &Mix) -> Duration {
     if route.kind != Kind::Streaming {
         return route.timeout;
     }
     let output = head.tokens.unwrap_or(DEFAULT_TOKENS).output;
-    (decode_time(output) + route.latency_target).min(route.timeout)
-}
-
-/// Decode time of `output` tokens at a busy engine.
-fn decode_time(output: u32) -> Duration {
-    Duration::from_secs_f64(f64::from(output) * DECODE_MS_PER_TOKEN / 1_000.0)
+    (mix.decode_time(output) + route.latency_target).min(route.timeout)
 }
 
 /// Prompt tokens and expected output tokens: the caller's hint, or 60 % of the largest output.
@@ -120,7 +115,7 @@
         tokens,
         priority: call.priority(),
         start_by: call.arrived + call.route().latency_target.mul_f64(1.0 - PREFILL_SHARE),
-        hopeless_at: hopeless_at(call, tokens, call.arrived),
+        hopeless_at: hopeless_at(host, call, tokens, call.arrived),
         is_first: true,
     };
     let mut tried = Tried::default();
@@ -389,10 +384,16 @@
 
 /// Latest start for which the generation ends before its deadline and the first event arrives
 /// before the stall timeout of the caller, whose last event came at `since`.
-pub(crate) fn hopeless_at(call: &Call, tokens: Tokens, since: Instant) -> Instant {
+pub(crate) fn hopeless_at<D, S>(
+    host: &Host<D, S>,
+    call: &Call,
+    tokens: Tokens,
+    since: Instant,
+) -> Instant {
     let start = call.route().latency_target.mul_f64(FIRST_EVENT_SHARE);
     let abandoned = since + call.route().stall_timeout();
-    earlier(call.deadline(), decode_time(tokens.output) + start).min(earlier(abandoned, start))
+    let decode_time = host.mix(&call.service).decode_time(tokens.output);
+    earlier(call.deadline(), decode_time + start).min(earlier(abandoned, start))
 }
 
 fn earlier(instant: Instant, by: Duration) -> Instant {
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -112,7 +112,7 @@
                 requests: ledger.requests(key),
             });
         }
-        let throughput: Throughput = host.mix.get().throughput(&engine);
+        let throughput: Throughput = host.mix(name).throughput(&engine);
         let change = stages::next_change(&engines, throughput);
         let debounce = debounces.entry(name.clone()).or_default();
         if debounce.is_due(
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -33,8 +33,17 @@
     pub left: u32,
 }
 
-/// Output tokens still expected of a generation that has reached or exceeded its estimate.
-const MIN_REMAINING_TOKENS: u32 = 600;
+/// Output tokens still expected of a generation that has reached or exceeded its estimate, as a share
+/// of the estimate. Estimates are off by a factor of two in a tenth of the cases.
+const MIN_REMAINING_SHARE: f64 = 0.15;
+
+/// Output tokens still expected of a generation with the estimate `estimate` that has produced
+/// `produced` tokens.
+#[must_use]
+pub fn remaining(estimate: u32, produced: u32) -> u32 {
+    let least = (f64::from(estimate) * MIN_REMAINING_SHARE).ceil() as u32;
+    estimate.saturating_sub(produced).max(least)
+}
 
 /// Load of all endpoints.
 #[derive(Debug, Default)]
@@ -51,12 +60,22 @@
     key: Key,
     run: Run,
     grant: Grant,
+    /// Output tokens expected at the start.
+    estimate: u32,
+    /// Output tokens produced since.
+    produced: u32,
 }
 
 impl Ledger {
     /// Adds a local request.
     pub fn add(&mut self, key: Key, run: Run, grant: Grant) -> Ticket {
-        self.local.insert(Local { key, run, grant })
+        self.local.insert(Local {
+            key,
+            run,
+            grant,
+            estimate: run.left,
+            produced: 0,
+        })
     }
 
     /// Reserves capacity for a request of any host until `until`. Grant numbers are unique across
@@ -82,14 +101,12 @@
         self.grants.retain(|_, (_, _, until)| *until > now);
     }
 
-    /// Adds output tokens of a local generation whose output limit is `max_tokens`.
+    /// Adds output tokens of a local generation that may produce at most `max_tokens` more.
     pub fn progress(&mut self, ticket: Ticket, tokens: u32, max_tokens: u32) {
-        if let Some(Local { run, .. }) = self.local.get_mut(ticket) {
-            run.held = run.held.saturating_add(tokens);
-            run.left = run
-                .left
-                .saturating_sub(tokens)
-                .max(MIN_REMAINING_TOKENS.min(max_tokens));
+        if let Some(local) = self.local.get_mut(ticket) {
+            local.produced = local.produced.saturating_add(tokens);
+            local.run.held = local.run.held.saturating_add(tokens);
+            local.run.left = remaining(local.estimate, local.produced).min(max_tokens);
         }
     }
 
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -321,7 +321,7 @@
     let Some(service) = route.service(crate::state::jitter(1.0)).map(str::to_owned) else {
         return Err(reject(Reason::NoEndpoint, None));
     };
-    let max_duration = completion::max_duration(&head, route);
+    let max_duration = completion::max_duration(&head, route, &host.mix(&service));
     if !host.shutdown.get().accepts(arrived, max_duration) {
         return Err(reject(
             Reason::Stopping,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 use tokio::sync::{Mutex, Notify};
 
-use crate::admission::Waitlist;
+use crate::admission::{self, Waitlist};
 use crate::backlog::Backlogs;
 use crate::budget::Budgets;
 use crate::contact::Outage;
@@ -95,8 +95,8 @@
     pub(crate) peers_changed: Cell<bool>,
     /// Wakes the sender of reports when a reservation was made or released.
     pub(crate) load_changed: Notify,
-    /// Average prompt and output lengths.
-    pub(crate) mix: Cell<Mix>,
+    /// Average generations by service.
+    pub(crate) mixes: RefCell<HashMap<String, Mix>>,
     /// Wakes the dispatcher of queued generations.
     pub(crate) capacity_freed: Notify,
     dialect: PhantomData<D>,
@@ -148,7 +148,7 @@
             started: now(),
             peers_changed: Cell::new(false),
             load_changed: Notify::new(),
-            mix: Cell::default(),
+            mixes: RefCell::default(),
             capacity_freed: Notify::new(),
             dialect: PhantomData,
         }
@@ -223,6 +223,15 @@
         true
     }
 
+    /// Average generation of a service; the initial one before any has finished.
+    pub(crate) fn mix(&self, service: &str) -> Mix {
+        let known = self.mixes.borrow().get(service).copied();
+        known.unwrap_or_else(|| {
+            let engine = admission::engine(self, service);
+            Mix::new(engine.map_or(1, |engine| engine.tokens_per_event))
+        })
+    }
+
     /// Updates the number of hosts and the share of unreachable ones in the quotas.
     pub(crate) fn count_hosts(&self, now: Instant) {
         let (hosts, unreachable) = self.view.borrow().hosts(now);
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -17,7 +17,9 @@
 use crate::events::Splitter;
 use crate::health::Suspicion;
 use crate::http::Exchange;
+use crate::ledger::remaining;
 use crate::metrics::Label;
+use crate::mix::Pace;
 use crate::platform::{Dialect, Store};
 use crate::request::{Call, Cut};
 use crate::state::{Host, Reservation, now};
@@ -74,6 +76,8 @@
     let tokens_per_event = engine(host, &call.service).map_or(1, |engine| engine.tokens_per_event);
     let max_output = call.head.tokens.unwrap_or(DEFAULT_TOKENS).output;
     let mut delivered = 0;
+    // `None` after a break: the gap says nothing about the engine's speed.
+    let mut pace = Some(Pace::default());
     let mut last_event = now();
     loop {
         let left = call.deadline().since(now());
@@ -92,6 +96,9 @@
                     let produced = events.count() - delivered;
                     delivered += produced;
                     last_event = now();
+                    if let Some(pace) = &mut pace {
+                        pace.record(last_event, delivered);
+                    }
                     run.reservation.progress(
                         produced * tokens_per_event,
                         max_output.saturating_sub(delivered * tokens_per_event),
@@ -106,9 +113,10 @@
             Ok(Ok(None)) if events.is_at_boundary() => {
                 host.answered(run.reservation.key, 1.0);
                 if let Some(tokens) = call.head.tokens {
-                    let mut mix = host.mix.get();
-                    mix.add(tokens.prompt, delivered * tokens_per_event);
-                    host.mix.set(mix);
+                    let mut mix = host.mix(&call.service);
+                    let pace = pace.and_then(|pace| pace.ms_per_token(tokens_per_event));
+                    mix.add(tokens.prompt, delivered * tokens_per_event, pace);
+                    host.mixes.borrow_mut().insert(call.service.clone(), mix);
                 }
                 tracing::info!(
                     id = call.head.id,
@@ -144,6 +152,7 @@
         };
         host.failed(run.reservation.key, suspicion);
         events.discard_tail();
+        pace = None;
         let produced = delivered * tokens_per_event;
         let resume_point = ResumePoint {
             last_event_id: events.last(),
@@ -204,8 +213,8 @@
     let last_event_id = resume_point.last_event_id;
     let mut tokens = expected_tokens(call);
     tokens.prompt += resume_point.produced;
-    tokens.output = tokens.output.saturating_sub(resume_point.produced);
-    let hopeless_at = hopeless_at(call, tokens, resume_point.since);
+    tokens.output = remaining(tokens.output, resume_point.produced);
+    let hopeless_at = hopeless_at(host, call, tokens, resume_point.since);
     let demand = Demand {
         tokens,
         priority: RESUME_PRIORITY,
--- a/crates/entry/tests/ledger.rs
+++ b/crates/entry/tests/ledger.rs
@@ -254,3 +254,21 @@
         two.grant(key, Run::default(), until)
     );
 }
+
+#[yare::parameterized(
+    long_answers = { 4_060 },
+    short_answers = { 518 },
+    very_short_answers = { 20 },
+)]
+fn a_generation_never_expects_more_than_its_estimate(estimate: u32) {
+    let mut ledger = Ledger::default();
+    let key = Key::default();
+    let run = Run {
+        held: 5_200,
+        left: estimate,
+    };
+    let ticket = ledger.add(key, run, 0);
+    ledger.progress(ticket, estimate / 10, 8_000);
+    let left = ledger.runs(key).next().map_or(0, |run| run.left);
+    assert!(left > 0 && left < estimate, "{left} of {estimate}");
+}
--- a/crates/entry/tests/stages.rs
+++ b/crates/entry/tests/stages.rs
@@ -33,7 +33,7 @@
         kv_retention: Duration::from_millis(500),
         stage_change: Duration::from_secs(6),
     };
-    Mix::default().throughput(&engine)
+    Mix::new(engine.tokens_per_event).throughput(&engine)
 }
 
 fn settle(engines: &mut [Engine], throughput: Throughput) -> (usize, usize) {
