Bound limits after a loss of all hosts, and the age of endpoint entries in use

(2) DRAIN: the pause between reads of the entries counted from the end of the last read, a failed read came on top, and a peer was asked only 1.8 s after the last answer and only twice a second.

Ruled out: a smaller initial bucket alone, since the excess grows with the number of hosts; a shorter period of reads alone, since a failed read takes up to 1.2 s.

Announced peers count as unreachable until their first report; a restarted host's buckets are empty until it has heard from its peers; hosts introduce themselves as soon as they know the others and answer a newcomer; while no host has run long enough to lead, the one with the lowest address leads provisionally, and requests wait up to a second for the introduction. Entries are confirmed as of the start of a read; peers with fresher ones are asked as soon as a read is late; entries that are too old are not used for new work while a peer has fresher ones. Entries whose removal is deferred are no longer missing from answers to peers. Reports have format version 2.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -40,6 +40,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Cooldown of a leader that did not answer.
 const LEADER_COOLDOWN: Duration = Duration::from_secs(2);
+/// Interval between checks whether a host that has just started has heard from its peers.
+const INTRODUCTION_POLL: Duration = Duration::from_millis(20);
 /// Lifetime of a grant whose holder has not reported it.
 const GRANT_LIFETIME: Duration = Duration::from_millis(1_500);
 /// Largest jitter in the cost of a decode engine, as a share of the engine.
@@ -160,21 +162,11 @@
 /// The host to query; `None` if this host decides itself.
 pub(crate) fn leader<D, S>(host: &Host<D, S>) -> Option<SocketAddr> {
     let now = now();
-    let own = host.options.address;
-    let view = host.view.borrow();
-    let leader_cooldowns = host.leader_cooldowns.borrow();
-    let first = view
-        .live(now)
-        .filter(|(address, report)| {
-            report.leads
-                && !report.leaving
-                && leader_cooldowns
-                    .get(address)
-                    .is_none_or(|until| *until <= now)
-        })
-        .map(|(address, _)| address)
-        .min()?;
-    (first.ip() < own || !host.leads(now)).then_some(first)
+    let cooldowns = host.leader_cooldowns.borrow();
+    let is_cooling = |address| cooldowns.get(&address).is_some_and(|until| *until > now);
+    host.view
+        .borrow()
+        .leader(now, host.options.address, host.rank(now), is_cooling)
 }
 
 /// Requests admission of a generation: queries the leader until it grants or refuses.
@@ -185,6 +177,11 @@
     let started = now();
     let (start_in, hopeless_in) = (query.start_in_ms, query.hopeless_in_ms);
     loop {
+        if host.is_introducing(now()) {
+            tokio::time::sleep(INTRODUCTION_POLL).await;
+            host.count_hosts(now());
+            continue;
+        }
         let waited = now().since(started).as_millis() as i64;
         query.start_in_ms = start_in - waited;
         query.hopeless_in_ms = hopeless_in - waited;
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -376,10 +376,12 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(800);
 
 fn is_ready<D, S>(host: &Host<D, S>, key: Key) -> bool {
-    host.directory
-        .borrow()
-        .get(key)
-        .is_some_and(|endpoint| endpoint.state == State::Ready)
+    !host.is_directory_expired(now())
+        && host
+            .directory
+            .borrow()
+            .get(key)
+            .is_some_and(|endpoint| endpoint.state == State::Ready)
 }
 
 /// Latest start for which the generation ends before its deadline and the first event arrives
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -45,7 +45,9 @@
     if complete {
         retain(host, &listed);
     }
-    host.directory_known.set(true);
+    if !host.directory_known.replace(true) {
+        host.introduce();
+    }
 }
 
 fn put<D: Dialect, S: Store>(host: &Host<D, S>, id: String, value: Bytes) {
@@ -72,7 +74,16 @@
 fn remove<D, S>(host: &Host<D, S>, id: &str) {
     let change = host.directory.borrow_mut().remove(now(), id);
     host.directory_changed(change);
-    host.entries.borrow_mut().remove(id);
+    prune_entries(host);
+}
+
+/// Removes the raw entries of endpoints that have left the directory. Those whose removal is deferred
+/// stay, so that peers defer it as well.
+pub(crate) fn prune_entries<D, S>(host: &Host<D, S>) {
+    let directory = host.directory.borrow();
+    host.entries
+        .borrow_mut()
+        .retain(|id, _| directory.key(id).is_some());
 }
 
 fn retain<D, S>(host: &Host<D, S>, listed: &HashSet<String>) {
@@ -83,9 +94,7 @@
     for change in changes {
         host.directory_changed(change);
     }
-    host.entries
-        .borrow_mut()
-        .retain(|id, _| listed.contains(id));
+    prune_entries(host);
 }
 
 /// Records the outcome of a store call; returns the backoff before the next call after a failure.
@@ -178,10 +187,10 @@
 
 /// Follows the entries of the endpoints by periodic reads.
 pub(crate) async fn endpoints<D: Dialect, S: Store>(host: Rc<Host<D, S>>) {
-    let period = host.endpoint_period();
     let mut position = None;
     let mut failures = 0;
     loop {
+        let started = now();
         let result = match position {
             None => read_all_newest(&host.store, Feed::Endpoints)
                 .await
@@ -197,7 +206,10 @@
             Ok((records, next, complete)) => {
                 position = Some(next);
                 apply::<D, S>(&host, records, complete);
-                host.directory_known.set(true);
+                host.confirm_entries(started);
+                if !host.directory_known.replace(true) {
+                    host.introduce();
+                }
             }
             Err(Error::Expired) => {
                 position = None;
@@ -205,7 +217,8 @@
             }
             Err(_) => {}
         }
-        tokio::time::sleep(pause.unwrap_or(period)).await;
+        let until_next = host.refresh.get().pause(now(), started);
+        tokio::time::sleep(pause.unwrap_or(until_next)).await;
     }
 }
 
@@ -252,8 +265,10 @@
         };
         host.view
             .borrow_mut()
-            .add(now(), SocketAddr::new(address, own.port()));
+            .add_announced(now(), SocketAddr::new(address, own.port()));
     }
     host.hosts_known.set(true);
+    host.count_hosts(now());
+    host.introduce();
     Ok(())
 }
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -3,8 +3,9 @@
 //! A report carries totals since the sender's start, so the next report makes up for a lost datagram
 //! and a duplicate has no effect.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
@@ -14,7 +15,7 @@
 use crate::ledger::{Grant, Run};
 
 /// Format version of reports; reports of other versions are dropped.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 /// Failure detector timeout: a peer without a report for this time counts as unreachable.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Failure detector timeout per known peer, since reports are less frequent with many peers. The larger
@@ -51,6 +52,34 @@
 /// Largest number of peers; further ones are ignored.
 const MAX_PEERS: usize = 1_024;
 
+/// How far a host is able to act as leader.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    /// It does not know the endpoints yet, or it is shutting down.
+    #[default]
+    Unable,
+    /// It started recently and may not know the reservations of its peers.
+    Provisional,
+    /// It has received peers' reports for long enough to know their reservations.
+    Full,
+}
+
+/// Time after the start before a host may lead without reserve, so that it has received several
+/// reports of each peer and knows their reservations.
+const LEADER_WARM_UP: Duration = Duration::from_millis(2_500);
+
+impl Rank {
+    /// Rank of a host that has run for `uptime`.
+    #[must_use]
+    pub fn new(is_able: bool, uptime: Duration) -> Self {
+        match (is_able, uptime >= LEADER_WARM_UP) {
+            (false, _) => Self::Unable,
+            (true, false) => Self::Provisional,
+            (true, true) => Self::Full,
+        }
+    }
+}
+
 /// Report of a host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -65,10 +94,14 @@
     pub configuration: u64,
     /// Age of the last answer that the sender got from the store, in milliseconds.
     pub store_age_ms: u64,
+    /// Age of the sender's endpoint entries, in milliseconds; `u64::MAX` before the first read.
+    pub entries_age_ms: u64,
     /// Whether the sender is shutting down.
     pub leaving: bool,
-    /// Whether the sender has received peers' reports for long enough to act as leader.
-    pub leads: bool,
+    /// Whether the sender knows the endpoints and so is able to act as leader.
+    pub is_able: bool,
+    /// Time since the start of the sender, in milliseconds.
+    pub uptime_ms: u64,
     /// Whether the totals of customers and services are omitted; those of the previous report remain
     /// valid.
     pub partial: bool,
@@ -122,8 +155,10 @@
             sequence,
             configuration: 0,
             store_age_ms: 0,
+            entries_age_ms: u64::MAX,
             leaving: false,
-            leads: false,
+            is_able: false,
+            uptime_ms: 0,
             partial: false,
             customers: Vec::new(),
             services: Vec::new(),
@@ -159,6 +194,10 @@
 struct Peer {
     last_report_at: Option<Instant>,
     added: Instant,
+    /// Start of its process, by the clock of this host.
+    started: Instant,
+    /// Whether it has announced itself in the store, so that it exists or existed.
+    announced: bool,
     report: Report,
 }
 
@@ -169,7 +208,7 @@
 }
 
 impl View {
-    /// Adds a discovered peer that has not reported yet; ignored beyond the largest number of peers.
+    /// Adds a possible peer that has not reported yet; ignored beyond the largest number of peers.
     pub fn add(&mut self, now: Instant, address: SocketAddr) {
         if self.peers.len() >= MAX_PEERS {
             return;
@@ -177,10 +216,29 @@
         self.peers.entry(address).or_insert_with(|| Peer {
             last_report_at: None,
             added: now,
+            started: now,
+            announced: false,
             report: Report::new(0, 0),
         });
     }
 
+    /// Adds a peer that has announced itself in the store. Until its first report it counts as
+    /// unreachable: hosts that lost their state together would otherwise each use all of the
+    /// customers' limits.
+    pub fn add_announced(&mut self, now: Instant, address: SocketAddr) {
+        self.add(now, address);
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.announced = true;
+        }
+    }
+
+    /// Whether the last report of the peer at `address` came from the same start of its process.
+    #[must_use]
+    pub fn knows(&self, address: SocketAddr, incarnation: u64) -> bool {
+        let peer = self.peers.get(&address);
+        peer.is_some_and(|peer| peer.report.incarnation == incarnation)
+    }
+
     /// Applies a report; `None` if it is not newer than the last one of its sender, or if it is partial
     /// and its base is unknown.
     pub fn apply(&mut self, now: Instant, from: SocketAddr, mut report: Report) -> Option<Delta> {
@@ -228,6 +286,7 @@
                 }
             }
         }
+        peer.started = Instant::from_millis(now.as_millis().saturating_sub(report.uptime_ms));
         peer.report = report;
         peer.last_report_at = Some(now);
         Some(delta)
@@ -255,6 +314,41 @@
         live.any(|(_, report)| report.store_age_ms <= within)
     }
 
+    /// Time at which the endpoint entries of the freshest live peer were current.
+    #[must_use]
+    pub fn freshest_entries(&self, now: Instant) -> Option<Instant> {
+        self.entries(now).map(|(as_of, _)| as_of).max()
+    }
+
+    /// A random live peer (`draw` in 0..1) among those whose endpoint entries are at most `tolerance`
+    /// older than the freshest ones.
+    #[must_use]
+    pub fn entries_source(
+        &self,
+        now: Instant,
+        tolerance: Duration,
+        draw: f64,
+    ) -> Option<SocketAddr> {
+        let freshest = self.freshest_entries(now)?;
+        let mut sources: Vec<SocketAddr> = self
+            .entries(now)
+            .filter(|(as_of, _)| *as_of + tolerance >= freshest)
+            .map(|(_, address)| address)
+            .collect();
+        sources.sort_unstable();
+        let index = (draw * sources.len() as f64) as usize;
+        sources.get(index.min(sources.len() - 1)).copied()
+    }
+
+    /// Times at which the endpoint entries of the live peers were current.
+    fn entries(&self, now: Instant) -> impl Iterator<Item = (Instant, SocketAddr)> {
+        self.live_peers(now).filter_map(|(address, peer)| {
+            let reported_at = peer.last_report_at?.as_millis();
+            let as_of = reported_at.checked_sub(peer.report.entries_age_ms)?;
+            Some((Instant::from_millis(as_of), address))
+        })
+    }
+
     /// The peer to fetch records from: a random one (`draw` in 0..1) among the freshest peers with the
     /// newest configuration. The choice is random because a single peer ran out of memory when hundreds
     /// of hosts queried it. `None` if no peer has a newer configuration and `without_store` is false.
@@ -285,6 +379,44 @@
         Some(sources[index.min(fresh - 1)].1)
     }
 
+    /// The peer that grants reservations for all hosts; `None` if the own host does, whose address is
+    /// `own` and whose rank is `rank`. Peers for which `is_skipped` holds do not count.
+    ///
+    /// The leader is the host with the lowest address among those of full rank. When all hosts have
+    /// started recently there is none, and the provisional host with the lowest address takes its place.
+    /// Otherwise each host would decide for itself, and all of them together would exceed the
+    /// customers' limits.
+    #[must_use]
+    pub fn leader(
+        &self,
+        now: Instant,
+        own: IpAddr,
+        rank: Rank,
+        is_skipped: impl Fn(SocketAddr) -> bool,
+    ) -> Option<SocketAddr> {
+        let (peer_rank, peer) = self
+            .ranks(now)
+            .filter(|(rank, address)| *rank > Rank::Unable && !is_skipped(*address))
+            .max_by_key(|(rank, address)| (*rank, Reverse(*address)))?;
+        let is_behind = (peer_rank, Reverse(peer.ip())) > (rank, Reverse(own));
+        is_behind.then_some(peer)
+    }
+
+    /// Ranks of the live peers. They follow from the start of each peer instead of its last report, so
+    /// that all hosts see a change of rank at the same time.
+    fn ranks(&self, now: Instant) -> impl Iterator<Item = (Rank, SocketAddr)> {
+        self.live_peers(now).map(move |(address, peer)| {
+            let is_able = peer.report.is_able && !peer.report.leaving;
+            (Rank::new(is_able, now.since(peer.started)), address)
+        })
+    }
+
+    /// Whether a live peer may act as leader without reserve.
+    #[must_use]
+    pub fn has_full_leader(&self, now: Instant) -> bool {
+        self.ranks(now).any(|(rank, _)| rank == Rank::Full)
+    }
+
     /// Addresses of the standbys of the leader `own`: the live peers with the next higher addresses.
     #[must_use]
     pub fn standbys(&self, now: Instant, own: SocketAddr) -> Vec<SocketAddr> {
@@ -304,9 +436,14 @@
 
     /// Peers within the failure detector timeout, with their last reports.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = (SocketAddr, &Report)> {
+        self.live_peers(now)
+            .map(|(address, peer)| (address, &peer.report))
+    }
+
+    fn live_peers(&self, now: Instant) -> impl Iterator<Item = (SocketAddr, &Peer)> {
         self.peers.iter().filter_map(move |(address, peer)| {
             let recent = now.since(peer.last_report_at?) < self.peer_timeout();
-            recent.then_some((*address, &peer.report))
+            recent.then_some((*address, peer))
         })
     }
 
@@ -336,6 +473,11 @@
     pub fn hosts(&self, now: Instant) -> (usize, f64) {
         let overdue_timeout = self.overdue_timeout();
         let reports = self.peers.values().filter_map(|peer| peer.last_report_at);
+        let unheard = self
+            .peers
+            .values()
+            .filter(|peer| peer.announced && peer.last_report_at.is_none());
+        let unheard = unheard.count() as u32;
         let window =
             MIN_SAMPLE_WINDOW.max(report_interval(self.peers.len()).mul_f64(SAMPLE_WINDOW_SHARE));
         let (mut known, mut overdue, mut shortest_age) = (0_u32, 0_u32, Duration::MAX);
@@ -347,6 +489,8 @@
             received += u32::from(age < window);
             shortest_age = shortest_age.min(age);
         }
+        known += unheard;
+        overdue += unheard;
         let count = known as usize + 1;
         if known == 0 {
             return (count, 0.0);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod parts;
 pub mod platform;
 pub mod quota;
+pub mod refresh;
 pub mod run;
 pub mod shutdown;
 pub mod stages;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use berylknot_coordination::clock::Instant;
 use bytes::Bytes;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -47,6 +48,8 @@
 struct Answer {
     /// Time since the store last answered the peer, in milliseconds.
     age_ms: u64,
+    /// Age of the peer's endpoint entries, in milliseconds.
+    entries_age_ms: u64,
     /// The configuration, if it is newer than that of the querying host.
     configuration: Option<Bytes>,
     /// Endpoint entries by id.
@@ -64,6 +67,7 @@
     let newer = version > query.configuration;
     let answer = Answer {
         age_ms: millis_since_store_answer(host),
+        entries_age_ms: entries_age_ms(host),
         configuration: newer.then(|| host.document.borrow().clone()),
         endpoints: if query.endpoints {
             let entries = host.entries.borrow();
@@ -85,6 +89,12 @@
         .map_or(u64::MAX, |at| now().since(at).as_millis() as u64)
 }
 
+/// Age of the endpoint entries in milliseconds; `u64::MAX` before the first read.
+fn entries_age_ms<D, S>(host: &Host<D, S>) -> u64 {
+    let confirmed_at = host.refresh.get().confirmed_at();
+    confirmed_at.map_or(u64::MAX, |at| now().since(at).as_millis() as u64)
+}
+
 /// Receives and applies reports of peers.
 pub(crate) async fn receive<D: Dialect, S: Store>(host: Rc<Host<D, S>>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_REPORT_BYTES];
@@ -102,10 +112,28 @@
             tracing::warn!(%from, "peer: malformed report dropped");
             continue;
         };
+        let is_new = !host.view.borrow().knows(from, report.incarnation);
         apply_report(&host, from, report);
+        // The newcomer may have started after this host introduced itself, and would otherwise not hear
+        // from it for a whole report interval.
+        if is_new && host.hosts_known.get() {
+            match encode(&host, true) {
+                Ok(bytes) => send(&socket, &bytes, from),
+                Err(error) => {
+                    tracing::error!(%error, "peer: report could not be encoded; the newcomer gets the next one");
+                }
+            }
+        }
     }
 }
 
+/// Encodes the current report with the next sequence number.
+fn encode<D, S>(host: &Host<D, S>, full: bool) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    let sequence = host.report_sequence.get() + 1;
+    host.report_sequence.set(sequence);
+    rmp_serde::to_vec(&current_report(host, sequence, full))
+}
+
 /// Applies the report of a peer; reports of this host itself are ignored.
 fn apply_report<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, from: SocketAddr, report: Report) {
     let now = now();
@@ -151,18 +179,15 @@
 /// Sends reports: to all peers in each period, to the leader whenever a reservation is made or
 /// released, and as the leader to the standbys.
 pub(crate) async fn report<D: Dialect, S: Store>(host: Rc<Host<D, S>>, socket: Rc<UdpSocket>) {
-    let mut sequence = 0;
     let phase = rand::rng().random_range(0.0..1.0);
     let mut due = now();
     let mut standbys_due = due;
     loop {
-        sequence += 1;
         let leader = admission::leader(&host);
-        let to_all = now() >= due;
+        let to_all = host.introduction_due.replace(false) || now() >= due;
         let to_standbys = leader.is_none() && now() >= standbys_due;
         let full = to_all || to_standbys;
-        let bytes = rmp_serde::to_vec(&current_report(&host, sequence, full));
-        let bytes = match bytes {
+        let bytes = match encode(&host, full) {
             Ok(bytes) => bytes,
             Err(error) => {
                 tracing::error!(%error, "peer: report could not be encoded; skipped until the next period");
@@ -227,8 +252,10 @@
         .as_ref()
         .map_or(0, |fleet| fleet.version);
     report.store_age_ms = millis_since_store_answer(host);
+    report.entries_age_ms = entries_age_ms(host);
     report.leaving = host.is_stopping();
-    report.leads = host.leads(now());
+    report.is_able = host.directory_known.get();
+    report.uptime_ms = host.uptime(now()).as_millis() as u64;
     report.partial = !full;
     if full {
         add_totals(host, &mut report);
@@ -308,6 +335,9 @@
         .borrow_mut()
         .retain(|_, until| *until > now);
     let expired = host.directory.borrow_mut().expire(now);
+    if !expired.is_empty() {
+        follow::prune_entries(host);
+    }
     for change in expired {
         host.directory_changed(change);
     }
@@ -316,11 +346,9 @@
         .borrow()
         .as_ref()
         .map_or(0, |fleet| fleet.version);
-    let is_store_overdue = is_overdue(now, host.store_answered.get(), host.endpoint_period());
-    let answers_peers = host
-        .view
-        .borrow()
-        .is_store_reachable(now, host.endpoint_period());
+    let period = host.refresh.get().period();
+    let is_store_overdue = is_overdue(now, host.store_answered.get(), period);
+    let answers_peers = host.view.borrow().is_store_reachable(now, period);
     let mut outage = host.outage.get();
     outage.observe(now, is_store_overdue, answers_peers);
     host.outage.set(outage);
@@ -334,18 +362,66 @@
     };
     let query = Query {
         configuration: version,
-        endpoints: is_store_overdue,
+        endpoints: false,
     };
-    if let Err(error) = query_peer(host, source, &query).await {
+    if let Err(error) = query_peer(host, source, &query, QUERY_TIMEOUT).await {
         tracing::info!(peer = %source, %error, "peer: query for newer records failed; retried at the next maintenance");
     }
 }
 
+/// Keeps the endpoint entries current while the store does not answer this host: asks peers that have
+/// fresher ones.
+pub(crate) async fn confirm_entries<D: Dialect, S: Store>(host: Rc<Host<D, S>>) {
+    let mut was_expired = false;
+    loop {
+        let pause = host.refresh.get().query_pause();
+        tokio::time::sleep(pause).await;
+        let is_expired = host.is_directory_expired(now());
+        if is_expired != was_expired {
+            tracing::info!(
+                is_expired,
+                "directory: age of the endpoint entries checked against the drain deadline"
+            );
+            was_expired = is_expired;
+        }
+        if let Some(source) = entries_source(&host) {
+            let version = host
+                .fleet
+                .borrow()
+                .as_ref()
+                .map_or(0, |fleet| fleet.version);
+            let query = Query {
+                configuration: version,
+                endpoints: true,
+            };
+            if let Err(error) = query_peer(&host, source, &query, pause * 2).await {
+                tracing::info!(peer = %source, %error, "peer: query for endpoint entries failed; another peer is asked");
+            }
+        }
+    }
+}
+
+/// The peer to ask for endpoint entries; `None` while the own ones are young enough.
+fn entries_source<D, S>(host: &Host<D, S>) -> Option<SocketAddr> {
+    let now = now();
+    let refresh = host.refresh.get();
+    if !refresh.is_late(now) {
+        return None;
+    }
+    let view = host.view.borrow();
+    if !refresh.asks_peer(now, view.freshest_entries(now)) {
+        return None;
+    }
+    let draw = rand::rng().random_range(0.0..1.0);
+    view.entries_source(now, refresh.tolerance(), draw)
+}
+
 /// Queries a peer for newer records and applies the answer.
 async fn query_peer<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     peer: SocketAddr,
     query: &Query,
+    step_timeout: Duration,
 ) -> eyre::Result<()> {
     let queried_at = now();
     let body = rmp_serde::to_vec(query)?;
@@ -353,30 +429,28 @@
         .header(http::header::HOST, "peer")
         .body(http_body_util::Full::new(Bytes::from(body)))?;
     let timeouts = Timeouts {
-        connect: QUERY_TIMEOUT,
-        head: QUERY_TIMEOUT,
+        connect: step_timeout,
+        head: step_timeout,
         max_idle: Duration::MAX,
     };
     let mut exchange = host.pool.send(peer, request, timeouts).await?;
-    let body = exchange.read(MAX_ANSWER_BYTES, QUERY_TIMEOUT).await?;
+    let body = exchange.read(MAX_ANSWER_BYTES, step_timeout).await?;
     let answer: Answer = rmp_serde::from_slice(&body)?;
     if let Some(document) = answer.configuration {
         follow::configure::<D, S>(host, document, "peer");
     }
-    let age = Duration::from_millis(answer.age_ms.min(u64::from(u32::MAX)));
-    let as_of = queried_at
-        .as_millis()
-        .saturating_sub(age.as_millis() as u64);
-    let as_of = berylknot_coordination::clock::Instant::from_millis(as_of);
-    if host
-        .configuration_confirmed
-        .get()
-        .is_none_or(|known| known < as_of)
-    {
-        host.configuration_confirmed.set(Some(as_of));
+    let before = |age_ms| {
+        let as_of = queried_at.as_millis().checked_sub(age_ms);
+        as_of.map(Instant::from_millis)
+    };
+    let confirmed = host.configuration_confirmed.get();
+    host.configuration_confirmed
+        .set(confirmed.max(before(answer.age_ms)));
+    if let Some(as_of) = before(answer.entries_age_ms).filter(|_| query.endpoints) {
+        // The list is complete as of that time, so endpoints that it lacks were removed.
+        let is_newer = host.refresh.get().confirmed_at() < Some(as_of);
+        follow::merge_endpoints::<D, S>(host, answer.endpoints, is_newer);
+        host.confirm_entries(as_of);
     }
-    // A peer in contact with the store has a complete list, so missing endpoints were removed.
-    let complete = !is_overdue(queried_at, Some(as_of), host.endpoint_period());
-    follow::merge_endpoints::<D, S>(host, answer.endpoints, complete);
     Ok(())
 }
--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -22,8 +22,8 @@
 /// Bucket size beyond the burst, in seconds of the rate. When all hosts lose their state the window
 /// starts empty; with this size the use before and after the loss stays within one window's limit.
 const BURST_SECONDS: f64 = 1.5;
-/// Initial bucket level of a restarted host, which has not received its peers' reports yet, in seconds
-/// of the rate.
+/// Bucket level of a restarted host once it has heard from its peers, in seconds of the rate. Before
+/// that the bucket is empty: all hosts may have lost their state, and each would use this level.
 const RESTART_SECONDS: f64 = 0.5;
 /// Largest debt of a bucket, in seconds of the rate.
 const MAX_DEBT_SECONDS: f64 = 4.0;
@@ -120,6 +120,8 @@
     partitioned_since: Option<Instant>,
     /// Number of hosts; a customer's plain calls are spread over all of them.
     hosts: f64,
+    /// Whether this host has heard from its peers since its start.
+    introduced: bool,
 }
 
 impl Quotas {
@@ -133,23 +135,24 @@
             unreachable: 0.0,
             partitioned_since: None,
             hosts: 1.0,
+            introduced: full_start,
         }
     }
 
     /// Sets a customer's limit in tokens per second and tokens; a rate of 0 means unlimited.
     pub fn configure(&mut self, now: Instant, customer: &str, rate: u64, burst: u64) {
         let (rate, burst) = (rate as f64, burst as f64);
-        let full = self.full_start;
+        let (full, introduced) = (self.full_start, self.introduced);
         let account = self
             .accounts
             .entry(customer.to_owned())
             .or_insert_with(|| Account {
                 rate,
                 burst,
-                level: if full {
-                    burst + rate * BURST_SECONDS
-                } else {
-                    rate * RESTART_SECONDS
+                level: match (full, introduced) {
+                    (true, _) => burst + rate * BURST_SECONDS,
+                    (false, true) => rate * RESTART_SECONDS,
+                    (false, false) => 0.0,
                 },
                 refilled_at: now,
                 all: Window::default(),
@@ -168,6 +171,12 @@
     pub fn set_hosts(&mut self, now: Instant, hosts: usize, unreachable: f64) {
         self.hosts = hosts.max(1) as f64;
         let unreachable = unreachable.clamp(0.0, 1.0);
+        if !self.introduced && unreachable <= MAX_UNREACHABLE_SHARE {
+            self.introduced = true;
+            for account in self.accounts.values_mut() {
+                account.level += account.rate * RESTART_SECONDS;
+            }
+        }
         if unreachable.to_bits() == self.unreachable.to_bits() {
             return;
         }
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -21,6 +21,7 @@
     QueueFull,
     Hopeless,
     NoEndpoint,
+    Starting,
     Stopping,
     CrashesEndpoints,
     EndpointsRefused,
@@ -42,6 +43,7 @@
             Self::QueueFull => "queue_full",
             Self::Hopeless => "hopeless",
             Self::NoEndpoint => "no_endpoint",
+            Self::Starting => "starting",
             Self::Stopping => "stopping",
             Self::CrashesEndpoints => "crashes_endpoints",
             Self::EndpointsRefused => "endpoints_refused",
@@ -63,6 +65,7 @@
             | Self::QueueFull
             | Self::Hopeless
             | Self::NoEndpoint
+            | Self::Starting
             | Self::Stopping
             | Self::CrashesEndpoints
             | Self::EndpointsRefused => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -86,6 +86,7 @@
     actix_rt::spawn(peer::receive(Rc::clone(&host), Rc::clone(&socket)));
     actix_rt::spawn(peer::report(Rc::clone(&host), socket));
     actix_rt::spawn(peer::run_maintenance(Rc::clone(&host)));
+    actix_rt::spawn(peer::confirm_entries(Rc::clone(&host)));
     actix_rt::spawn(control::run(Rc::clone(&host)));
     actix_rt::spawn(dispatcher(Rc::clone(&host)));
     actix_rt::spawn(reload(Rc::clone(&host), settings));
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -346,6 +346,9 @@
             host.charge(arrived, &customer.name, tokens, Class::Plain)
         };
         if let Err(after) = taken {
+            if host.is_introducing(arrived) {
+                return Err(reject(Reason::Starting, Some(STARTING_RETRY_AFTER)));
+            }
             tracing::info!(
                 id = head.id,
                 customer = customer.name,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -18,7 +18,7 @@
 use crate::contact::Outage;
 use crate::directory::{self, Directory, Endpoint, Key, Stage};
 use crate::fleet::Fleet;
-use crate::gossip::View;
+use crate::gossip::{Rank, View};
 use crate::health::{Group, Health, Suspicion};
 use crate::http::Pool;
 use crate::ledger::{Grant, Ledger, Run, Ticket};
@@ -28,22 +28,20 @@
 use crate::parts::Parts;
 use crate::platform::AnswerHead;
 use crate::quota::{self, Class, Quotas};
+use crate::refresh::Refresh;
 use crate::request::{Call, Classification};
 use crate::shutdown::Shutdown;
 use crate::strikes::Strikes;
 
-/// Polling interval of the endpoint entries, as a share of the time after which a draining endpoint
-/// must not get requests. Long polls are of no use, since every heartbeat rewrites an entry.
-const ENDPOINT_PERIOD_SHARE: f64 = 0.65;
 /// Cost of an endpoint in another data centre, as a share of its slots.
 const REMOTE_COST: f64 = 0.35;
 /// Largest staleness of the configuration at which API keys are still accepted (design page, section
 /// 5.7).
 const MAX_CONFIGURATION_AGE: Duration = Duration::from_secs(10);
 
-/// Time after the start before a host may lead, so that it has received several reports of each peer
-/// and knows their reservations.
-const LEADER_WARM_UP: Duration = Duration::from_millis(2_500);
+/// Longest time after the start in which requests wait until this host has heard from its peers. The
+/// first reports take a read of the store and one way between hosts.
+const INTRODUCTION_TIME: Duration = Duration::from_secs(1);
 /// Grant number of a reservation without a grant of a leader.
 pub(crate) const NO_GRANT: Grant = 0;
 
@@ -79,6 +77,8 @@
     /// Time at which the store or a peer last confirmed that the configuration is current.
     pub(crate) configuration_confirmed: Cell<Option<Instant>>,
     pub(crate) directory_known: Cell<bool>,
+    /// Age of the endpoint entries.
+    pub(crate) refresh: Cell<Refresh>,
     pub(crate) outage: Cell<Outage>,
     /// Whether the announcements of the other hosts have been read from the store.
     pub(crate) hosts_known: Cell<bool>,
@@ -93,6 +93,10 @@
     started: Instant,
     /// Whether a peer has reported since the peers' requests were last counted.
     pub(crate) peers_changed: Cell<bool>,
+    /// Whether a report is due to all peers, since this host has just started.
+    pub(crate) introduction_due: Cell<bool>,
+    /// Number of the last report.
+    pub(crate) report_sequence: Cell<u64>,
     /// Wakes the sender of reports when a reservation was made or released.
     pub(crate) load_changed: Notify,
     /// Average generations by service.
@@ -116,6 +120,7 @@
             bounds.retry_slack,
             (bounds.retry_window_s * 1_000.0) as u64,
         );
+        let refresh = Refresh::new(bounds.drain());
         let mut ledger = Ledger::default();
         ledger.number_grants_from(incarnation);
         Self {
@@ -139,6 +144,7 @@
             store_answered: Cell::new(None),
             configuration_confirmed: Cell::new(None),
             directory_known: Cell::new(false),
+            refresh: Cell::new(refresh),
             outage: Cell::default(),
             hosts_known: Cell::new(false),
             open_requests: Cell::new(0),
@@ -147,6 +153,8 @@
             leader_cooldowns: RefCell::default(),
             started: now(),
             peers_changed: Cell::new(false),
+            introduction_due: Cell::new(false),
+            report_sequence: Cell::new(0),
             load_changed: Notify::new(),
             mixes: RefCell::default(),
             capacity_freed: Notify::new(),
@@ -158,26 +166,54 @@
     /// other hosts. Without its peers it would use all of each customer's limit, and could not fetch
     /// records when the store is down.
     pub(crate) fn is_ready(&self) -> bool {
-        let knows_peers = self.hosts_known.get() || self.view.borrow().live(now()).next().is_some();
-        knows_peers
+        self.knows_hosts()
             && self.fleet.borrow().is_some()
             && self.directory_known.get()
             && !self.is_stopping()
             && self.is_fresh(now())
     }
 
-    /// Polling interval of the endpoint entries.
-    pub(crate) fn endpoint_period(&self) -> Duration {
-        self.options.bounds.drain().mul_f64(ENDPOINT_PERIOD_SHARE)
+    /// Records that the endpoint entries include all changes up to `as_of`.
+    pub(crate) fn confirm_entries(&self, as_of: Instant) {
+        let mut refresh = self.refresh.get();
+        refresh.confirm(as_of);
+        self.refresh.set(refresh);
+    }
+
+    /// Whether the endpoint entries are too old for new work. A peer that has fresher ones is being
+    /// asked for them.
+    pub(crate) fn is_directory_expired(&self, now: Instant) -> bool {
+        let refresh = self.refresh.get();
+        refresh.is_late(now) && refresh.is_expired(now, self.view.borrow().freshest_entries(now))
     }
 
     pub(crate) fn uptime(&self, now: Instant) -> Duration {
         now.since(self.started)
     }
 
-    /// Whether this host has received peers' reports for long enough to act as leader.
-    pub(crate) fn leads(&self, now: Instant) -> bool {
-        self.uptime(now) >= LEADER_WARM_UP && !self.is_stopping() && self.directory_known.get()
+    /// How far this host is able to act as leader.
+    pub(crate) fn rank(&self, now: Instant) -> Rank {
+        let is_able = self.directory_known.get() && !self.is_stopping();
+        Rank::new(is_able, self.uptime(now))
+    }
+
+    /// Whether this host knows the other hosts: from the store, or from a report.
+    pub(crate) fn knows_hosts(&self) -> bool {
+        self.hosts_known.get() || self.view.borrow().live(now()).next().is_some()
+    }
+
+    /// Whether this host has just started, has not heard from most of the hosts that it knows, and knows
+    /// no leader that could decide for it.
+    pub(crate) fn is_introducing(&self, now: Instant) -> bool {
+        self.uptime(now) < INTRODUCTION_TIME
+            && (!self.knows_hosts() || self.quotas.borrow().is_partitioned())
+            && !self.view.borrow().has_full_leader(now)
+    }
+
+    /// Sends a report to all peers at once, so that they hear from this host after its start.
+    pub(crate) fn introduce(&self) {
+        self.introduction_due.set(true);
+        self.load_changed.notify_one();
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
@@ -234,6 +270,9 @@
 
     /// Updates the number of hosts and the share of unreachable ones in the quotas.
     pub(crate) fn count_hosts(&self, now: Instant) {
+        if !self.knows_hosts() {
+            return;
+        }
         let (hosts, unreachable) = self.view.borrow().hosts(now);
         let mut quotas = self.quotas.borrow_mut();
         let was_partitioned = quotas.is_partitioned();
@@ -379,6 +418,7 @@
     }
 
     /// The ready endpoint of a service with the lowest cost; a cost of `None` excludes an endpoint.
+    /// `None` also while the entries are too old, since the endpoint may have left.
     pub(crate) fn choose(
         &self,
         service: &str,
@@ -387,6 +427,9 @@
         cost: impl Fn(Key, &Endpoint, Option<Suspicion>) -> Option<f64>,
     ) -> Option<(Key, Endpoint)> {
         let now = now();
+        if self.is_directory_expired(now) {
+            return None;
+        }
         let directory = self.directory.borrow();
         let health = self.health.borrow();
         let mut best: Option<(f64, Key, &Endpoint)> = None;
