Share the orders to engines, change stages after the demand, believe refusals

A change was ordered by averages of rates alone, also amid a burst of 4 s and by a host that was cut off. An engine that refused was chosen again, since the forecast showed it as empty. A refusal of a handle led to a second reading of the prompt although the handle was still good.

Ruled out: keeping the order at the leader only, since a new leader does not know it; excluding engines after an order without an answer, since it may never be carried out (they are chosen last of equals).

Change. orders: all hosts report the orders that they know, until the entry shows the stage, the engine restarts or refuses, or the time of a lost order is over. stages: a change must serve more of the granted rate (or of waiting generations) for as long as the change itself takes; at the first start all changes are made at once, later a sixteenth of the engines at a time; a host without its peers or the store orders nothing. saturation: after a refusal an engine gets no more than it held, for 0.5 s to 8 s. A refused handle is offered to a second engine, which tells whether engine or handle is at fault. gossip: a quarter of the announced hosts at most count as removed when silent for 0.5 s.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -21,7 +21,7 @@
 use crate::fleet::Engine;
 use crate::health::Suspicion;
 use crate::http::Timeouts;
-use crate::ledger::{Capacity, Grant, Run};
+use crate::ledger::{Capacity, Grant, Run, peak};
 use crate::locate;
 use crate::mix::PREFILL_MS_PER_TOKEN;
 use crate::parts::Part;
@@ -85,6 +85,9 @@
     pub(crate) doubtful: Vec<(String, Suspicion)>,
     /// Id of the engine that has failed the request since the previous query.
     pub(crate) failed: Option<String>,
+    /// Engines that have refused generations of the sender since its previous query, and the tokens
+    /// that each of these would have occupied.
+    pub(crate) refused: Vec<(String, u32)>,
     /// Whether to choose a prefill engine too.
     pub(crate) prefill: bool,
     /// Last part of the prompt, if an engine may still have the prompt in its KV cache.
@@ -203,6 +206,7 @@
         }
         // The host that answered has counted the failure.
         query.failed = None;
+        query.refused.clear();
     }
 }
 
@@ -261,6 +265,7 @@
     if let Some(key) = failed.and_then(|id| host.directory.borrow().key(id)) {
         host.health.borrow_mut().request_failed(now, key);
     }
+    note_refusals(host, now, &query.refused);
     if let Some(customer) = query.customer.as_deref().filter(|_| query.tokens > 0) {
         let taken = host.charge(now, customer, query.tokens, Class::Generation);
         if let Err(wait) = taken {
@@ -275,10 +280,33 @@
         due: true,
     };
     let verdict = grant_or_queue(host, query, now).await;
+    if query.prefill && matches!(verdict, Verdict::Granted { .. }) {
+        let mut demand = host.demand.borrow_mut();
+        let demand = demand.entry(query.service.clone()).or_default();
+        demand.count(self::now());
+    }
     refund.due = !matches!(verdict, Verdict::Granted { .. });
     verdict
 }
 
+/// Bounds what the engines get that have refused generations.
+fn note_refusals<D, S>(host: &Host<D, S>, now: Instant, refused: &[(String, u32)]) {
+    for (id, tokens) in refused {
+        let Some(key) = host.directory.borrow().key(id) else {
+            continue;
+        };
+        // The refused generation still counts as a grant.
+        let mut runs: Vec<Run> = host.ledger.borrow().runs(key).collect();
+        let held = peak(&mut runs).saturating_sub(u64::from(*tokens));
+        host.saturation.borrow_mut().refused(now, key, held);
+        tracing::info!(
+            endpoint = id,
+            held,
+            "admission: engine refused a generation; bounded"
+        );
+    }
+}
+
 /// Refunds the customer's tokens on drop unless capacity was granted, also when the sender
 /// disconnects.
 struct Refund<'a, D, S> {
@@ -448,6 +476,8 @@
     let now = now();
     let health = host.health.borrow();
     let ledger = host.ledger.borrow();
+    let saturation = host.saturation.borrow();
+    let limit = |key| saturation.limit(now, key);
     let cost = |key, endpoint: &Endpoint, suspicion| {
         let fault = match suspicion {
             None => 0.0,
@@ -461,6 +491,9 @@
         let mut runs: Vec<Run> = ledger.runs(key).collect();
         runs.push(run);
         let share = capacity.share(&mut runs).filter(|share| *share <= fill)?;
+        if limit(key).is_some_and(|limit| peak(&mut runs) > limit) {
+            return None;
+        }
         let failures = health.failure_rate(now, key) * FAILURE_COST;
         let bonus = if cached_at == Some(key) {
             CACHED_BONUS
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -34,6 +34,8 @@
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Maximum number of sends to decode engines per attempt of a caller, refused ones included.
 pub(crate) const MAX_SENDS: usize = 4;
+/// Maximum number of refusals kept for the leader; it needs only some of each engine.
+const MAX_REFUSED: usize = 64;
 /// Token counts assumed for a request that states none.
 pub(crate) const DEFAULT_TOKENS: Tokens = Tokens {
     prompt: 1_000,
@@ -123,6 +125,8 @@
     let mut sends = 0;
     let mut cache: Option<KvHandle<D, S>> = None;
     let mut parts_at = None;
+    // The engine that was the first to refuse the KV cache.
+    let mut refused_by: Option<String> = None;
     let mut last = None;
     while sends < MAX_SENDS && now() < call.deadline() {
         let reservation = match acquire(host, call, demand, &mut tried).await {
@@ -171,6 +175,9 @@
             Decoded::Started(exchange) => {
                 if let Some(handle) = usable {
                     handle.consumed();
+                    if let Some(id) = refused_by {
+                        note_refusal(host, id, tokens);
+                    }
                 }
                 let status = exchange.status;
                 let headers = answer_headers(&exchange.headers);
@@ -204,12 +211,19 @@
             }
             Decoded::Refused => {
                 sends += 1;
-                // Either the engine is full, or the KV handle expired too early.
-                if let Some(handle) = usable {
-                    if !handle.offered {
-                        host.suspect(handle.key, Suspicion::Faulty);
+                // Either the engine is full, or the KV cache is gone; the next engine tells which.
+                match usable {
+                    Some(handle) if !handle.offered && refused_by.is_none() => {
+                        refused_by = Some(endpoint.id);
+                        cache = Some(handle);
+                    }
+                    Some(handle) => {
+                        if !handle.offered {
+                            host.suspect(handle.key, Suspicion::Faulty);
+                        }
+                        parts_at = Some(handle.cache.address);
                     }
-                    parts_at = Some(handle.cache.address);
+                    None => note_refusal(host, endpoint.id, tokens),
                 }
                 host.metrics.retry("refused");
             }
@@ -250,6 +264,14 @@
     ))
 }
 
+/// Records for the leader that an engine refused a generation.
+fn note_refusal<D, S>(host: &Host<D, S>, endpoint: String, tokens: Tokens) {
+    let mut refused = host.refused.borrow_mut();
+    if refused.len() < MAX_REFUSED {
+        refused.push((endpoint, tokens.prompt.saturating_add(tokens.output)));
+    }
+}
+
 /// Capacity reserved at a decode engine.
 pub(crate) struct Acquired<D, S> {
     pub(crate) reservation: Reservation<D, S>,
@@ -309,6 +331,7 @@
         tried: tried.ids.clone(),
         doubtful: host.suspected(),
         failed: tried.failed.take(),
+        refused: host.refused.take(),
         prefill: demand.is_first,
         // Only for streams that a caller resumes: other prompts are new to the engines, or were
         // prefilled too long ago to be cached.
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -5,67 +5,62 @@
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
+use http::StatusCode;
 
-use crate::directory::{Directory, Endpoint, Key, Stage};
+use crate::directory::{Endpoint, Key, Stage};
 use crate::lease::{Lease, Step};
+use crate::orders::{self, State};
 use crate::own;
 use crate::platform::{Dialect, Order, Result, Store};
-use crate::stages::{self, DEBOUNCE_TIME, Debounce, Throughput};
+use crate::stages::{self, Debounce};
 use crate::state::{Host, now};
 
 /// Interval between checks of the prefill/decode split.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Timeout of an order. It is short against the lease, which an order must not outlive.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
-/// Cooldown after an order, beyond the duration of the stage change; an order whose answer was lost
-/// may be executed seconds later.
-const ORDER_COOLDOWN: Duration = Duration::from_secs(8);
+/// Time after which an order without an answer is taken for lost, beyond the duration of the stage
+/// change; it may be executed seconds later.
+const LOST_ORDER_TIME: Duration = Duration::from_secs(8);
+/// Time until the entry of an engine shows a complete change: three heartbeats, and the read.
+const ENTRY_DELAY: Duration = Duration::from_secs(6);
 /// Time after the first start of a deployment in which the split changes without hysteresis;
 /// traffic begins about 10 s after the start (deploy pages).
 const FIRST_START_WINDOW: Duration = Duration::from_secs(8);
 /// Maximum size of the answer to an order, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1_024;
 
-/// Orders whose stage change is not in the directory yet and whose cooldown lasts.
-#[derive(Debug, Default)]
-struct Pending(Vec<(Key, Stage, Instant)>);
-
-impl Pending {
-    fn is_empty(&mut self, now: Instant, directory: &Directory) -> bool {
-        self.0.retain(|(key, stage, until)| {
-            let is_applied = directory
-                .get(*key)
-                .is_none_or(|endpoint| endpoint.stage == Some(*stage));
-            !is_applied && *until > now
-        });
-        self.0.is_empty()
-    }
-}
-
 /// Checks the prefill/decode split periodically and orders changes while this host holds the lease.
 pub(crate) async fn run<D: Dialect, S: Store>(host: Rc<Host<D, S>>) {
     let mut lease = Lease::new(host.options.host.clone(), host.options.bounds.lease());
-    let mut pending = Pending::default();
     let mut debounces = HashMap::new();
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        if host.is_stopping() || !has_lowest_address(&host) {
+        if host.is_stopping() || !has_lowest_address(&host) || is_cut_off(&host) {
             continue;
         }
-        let Some((key, stage)) = next_change(&host, &mut pending, &mut debounces) else {
-            continue;
-        };
-        match lease.step(now()) {
-            Step::Wait => {}
-            Step::Read => read(&host, &mut lease).await,
-            Step::Claim(end) => claim(&host, &mut lease, end).await,
-            Step::Hold(token) => {
-                order(&host, &mut lease, &mut pending, key, stage, token).await;
+        while let Some((key, stage)) = next_change(&host, &mut debounces) {
+            match lease.step(now()) {
+                Step::Wait => break,
+                Step::Read => read(&host, &mut lease).await,
+                Step::Claim(end) => claim(&host, &mut lease, end).await,
+                Step::Hold(token) => {
+                    order(&host, &mut lease, key, stage, token).await;
+                    continue;
+                }
             }
+            break;
         }
     }
 }
 
+/// Whether this host has lost contact with its peers or with the store. It would plan from old
+/// knowledge, and could not tell the others of its orders.
+fn is_cut_off<D, S>(host: &Host<D, S>) -> bool {
+    host.count_hosts(now());
+    host.quotas.borrow().is_partitioned() || host.refresh.get().is_late(now())
+}
+
 /// Whether this host has the lowest address of all live hosts that are not leaving. Only that host
 /// claims the lease, which avoids races.
 fn has_lowest_address<D, S>(host: &Host<D, S>) -> bool {
@@ -76,66 +71,84 @@
         .all(|(address, report)| report.leaving || own < address.ip())
 }
 
-/// The next stage change, unless an earlier order is still pending.
+/// The next stage change, unless enough engines are changing.
 fn next_change<D, S>(
     host: &Host<D, S>,
-    pending: &mut Pending,
     debounces: &mut HashMap<String, Debounce>,
 ) -> Option<(Key, Stage)> {
+    let now = now();
     let fleet = host.fleet.borrow().clone()?;
-    let directory = host.directory.borrow();
-    if !pending.is_empty(now(), &directory) {
-        return None;
-    }
-    let ledger = host.ledger.borrow();
     for (name, service) in &fleet.services {
-        let Some(engine) = service.engine else {
+        let Some(properties) = service.engine else {
             continue;
         };
-        let mut data_centres: Vec<&str> = Vec::new();
-        let mut engines = Vec::new();
-        for (key, endpoint) in directory.ready(name) {
-            let Some(stage) = endpoint.stage else {
-                continue;
-            };
-            let position = data_centres
-                .iter()
-                .position(|known| *known == endpoint.data_centre);
-            let data_centre = position.unwrap_or_else(|| {
-                data_centres.push(&endpoint.data_centre);
-                data_centres.len() - 1
-            });
-            engines.push(stages::Engine {
-                key,
-                stage,
-                data_centre,
-                requests: ledger.requests(key),
-            });
+        let (engines, changing) = engines(host, name);
+        // At the first start all engines are present and idle.
+        let is_starting = host.options.first_start && host.uptime(now) < FIRST_START_WINDOW;
+        if changing >= stages::max_changing(engines.len()) && !is_starting {
+            continue;
         }
-        let throughput: Throughput = host.mix(name).throughput(&engine);
-        let change = stages::next_change(&engines, throughput);
+        let mix = host.mix(name);
+        let (demand, delay) = if is_starting {
+            (f64::INFINITY, Duration::ZERO)
+        } else {
+            let delay = stages::debounce_time(properties.stage_change, mix.duration());
+            (demand(host, name, now), delay)
+        };
+        let change = stages::next_change(&engines, mix.throughput(&properties), demand);
         let debounce = debounces.entry(name.clone()).or_default();
-        if debounce.is_due(
-            now(),
-            change.map(|(_, stage)| stage),
-            &engines,
-            debounce_time(host),
-        ) {
+        let wanted = change.map(|(_, stage)| stage);
+        if debounce.is_due(now, wanted, &engines, delay) {
             return change;
         }
     }
     None
 }
 
-/// Debounce delay of a stage change. At the first start of a deployment it is zero, since all
-/// engines are present and idle.
-fn debounce_time<D, S>(host: &Host<D, S>) -> Duration {
-    let starting = host.options.first_start && host.uptime(now()) < FIRST_START_WINDOW;
-    if starting {
-        Duration::ZERO
-    } else {
-        DEBOUNCE_TIME
+/// Engines of a service with the stages that they will have, and the number that are changing.
+fn engines<D, S>(host: &Host<D, S>, service: &str) -> (Vec<stages::Engine>, usize) {
+    let now = now();
+    let directory = host.directory.borrow();
+    let ledger = host.ledger.borrow();
+    let orders = host.orders.borrow();
+    let mut data_centres: Vec<&str> = Vec::new();
+    let mut engines = Vec::new();
+    let mut changing = 0;
+    for (key, endpoint) in directory.ready(service) {
+        let order = orders.pending(now, endpoint);
+        changing += usize::from(order.is_some());
+        let Some(stage) = order.map(|order| order.stage).or(endpoint.stage) else {
+            continue;
+        };
+        let position = data_centres
+            .iter()
+            .position(|known| *known == endpoint.data_centre);
+        let data_centre = position.unwrap_or_else(|| {
+            data_centres.push(&endpoint.data_centre);
+            data_centres.len() - 1
+        });
+        engines.push(stages::Engine {
+            key,
+            stage,
+            data_centre,
+            requests: ledger.requests(key),
+            can_change: !orders.is_recent(now, endpoint),
+        });
     }
+    (engines, changing)
+}
+
+/// Generations per second that a service is asked for; infinite while some wait.
+fn demand<D, S>(host: &Host<D, S>, service: &str, now: Instant) -> f64 {
+    let waitlists = host.waitlists.borrow();
+    let waits = waitlists
+        .get(service)
+        .is_some_and(|waitlist| !waitlist.is_empty());
+    if waits {
+        return f64::INFINITY;
+    }
+    let demand = host.demand.borrow();
+    demand.get(service).map_or(0.0, |rate| rate.per_second(now))
 }
 
 async fn read<D: Dialect, S: Store>(host: &Host<D, S>, lease: &mut Lease) {
@@ -168,7 +181,6 @@
 async fn order<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     lease: &mut Lease,
-    pending: &mut Pending,
     key: Key,
     stage: Stage,
     token: u64,
@@ -176,15 +188,22 @@
     let Some(endpoint) = host.directory.borrow().get(key).cloned() else {
         return;
     };
-    let stage_change = host
-        .fleet
-        .borrow()
-        .as_ref()
-        .and_then(|fleet| fleet.services.get(&endpoint.service)?.engine)
-        .map_or(Duration::ZERO, |engine| engine.stage_change);
-    pending
-        .0
-        .push((key, stage, now() + stage_change + ORDER_COOLDOWN));
+    let (stage_change, longest_run) = change_times(host, &endpoint.service);
+    let lost_after = stage_change + LOST_ORDER_TIME;
+    host.orders.borrow_mut().apply(
+        now(),
+        orders::Order {
+            endpoint: endpoint.id.clone(),
+            incarnation: endpoint.incarnation,
+            stage,
+            token,
+            sender: lease.holder().to_owned(),
+            state: State::Sent,
+            left_ms: lost_after.as_millis() as u64,
+        },
+    );
+    // The others learn of the order before the engine refuses requests.
+    host.introduce();
     let order = Order {
         stage,
         holder: lease.holder().to_owned(),
@@ -198,16 +217,47 @@
         ?status,
         "order: sent"
     );
-    if matches!(status, Ok(http::StatusCode::PRECONDITION_FAILED)) {
+    let (state, left) = match status {
+        Ok(StatusCode::OK | StatusCode::ACCEPTED | StatusCode::CONFLICT) => {
+            (State::Accepted, stage_change + longest_run + ENTRY_DELAY)
+        }
+        Ok(status) if status.is_client_error() => (State::Ended, lost_after),
+        // The order may have been accepted, or may be carried out later.
+        Ok(_) | Err(_) => (State::Sent, lost_after),
+    };
+    host.orders
+        .borrow_mut()
+        .set_state(now(), &endpoint.id, token, state, left);
+    if matches!(status, Ok(StatusCode::PRECONDITION_FAILED)) {
         lease.fenced();
     }
 }
 
+/// Duration of a stage change of a service's engines, and of their longest run, which ends first.
+fn change_times<D, S>(host: &Host<D, S>, service: &str) -> (Duration, Duration) {
+    let Some(fleet) = host.fleet.borrow().clone() else {
+        return (Duration::ZERO, Duration::ZERO);
+    };
+    let engine = fleet
+        .services
+        .get(service)
+        .and_then(|service| service.engine);
+    let routes = fleet
+        .routes
+        .iter()
+        .filter(|route| route.services.iter().any(|(name, _)| name == service));
+    let longest_run = routes.map(|route| route.timeout).max();
+    (
+        engine.map_or(Duration::ZERO, |engine| engine.stage_change),
+        longest_run.unwrap_or_default(),
+    )
+}
+
 async fn send<D: Dialect, S: Store>(
     host: &Host<D, S>,
     endpoint: &Endpoint,
     order: &Order,
-) -> Result<http::StatusCode> {
+) -> Result<StatusCode> {
     // Opens a new connection: on a dead one the order would wait in the socket buffer.
     let max_idle = Duration::ZERO;
     let (status, _) = own::send::<D>(
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
+use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
 slotmap::new_key_type! {
@@ -32,6 +33,7 @@
 
 /// Stage of a generation that an engine serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Stage {
     /// Processes the prompt.
     Prefill,
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -13,6 +13,7 @@
 
 use crate::budget::Count;
 use crate::ledger::{Grant, Run};
+use crate::orders::Order;
 
 /// Format version of reports; reports of other versions are dropped.
 const VERSION: u8 = 2;
@@ -49,6 +50,11 @@
 pub const PEER_RETENTION: Duration = Duration::from_secs(20);
 /// Time without a report after which a peer's requests no longer count as load.
 const REPORT_LIFETIME: Duration = Duration::from_secs(3);
+/// Time after the start in which a host hears from all peers that run: hosts that restart together do
+/// so within 0.3 s.
+pub(crate) const INTRODUCTION_TIME: Duration = Duration::from_millis(500);
+/// Largest share of announced hosts without a report that are taken for removed ones.
+const MAX_REMOVED_SHARE: f64 = 0.25;
 /// Largest number of peers; further ones are ignored.
 const MAX_PEERS: usize = 1_024;
 
@@ -111,6 +117,8 @@
     pub services: Vec<(String, u64, u64)>,
     /// Recent strikes: fingerprint of the request, and the endpoint that aborted it.
     pub strikes: Vec<(u64, String)>,
+    /// Orders to engines that are not known to be complete for all hosts.
+    pub orders: Vec<Order>,
     /// Running requests with their grants, by endpoint.
     pub endpoints: Vec<(String, Vec<(Run, Grant)>)>,
 }
@@ -163,6 +171,7 @@
             customers: Vec::new(),
             services: Vec::new(),
             strikes: Vec::new(),
+            orders: Vec::new(),
             endpoints: Vec::new(),
         }
     }
@@ -464,6 +473,24 @@
         OVERDUE_TIMEOUT.max(report_interval(self.peers.len()) + DELAY_TOLERANCE)
     }
 
+    /// Number of announced peers that have not reported and may exist.
+    ///
+    /// Some announcements are those of removed hosts. Once the others have had the time to report, a
+    /// small share of silent ones is taken for such; a larger share may be behind a partition.
+    fn count_unheard(&self, now: Instant) -> u32 {
+        let unheard = self
+            .peers
+            .values()
+            .filter(|peer| peer.announced && peer.last_report_at.is_none());
+        let (mut count, mut is_recent) = (0_u32, false);
+        for peer in unheard {
+            count += 1;
+            is_recent |= now.since(peer.added) < INTRODUCTION_TIME;
+        }
+        let is_small = f64::from(count) <= self.peers.len() as f64 * MAX_REMOVED_SHARE;
+        if is_small && !is_recent { 0 } else { count }
+    }
+
     /// Number of hosts, this one included, and the share of them that is unreachable.
     ///
     /// With many peers it takes a second until all unreachable ones are overdue. Before that, the share
@@ -473,11 +500,7 @@
     pub fn hosts(&self, now: Instant) -> (usize, f64) {
         let overdue_timeout = self.overdue_timeout();
         let reports = self.peers.values().filter_map(|peer| peer.last_report_at);
-        let unheard = self
-            .peers
-            .values()
-            .filter(|peer| peer.announced && peer.last_report_at.is_none());
-        let unheard = unheard.count() as u32;
+        let unheard = self.count_unheard(now);
         let window =
             MIN_SAMPLE_WINDOW.max(report_interval(self.peers.len()).mul_f64(SAMPLE_WINDOW_SHARE));
         let (mut known, mut overdue, mut shortest_age) = (0_u32, 0_u32, Duration::MAX);
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -146,6 +146,15 @@
             ledger.settle(*grant);
         }
     }
+    {
+        let mut orders = host.orders.borrow_mut();
+        for order in &report.orders {
+            orders.apply(now, order.clone());
+            if let Some((_, endpoint)) = host.directory.borrow().find(&order.endpoint) {
+                orders.observe(&endpoint);
+            }
+        }
+    }
     for (request, endpoint) in &report.strikes {
         let request = Fingerprint(*request);
         host.strikes
@@ -266,6 +275,7 @@
         .report(now())
         .map(|(request, endpoint)| (request.0, endpoint.to_owned()))
         .collect();
+    report.orders = host.orders.borrow().report(now()).collect();
     let directory = host.directory.borrow();
     let mut endpoints: HashMap<&str, Vec<(Run, Grant)>> = HashMap::new();
     let ledger = host.ledger.borrow();
@@ -331,6 +341,8 @@
     host.pool.evict_expired();
     host.ledger.borrow_mut().expire(now);
     host.backlogs.borrow_mut().expire(now);
+    host.orders.borrow_mut().expire(now);
+    host.saturation.borrow_mut().expire(now);
     host.leader_cooldowns
         .borrow_mut()
         .retain(|_, until| *until > now);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -18,19 +18,22 @@
 use crate::contact::Outage;
 use crate::directory::{self, Directory, Endpoint, Key, Stage};
 use crate::fleet::Fleet;
-use crate::gossip::{Rank, View};
+use crate::gossip::{INTRODUCTION_TIME, Rank, View};
 use crate::health::{Group, Health, Suspicion};
 use crate::http::Pool;
 use crate::ledger::{Grant, Ledger, Run, Ticket};
 use crate::metrics::Metrics;
 use crate::mix::Mix;
 use crate::options::Options;
+use crate::orders::{self, Orders};
 use crate::parts::Parts;
 use crate::platform::AnswerHead;
 use crate::quota::{self, Class, Quotas};
 use crate::refresh::Refresh;
 use crate::request::{Call, Classification};
+use crate::saturation::Saturation;
 use crate::shutdown::Shutdown;
+use crate::stages::Demand;
 use crate::strikes::Strikes;
 
 /// Cost of an endpoint in another data centre, as a share of its slots.
@@ -39,9 +42,6 @@
 /// 5.7).
 const MAX_CONFIGURATION_AGE: Duration = Duration::from_secs(10);
 
-/// Longest time after the start in which requests wait until this host has heard from its peers. The
-/// first reports take a read of the store and one way between hosts.
-const INTRODUCTION_TIME: Duration = Duration::from_secs(1);
 /// Grant number of a reservation without a grant of a leader.
 pub(crate) const NO_GRANT: Grant = 0;
 
@@ -84,6 +84,14 @@
     pub(crate) hosts_known: Cell<bool>,
     pub(crate) shutdown: Cell<Shutdown>,
     pub(crate) open_requests: Cell<usize>,
+    /// Stage changes under way.
+    pub(crate) orders: RefCell<Orders>,
+    /// Engines that have refused work.
+    pub(crate) saturation: RefCell<Saturation>,
+    /// Engines that refused work since the last query to the leader, with the tokens refused.
+    pub(crate) refused: RefCell<Vec<(String, u32)>>,
+    /// Rate of granted generations by service, at the leader.
+    pub(crate) demand: RefCell<HashMap<String, Demand>>,
     /// Prefill backlog of each engine.
     pub(crate) backlogs: RefCell<Backlogs>,
     /// Cached prompt parts by service; locked while the engines are queried.
@@ -148,6 +156,10 @@
             outage: Cell::default(),
             hosts_known: Cell::new(false),
             open_requests: Cell::new(0),
+            orders: RefCell::default(),
+            saturation: RefCell::default(),
+            refused: RefCell::default(),
+            demand: RefCell::default(),
             backlogs: RefCell::default(),
             parts: RefCell::default(),
             leader_cooldowns: RefCell::default(),
@@ -316,7 +328,9 @@
                 if matches!(change, directory::Change::Started(_)) {
                     self.pool.close_idle(endpoint.address);
                     health.restarted(key);
+                    self.saturation.borrow_mut().remove(key);
                 }
+                self.orders.borrow_mut().observe(endpoint);
                 health.add(key, Group::of(endpoint));
                 tracing::info!(
                     endpoint = endpoint.id,
@@ -331,6 +345,7 @@
             directory::Change::Removed(key) => {
                 tracing::info!(?key, "directory: endpoint gone");
                 self.health.borrow_mut().remove(key);
+                self.saturation.borrow_mut().remove(key);
             }
         }
     }
@@ -432,12 +447,21 @@
         }
         let directory = self.directory.borrow();
         let health = self.health.borrow();
+        let orders = self.orders.borrow();
         let mut best: Option<(f64, Key, &Endpoint)> = None;
         for (key, endpoint) in directory.ready(service) {
             if tried.contains(&key) || stage.is_some() && endpoint.stage != stage {
                 continue;
             }
-            let suspicion = health.suspicion(now, key, &Group::of(endpoint));
+            let order = orders.pending(now, endpoint).map(|order| order.state);
+            if order == Some(orders::State::Accepted) {
+                continue;
+            }
+            let mut suspicion = health.suspicion(now, key, &Group::of(endpoint));
+            if order.is_some() {
+                // An order without an answer may be carried out at any moment.
+                suspicion = suspicion.max(Some(Suspicion::Faulty));
+            }
             let Some(cost) = cost(key, endpoint, suspicion) else {
                 continue;
             };
--- a/crates/entry/tests/gossip.rs
+++ b/crates/entry/tests/gossip.rs
@@ -175,3 +175,39 @@
     assert!(view.source(at(10), 7, true, 0.5).is_some());
     assert_eq!(View::default().source(at(10), 0, true, 0.5), None);
 }
+
+fn announced(hosts: u8) -> View {
+    let mut view = View::default();
+    for host in 1..hosts {
+        view.add_announced(at(0), peer(host));
+    }
+    view
+}
+
+#[test]
+fn announcements_of_removed_hosts_do_not_lower_the_limits_for_long() {
+    let mut view = announced(8);
+    for host in 1..7 {
+        view.apply(at(30), peer(host), Report::new(1, 1));
+    }
+    let (_, unreachable) = view.hosts(at(100));
+    assert!(
+        unreachable > 0.1,
+        "the seventh may still report: {unreachable}"
+    );
+    for host in 1..7 {
+        view.apply(at(490), peer(host), Report::new(1, 2));
+    }
+    let (_, unreachable) = view.hosts(at(501));
+    assert!(unreachable == 0.0, "{unreachable}");
+}
+
+#[test]
+fn a_host_that_starts_in_a_partition_does_not_take_the_others_for_removed() {
+    let mut view = announced(8);
+    view.apply(at(490), peer(1), Report::new(1, 1));
+    let (_, unreachable) = view.hosts(at(501));
+    assert!(unreachable > 0.7, "{unreachable}");
+    let (_, alone) = announced(8).hosts(at(501));
+    assert!(alone > 0.8, "{alone}");
+}
--- a/crates/entry/tests/mix.rs
+++ b/crates/entry/tests/mix.rs
@@ -33,6 +33,7 @@
             },
             data_centre: index % 4,
             requests: 0,
+            can_change: true,
         })
         .collect()
 }
@@ -65,7 +66,11 @@
         mix.add(5_200, 74 * tokens_per_event, pace);
     }
     let throughput = mix.throughput(&properties(slots, capacity, tokens_per_event));
-    let change = next_change(&engines(prefill, total - prefill), throughput);
+    let change = next_change(
+        &engines(prefill, total - prefill),
+        throughput,
+        f64::INFINITY,
+    );
     assert_eq!(change, None, "{throughput:?}");
 }
 
--- a/crates/entry/tests/restart.rs
+++ b/crates/entry/tests/restart.rs
@@ -27,7 +27,7 @@
 /// One-way delay of a report.
 const DELAY_MS: u64 = 2;
 /// Longest wait of a request for the introduction of its host.
-const INTRODUCTION_MS: u64 = 1_000;
+const INTRODUCTION_MS: u64 = 500;
 
 fn at(millis: u64) -> Instant {
     Instant::from_millis(millis)
