Count the gap of a stream from its whole events; derive the limits from the route

And the limits of 1.5 s and 1.2 s fitted the objectives of today's routes: a route with a gap objective of 2 s would have had sound streams broken off.

Ruled out as possible here: bytes without end in a chunk size, an event, a comment, a head or a body; the limits of events, heads and bodies end them.

Change: the gap counts from the last whole event; gap and first event get five twelfths and a third of the time after which callers give up, which is 1.5 s and 1.2 s as before for today's objectives.

--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -22,16 +22,15 @@
 use crate::refusal::Reason;
 use crate::request::{Call, Classification, Reply, answer_headers};
 use crate::state::{Host, Reservation, now};
-use crate::stream::{BUFFERED_EVENTS, MAX_EVENT_GAP, Running, relay};
+use crate::stream::{BUFFERED_EVENTS, Running, relay};
 
 /// Share of the latency objective that is reserved for prefill and KV transfer after admission.
 const PREFILL_SHARE: f64 = 0.35;
 /// Share of the latency objective within which the first event arrives after a start, with a margin
 /// for a full engine. A start later than that is wasted on a caller who is about to leave.
 const FIRST_EVENT_SHARE: f64 = 0.5;
-/// Timeout from a decode request to the head of its answer, after which a resumable stream starts
-/// at another engine. The head comes with the first event, usually within 0.1 s.
-const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Longest idle time of a connection that is reused for a stream which may not be resumed.
+const UNREPEATABLE_MAX_IDLE: Duration = Duration::from_millis(1_500);
 /// Maximum number of sends to decode engines per attempt of a caller, refused ones included.
 pub(crate) const MAX_SENDS: usize = 4;
 /// Maximum number of refusals kept for the leader; it needs only some of each engine.
@@ -470,14 +469,14 @@
     };
     let left = call.deadline().since(started);
     let head = if call.route().resumable {
-        left.min(FIRST_EVENT_TIMEOUT)
+        left.min(call.route().first_event_timeout())
     } else {
         left
     };
     let max_idle = if call.route().resumable {
         Duration::MAX
     } else {
-        MAX_EVENT_GAP
+        UNREPEATABLE_MAX_IDLE
     };
     let timeouts = Timeouts {
         connect: CONNECT_TIMEOUT.min(left),
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -133,6 +133,12 @@
 const STALL_LATENCY_FACTOR: u32 = 4;
 /// Stall timeout as a multiple of the gap objective.
 const STALL_GAP_FACTOR: u32 = 8;
+/// Gap between events after which a resumable stream resumes elsewhere, as a share of the stall
+/// timeout. The rest covers the new start.
+const RESUME_GAP_SHARE: f64 = 5.0 / 12.0;
+/// Timeout of the first event of a resumable stream at an engine, as a share of the stall timeout. It
+/// usually comes within 0.1 s.
+const FIRST_EVENT_TIMEOUT_SHARE: f64 = 1.0 / 3.0;
 
 impl Route {
     /// Stall timeout: pause between events after which a caller abandons a stream.
@@ -143,6 +149,19 @@
             .max(self.gap_target * STALL_GAP_FACTOR)
     }
 
+    /// Longest gap between whole events, after which a resumable stream resumes at another engine.
+    #[must_use]
+    pub fn resume_gap(&self) -> Duration {
+        self.stall_timeout().mul_f64(RESUME_GAP_SHARE)
+    }
+
+    /// Timeout from a decode request to its first event, after which a resumable stream starts at
+    /// another engine.
+    #[must_use]
+    pub fn first_event_timeout(&self) -> Duration {
+        self.stall_timeout().mul_f64(FIRST_EVENT_TIMEOUT_SHARE)
+    }
+
     /// Weighted random choice of a service; `draw` is uniform in 0..1.
     #[must_use]
     pub fn service(&self, draw: f64) -> Option<&str> {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
 use tokio::sync::mpsc;
@@ -24,9 +23,6 @@
 use crate::request::{Call, Cut};
 use crate::state::{Host, Reservation, now};
 
-/// Longest gap between events, after which a resumable stream resumes at another engine. Callers
-/// disconnect after 3.6 s.
-pub(crate) const MAX_EVENT_GAP: Duration = Duration::from_millis(1_500);
 /// Chunks of events that are buffered for a slow caller.
 pub(crate) const BUFFERED_EVENTS: usize = 16;
 
@@ -79,13 +75,15 @@
     // `None` after a break: the gap says nothing about the engine's speed.
     let mut pace = Some(Pace::default());
     let mut last_event = now();
+    let mut gap_start = last_event;
     loop {
         let left = call.deadline().since(now());
         if left.is_zero() {
             return Err(Cut("route timeout"));
         }
+        // The gap counts from the last whole event: a stalled engine may go on sending single bytes.
         let max_gap = if call.route().resumable {
-            left.min(MAX_EVENT_GAP)
+            left.min((gap_start + call.route().resume_gap()).since(now()))
         } else {
             left
         };
@@ -96,6 +94,7 @@
                     let produced = events.count() - delivered;
                     delivered += produced;
                     last_event = now();
+                    gap_start = last_event;
                     if let Some(pace) = &mut pace {
                         pace.record(last_event, delivered);
                     }
@@ -164,6 +163,7 @@
         run = resume(host, call, run, resume_point)
             .await
             .ok_or(Cut(cause))?;
+        gap_start = now();
     }
 }
 
