Read the endpoint entries at a few hosts and pass on what changes

Ruled out: a longer period of reads, since an endpoint that drains must be known within the drain deadline; readers that answer from what they have, since the ages of two reads add up beyond the deadline (a reader reads first unless it has done so within 0.12 of it); passing on heartbeats, 15 kB a second to each host.

Change: from 18 hosts on, two hosts and one more for each 64 read for the others, those with the highest addresses (the lowest one leads). The others ask one at random for the changes since their offset, and read the store when it does not answer, lags, is stale, or has a directory with another digest. The configuration's long poll takes 25 s in place of 10 s.

--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -4,6 +4,7 @@
 //! expired only because of a store outage.
 
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -202,6 +203,25 @@
             .insert(endpoint.id, (endpoint.incarnation, endpoint.sequence));
     }
 
+    /// Whether the removal of an entry is deferred.
+    #[must_use]
+    pub fn is_expiring(&self, id: &str) -> bool {
+        let record = self.by_id.get(id).and_then(|key| self.records.get(*key));
+        record.is_some_and(|record| record.expires_at.is_some())
+    }
+
+    /// Digest of the entries, to compare the directories of two hosts. Sequence numbers do not count.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.records.values().fold(0, |digest, record| {
+            let endpoint = &record.endpoint;
+            let mut hasher = DefaultHasher::new();
+            (&endpoint.id, endpoint.incarnation, endpoint.address).hash(&mut hasher);
+            (endpoint.state == State::Ready, endpoint.stage).hash(&mut hasher);
+            digest ^ hasher.finish()
+        })
+    }
+
     /// Entry of an endpoint by key.
     #[must_use]
     pub fn get(&self, key: Key) -> Option<&Endpoint> {
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -7,11 +7,14 @@
 
 use bytes::Bytes;
 
+use crate::directory;
+use crate::peer;
 use crate::platform::{Dialect, Error, Feed, Record, Result, Store};
+use crate::readers::{Change, Changes};
 use crate::state::{Host, now};
 
 /// Long-poll timeout of configuration reads. Keep-alive probes detect a dead connection within it.
-const CONFIGURATION_POLL_TIMEOUT: Duration = Duration::from_secs(10);
+const CONFIGURATION_POLL_TIMEOUT: Duration = Duration::from_secs(25);
 /// Base of the exponential backoff after failed store calls; the first delay is twice as long.
 const BACKOFF_BASE: Duration = Duration::from_millis(150);
 /// Longest backoff after failed store calls.
@@ -50,12 +53,15 @@
     }
 }
 
-fn put<D: Dialect, S: Store>(host: &Host<D, S>, id: String, value: Bytes) {
+/// Applies an entry; returns whether it changes more than its sequence number.
+fn put<D: Dialect, S: Store>(host: &Host<D, S>, id: String, value: Bytes) -> bool {
     match D::endpoint(&id, &value) {
         Ok(endpoint) => {
+            let was_expiring = host.directory.borrow().is_expiring(&id);
             let change = host.directory.borrow_mut().put(endpoint);
             host.directory_changed(change);
             host.entries.borrow_mut().insert(id, value);
+            was_expiring || change != directory::Change::None
         }
         Err(error) => {
             // A malformed record is logged once per endpoint.
@@ -67,6 +73,7 @@
             {
                 tracing::warn!(key = id, %error, "directory: malformed endpoint entry ignored");
             }
+            false
         }
     }
 }
@@ -185,54 +192,101 @@
 /// Key of the configuration record.
 const CONFIGURATION_KEY: &str = "config";
 
-/// Follows the entries of the endpoints by periodic reads.
+/// Follows the entries of the endpoints: asks a reader for the changes, or reads the store.
 pub(crate) async fn endpoints<D: Dialect, S: Store>(host: Rc<Host<D, S>>) {
-    let mut position = None;
-    let mut failures = 0;
     loop {
-        let started = now();
-        let result = match position {
-            None => read_all_newest(&host.store, Feed::Endpoints)
-                .await
-                .map(|(records, end)| (records, end, true)),
-            Some(from) => host
-                .store
-                .read(Feed::Endpoints, from, Duration::ZERO)
-                .await
-                .map(|batch| (batch.records, batch.next, false)),
+        let backoff = if peer::ask_reader(&host).await {
+            None
+        } else {
+            read_entries(&host, Duration::ZERO).await
         };
-        let pause = record_outcome(&host, Feed::Endpoints, &result, &mut failures);
-        match result {
-            Ok((records, next, complete)) => {
-                position = Some(next);
-                apply::<D, S>(&host, records, complete);
-                host.confirm_entries(started);
-                if !host.directory_known.replace(true) {
-                    host.introduce();
-                }
-            }
-            Err(Error::Expired) => {
-                position = None;
-                continue;
-            }
-            Err(_) => {}
-        }
-        let until_next = host.refresh.get().pause(now(), started);
-        tokio::time::sleep(pause.unwrap_or(until_next)).await;
+        let until_next = host.refresh.get().pause(now());
+        tokio::time::sleep(backoff.unwrap_or(until_next)).await;
     }
 }
 
-fn apply<D: Dialect, S: Store>(host: &Host<D, S>, records: Vec<Record>, complete: bool) {
-    let listed: HashSet<String> = records.iter().map(|record| record.key.clone()).collect();
-    for record in records {
-        match record.value {
-            Some(value) => put::<D, S>(host, record.key, value),
-            None => remove(host, &record.key),
+/// Reads the changes of the entries from the store, unless they are younger than `max_age`. Returns the
+/// backoff after a failure.
+pub(crate) async fn read_entries<D: Dialect, S: Store>(
+    host: &Host<D, S>,
+    max_age: Duration,
+) -> Option<Duration> {
+    let mut failures = host.failed_reads.lock().await;
+    // Another task may have read them in the meantime.
+    if !host.refresh.get().is_older_than(now(), max_age) {
+        return None;
+    }
+    let started = now();
+    let position = host.changes.borrow().as_ref().map(Changes::end);
+    let result = match position {
+        None => read_all_newest(&host.store, Feed::Endpoints)
+            .await
+            .map(|(records, end)| (records, end, true)),
+        Some(from) => host
+            .store
+            .read(Feed::Endpoints, from, Duration::ZERO)
+            .await
+            .map(|batch| (batch.records, batch.next, false)),
+    };
+    let backoff = record_outcome(host, Feed::Endpoints, &result, &mut failures);
+    match result {
+        Ok((records, end, complete)) => {
+            // The records of a listing have no offsets, and those of the log follow each other.
+            let start = position.unwrap_or_default();
+            let changes = records
+                .into_iter()
+                .zip(start..)
+                .map(|(record, offset)| Change {
+                    offset,
+                    key: record.key,
+                    value: record.value,
+                });
+            apply_changes::<D, S>(host, changes.collect(), end, complete);
+            host.confirm_entries(started);
         }
+        Err(Error::Expired) => *host.changes.borrow_mut() = None,
+        Err(_) => {}
     }
+    backoff
+}
+
+/// Records that a reader has answered with entries of the store.
+pub(crate) async fn reader_answered<D, S>(host: &Host<D, S>) {
+    let mut failures = host.failed_reads.lock().await;
+    record_outcome(host, Feed::Endpoints, &Ok(()), &mut failures);
+}
+
+/// Applies changes of entries up to the offset `end`, and keeps those that matter to other hosts: a
+/// heartbeat that changes only its number does not. `complete` changes are the whole list.
+pub(crate) fn apply_changes<D: Dialect, S: Store>(
+    host: &Host<D, S>,
+    mut changes: Vec<Change>,
+    end: u64,
+    complete: bool,
+) {
+    let listed: HashSet<String> = changes.iter().map(|change| change.key.clone()).collect();
+    changes.retain(|change| match &change.value {
+        Some(value) => put::<D, S>(host, change.key.clone(), value.clone()),
+        None => {
+            remove(host, &change.key);
+            true
+        }
+    });
     if complete {
         retain(host, &listed);
     }
+    {
+        let mut known = host.changes.borrow_mut();
+        let known = known.get_or_insert_default();
+        if complete {
+            known.restart(end);
+        } else {
+            known.add(end, changes);
+        }
+    }
+    if !host.directory_known.replace(true) {
+        host.introduce();
+    }
 }
 
 /// Announces this host and discovers the others; retries until it succeeds once.
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -14,6 +14,7 @@
 use crate::budget::Count;
 use crate::ledger::{Grant, Run};
 use crate::orders::Order;
+use crate::readers;
 
 /// Format version of reports; reports of other versions are dropped.
 const VERSION: u8 = 2;
@@ -369,6 +370,24 @@
         })
     }
 
+    /// The peer that reads the endpoint entries for the host with the address `own`, a random one
+    /// (`draw` in 0..1) of the readers; `None` if that host reads the store itself. The readers have the
+    /// highest addresses, since the lowest one leads.
+    #[must_use]
+    pub fn reader(&self, now: Instant, own: SocketAddr, draw: f64) -> Option<SocketAddr> {
+        let live = self.live(now).filter(|(_, report)| !report.leaving);
+        let mut hosts: Vec<SocketAddr> = live.map(|(address, _)| address).collect();
+        hosts.push(own);
+        let count = readers::count(hosts.len())?;
+        hosts.sort_unstable_by_key(|address| Reverse(*address));
+        hosts.truncate(count);
+        if hosts.contains(&own) {
+            return None;
+        }
+        let index = (draw * hosts.len() as f64) as usize;
+        hosts.get(index.min(hosts.len() - 1)).copied()
+    }
+
     /// The peer to fetch records from: a random one (`draw` in 0..1) among the freshest peers with the
     /// newest configuration. The choice is random because a single peer ran out of memory when hundreds
     /// of hosts queried it. `None` if no peer has a newer configuration and `without_store` is false.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod parts;
 pub mod platform;
 pub mod quota;
+pub mod readers;
 pub mod refresh;
 pub mod run;
 pub mod saturation;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -17,6 +17,7 @@
 use crate::http::Timeouts;
 use crate::ledger::{Grant, Run};
 use crate::platform::{Dialect, Store};
+use crate::readers::{Change, Changes};
 use crate::state::{Host, now};
 use crate::strikes::Fingerprint;
 use crate::{admission, follow};
@@ -40,6 +41,8 @@
     configuration: u64,
     /// Whether the endpoint entries are requested, which take a thousand times the bytes.
     endpoints: bool,
+    /// Offset in the store from which on the changes of the entries are requested.
+    changes_from: Option<u64>,
 }
 
 /// Newest records of a peer, as the answer to a query.
@@ -54,11 +57,24 @@
     configuration: Option<Bytes>,
     /// Endpoint entries by id.
     endpoints: Vec<(String, Bytes)>,
+    /// The requested changes and the offset up to which they go; `None` if not all are known.
+    changes: Option<(Vec<Change>, u64)>,
+    /// Digest of the peer's directory.
+    digest: u64,
 }
 
 /// Answers a peer's query; `None` if it is malformed.
-pub(crate) fn answer<D: Dialect, S: Store>(host: &Host<D, S>, body: &[u8]) -> Option<Bytes> {
+pub(crate) async fn answer<D: Dialect, S: Store>(host: &Host<D, S>, body: &[u8]) -> Option<Bytes> {
     let query: Query = rmp_serde::from_slice(body).ok()?;
+    if query.changes_from.is_some() {
+        // After a failed read the answer tells how old the entries are.
+        follow::read_entries(host, host.refresh.get().reader_age()).await;
+    }
+    let changes = query.changes_from.and_then(|from| {
+        let known = host.changes.borrow();
+        let known = known.as_ref()?;
+        Some((known.since(from)?, known.end()))
+    });
     let version = host
         .fleet
         .borrow()
@@ -78,6 +94,8 @@
         } else {
             Vec::new()
         },
+        changes,
+        digest: host.directory.borrow().digest(),
     };
     rmp_serde::to_vec(&answer).ok().map(Bytes::from)
 }
@@ -375,6 +393,7 @@
     let query = Query {
         configuration: version,
         endpoints: false,
+        changes_from: None,
     };
     if let Err(error) = query_peer(host, source, &query, QUERY_TIMEOUT).await {
         tracing::info!(peer = %source, %error, "peer: query for newer records failed; retried at the next maintenance");
@@ -405,6 +424,7 @@
             let query = Query {
                 configuration: version,
                 endpoints: true,
+                changes_from: None,
             };
             if let Err(error) = query_peer(&host, source, &query, pause * 2).await {
                 tracing::info!(peer = %source, %error, "peer: query for endpoint entries failed; another peer is asked");
@@ -428,14 +448,13 @@
     view.entries_source(now, refresh.tolerance(), draw)
 }
 
-/// Queries a peer for newer records and applies the answer.
-async fn query_peer<D: Dialect, S: Store>(
-    host: &Rc<Host<D, S>>,
+/// Sends a query to a peer and reads its answer.
+async fn exchange<D, S>(
+    host: &Host<D, S>,
     peer: SocketAddr,
     query: &Query,
     step_timeout: Duration,
-) -> eyre::Result<()> {
-    let queried_at = now();
+) -> eyre::Result<Answer> {
     let body = rmp_serde::to_vec(query)?;
     let request = http::Request::post("/v1/records")
         .header(http::header::HOST, "peer")
@@ -447,7 +466,67 @@
     };
     let mut exchange = host.pool.send(peer, request, timeouts).await?;
     let body = exchange.read(MAX_ANSWER_BYTES, step_timeout).await?;
-    let answer: Answer = rmp_serde::from_slice(&body)?;
+    Ok(rmp_serde::from_slice(&body)?)
+}
+
+/// Asks a reader for the changes of the endpoint entries; returns whether it has answered with them.
+pub(crate) async fn ask_reader<D: Dialect, S: Store>(host: &Rc<Host<D, S>>) -> bool {
+    let from = host.changes.borrow().as_ref().map(Changes::end);
+    let own = SocketAddr::new(host.options.address, host.options.listen.peer_port);
+    let draw = rand::rng().random_range(0.0..1.0);
+    let reader = host.view.borrow().reader(now(), own, draw);
+    let (Some(from), Some(reader)) = (from, reader) else {
+        return false;
+    };
+    let query = Query {
+        configuration: host
+            .fleet
+            .borrow()
+            .as_ref()
+            .map_or(0, |fleet| fleet.version),
+        endpoints: false,
+        changes_from: Some(from),
+    };
+    let queried_at = now();
+    let step_timeout = host.refresh.get().query_pause() * 2;
+    let answer = match exchange(host, reader, &query, step_timeout).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            tracing::info!(%reader, %error, "peer: reader did not answer; the store is read instead");
+            return false;
+        }
+    };
+    let as_of = queried_at.as_millis().checked_sub(answer.entries_age_ms);
+    let as_of = as_of.map(Instant::from_millis);
+    let is_current = as_of.is_some_and(|as_of| host.refresh.get().accepts(queried_at, as_of));
+    let (Some(as_of), Some((changes, end))) = (as_of.filter(|_| is_current), answer.changes) else {
+        tracing::info!(%reader, age_ms = answer.entries_age_ms, "peer: reader's entries are too old or incomplete; the store is read instead");
+        return false;
+    };
+    follow::reader_answered(host).await;
+    follow::apply_changes::<D, S>(host, changes, end, false);
+    if let Some(document) = answer.configuration {
+        follow::configure::<D, S>(host, document, "peer");
+    }
+    if host.directory.borrow().digest() != answer.digest {
+        // The hosts deferred removals differently, or one has missed a change: read the whole list.
+        tracing::info!(%reader, "peer: reader's directory differs; the store is read instead");
+        *host.changes.borrow_mut() = None;
+        return false;
+    }
+    host.confirm_entries(as_of);
+    true
+}
+
+/// Queries a peer for newer records and applies the answer.
+async fn query_peer<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    peer: SocketAddr,
+    query: &Query,
+    step_timeout: Duration,
+) -> eyre::Result<()> {
+    let queried_at = now();
+    let answer = exchange(host, peer, query, step_timeout).await?;
     if let Some(document) = answer.configuration {
         follow::configure::<D, S>(host, document, "peer");
     }
--- a/crates/entry/src/refresh.rs
+++ b/crates/entry/src/refresh.rs
@@ -19,6 +19,10 @@
 const READ_SHARE: f64 = 0.65;
 /// Longest answer time of a slow store. A peer is asked when a read has taken longer.
 const SLOW_ANSWER: Duration = Duration::from_millis(260);
+/// Age, as a share of the drain deadline, up to which a reader answers other hosts without a read.
+const READER_SHARE: f64 = 0.12;
+/// Age, as a share of the drain deadline, up to which a reader's answer replaces a read of the store.
+const ANSWER_SHARE: f64 = 0.25;
 /// Least time before the drain deadline at which the entries are too old for new work, as a share of
 /// the deadline.
 const MARGIN_SHARE: f64 = 0.15;
@@ -74,16 +78,36 @@
         self.drain.mul_f64(QUERY_SHARE)
     }
 
+    /// Age up to which a reader answers other hosts without a read of the store.
+    #[must_use]
+    pub fn reader_age(&self) -> Duration {
+        self.drain.mul_f64(READER_SHARE)
+    }
+
+    /// Whether a reader's entries that were current at `as_of` replace a read of the store.
+    #[must_use]
+    pub fn accepts(&self, now: Instant, as_of: Instant) -> bool {
+        now.since(as_of) <= self.drain.mul_f64(ANSWER_SHARE)
+    }
+
+    /// Whether the entries are older than `age`.
+    #[must_use]
+    pub fn is_older_than(&self, now: Instant, age: Duration) -> bool {
+        self.is_older(now, age)
+    }
+
     /// Largest difference in age up to which peers count as equally fresh.
     #[must_use]
     pub fn tolerance(&self) -> Duration {
         self.drain.mul_f64(TOLERANCE_SHARE)
     }
 
-    /// Pause before the next read of the store, after a successful one that started at `started`.
+    /// Pause before the next read.
     #[must_use]
-    pub fn pause(&self, now: Instant, started: Instant) -> Duration {
-        (started + self.period()).since(now)
+    pub fn pause(&self, now: Instant) -> Duration {
+        self.confirmed_at.map_or(Duration::ZERO, |confirmed_at| {
+            (confirmed_at + self.period()).since(now)
+        })
     }
 
     /// Whether a peer whose entries were current at `peer` should be asked for them.
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -125,7 +125,7 @@
             let answer = if is_admission {
                 admission::answer(&host, &body).await
             } else {
-                peer::answer(&host, &body)
+                peer::answer(&host, &body).await
             };
             match answer {
                 Some(answer) => plain(200, answer),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -29,6 +29,7 @@
 use crate::parts::Parts;
 use crate::platform::AnswerHead;
 use crate::quota::{self, Class, Quotas};
+use crate::readers::Changes;
 use crate::refresh::Refresh;
 use crate::request::{Call, Classification};
 use crate::saturation::Saturation;
@@ -79,6 +80,10 @@
     pub(crate) directory_known: Cell<bool>,
     /// Age of the endpoint entries.
     pub(crate) refresh: Cell<Refresh>,
+    /// Recent changes of the entries; `None` before the whole list has been read.
+    pub(crate) changes: RefCell<Option<Changes>>,
+    /// Failed reads of the entries since the last successful one; locked during a read.
+    pub(crate) failed_reads: Mutex<u32>,
     pub(crate) outage: Cell<Outage>,
     /// Whether the announcements of the other hosts have been read from the store.
     pub(crate) hosts_known: Cell<bool>,
@@ -153,6 +158,8 @@
             configuration_confirmed: Cell::new(None),
             directory_known: Cell::new(false),
             refresh: Cell::new(refresh),
+            changes: RefCell::default(),
+            failed_reads: Mutex::new(0),
             outage: Cell::default(),
             hosts_known: Cell::new(false),
             open_requests: Cell::new(0),
--- a/crates/entry/tests/refresh.rs
+++ b/crates/entry/tests/refresh.rs
@@ -72,9 +72,7 @@
             next_read = match (succeeds, policy) {
                 (false, _) => now + RETRY_PAUSE_MS,
                 (true, Policy::PauseAfterRead) => now + period,
-                (true, Policy::Refresh) => {
-                    now + refresh.pause(at(now), at(started)).as_millis() as u64
-                }
+                (true, Policy::Refresh) => now + refresh.pause(at(now)).as_millis() as u64,
             };
         }
         if read.is_none() && now >= next_read {
