--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -203,7 +203,7 @@
         },
     );
     // The others learn of the order before the engine refuses requests.
-    host.introduce();
+    host.report_to_all();
     let order = Order {
         stage,
         holder: lease.holder().to_owned(),
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -49,7 +49,7 @@
         retain(host, &listed);
     }
     if !host.directory_known.replace(true) {
-        host.introduce();
+        host.report_to_all();
     }
 }
 
@@ -285,7 +285,7 @@
         }
     }
     if !host.directory_known.replace(true) {
-        host.introduce();
+        host.report_to_all();
     }
 }
 
@@ -323,6 +323,6 @@
     }
     host.hosts_known.set(true);
     host.count_hosts(now());
-    host.introduce();
+    host.report_to_all();
     Ok(())
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,8 +1,8 @@
 //! Entry daemon: routes requests to model engines and plain services by their headers.
 //!
-//! Decision code ([`directory`], [`ledger`], [`waiting`], [`quota`], [`budget`], [`gossip`]) is
-//! free of I/O: it takes the current time and an event. The platform is a type parameter
-//! ([`platform`]).
+//! Decision code ([`directory`], [`refresh`], [`readers`], [`ledger`], [`saturation`], [`waiting`],
+//! [`quota`], [`budget`], [`gossip`], [`stages`], [`orders`]) is free of I/O: it takes the current time
+//! and an event. The platform is a type parameter ([`platform`]).
 
 pub mod args;
 pub mod backlog;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -211,7 +211,7 @@
     let mut standbys_due = due;
     loop {
         let leader = admission::leader(&host);
-        let to_all = host.introduction_due.replace(false) || now() >= due;
+        let to_all = host.full_report_due.replace(false) || now() >= due;
         let to_standbys = leader.is_none() && now() >= standbys_due;
         let full = to_all || to_standbys;
         let bytes = match encode(&host, full) {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -106,8 +106,8 @@
     started: Instant,
     /// Whether a peer has reported since the peers' requests were last counted.
     pub(crate) peers_changed: Cell<bool>,
-    /// Whether a report is due to all peers, since this host has just started.
-    pub(crate) introduction_due: Cell<bool>,
+    /// Whether a report to all peers is due before the end of the interval.
+    pub(crate) full_report_due: Cell<bool>,
     /// Number of the last report.
     pub(crate) report_sequence: Cell<u64>,
     /// Wakes the sender of reports when a reservation was made or released.
@@ -172,7 +172,7 @@
             leader_cooldowns: RefCell::default(),
             started: now(),
             peers_changed: Cell::new(false),
-            introduction_due: Cell::new(false),
+            full_report_due: Cell::new(false),
             report_sequence: Cell::new(0),
             load_changed: Notify::new(),
             mixes: RefCell::default(),
@@ -229,9 +229,9 @@
             && !self.view.borrow().has_full_leader(now)
     }
 
-    /// Sends a report to all peers at once, so that they hear from this host after its start.
-    pub(crate) fn introduce(&self) {
-        self.introduction_due.set(true);
+    /// Makes the sender of reports send the next one at once and to all peers.
+    pub(crate) fn report_to_all(&self) {
+        self.full_report_due.set(true);
         self.load_changed.notify_one();
     }
 
