Log the parts of a prompt where its run is broken off

Change: the parts of a prompt are decoded in order instead of the last one alone, and the lines of broken streams and unanswered decode requests name them. No decision changes.

--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -336,7 +336,9 @@
         // prefilled too long ago to be cached.
         part: call
             .head
-            .last_part
+            .parts
+            .last()
+            .copied()
             .filter(|_| demand.is_first && call.head.last_event_id.is_some()),
     };
     let verdict = admission::admit(host, query).await;
@@ -490,7 +492,7 @@
             if matches!(error, Error::Lost(_)) {
                 host.strike(call, endpoint);
             }
-            tracing::info!(id = call.head.id, endpoint = endpoint.id, %error, "decode: no answer from the engine; the request may have run");
+            tracing::info!(id = call.head.id, endpoint = endpoint.id, parts = call.parts(), %error, "decode: no answer from the engine; the request may have run");
             return Decoded::Lost(Suspicion::from(&error));
         }
     };
--- a/crates/entry/src/parts.rs
+++ b/crates/entry/src/parts.rs
@@ -6,6 +6,7 @@
 //! prefills were the largest waste in runs that end with the loss of all hosts.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
@@ -24,6 +25,12 @@
 #[derive(Serialize, Deserialize)]
 pub struct Part(pub u64);
 
+impl fmt::Display for Part {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:x}", self.0)
+    }
+}
+
 /// A part of a prompt in an engine's KV cache.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CachedPart {
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -61,8 +61,8 @@
     pub output_hint: Option<u32>,
     /// Id of the last event that the caller has, when it resumes a stream.
     pub last_event_id: Option<u64>,
-    /// Last part of the prompt, which no other request shares.
-    pub last_part: Option<Part>,
+    /// Parts of the prompt in order, empty if they are not stated or malformed; only the last one belongs to this request or its session alone.
+    pub parts: Vec<Part>,
 }
 
 /// A control request from the router to an endpoint.
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -9,6 +9,7 @@
 
 use crate::directory::Endpoint;
 use crate::fleet::{Fleet, Route};
+use crate::parts::Part;
 use crate::platform::{AnswerHead, Dialect, Head, Outbound};
 use crate::strikes::Fingerprint;
 
@@ -84,6 +85,12 @@
         Some(&self.fleet.customers[self.customer?].name)
     }
 
+    /// Ids of the prompt's parts, for log lines.
+    pub(crate) fn parts(&self) -> String {
+        let ids: Vec<String> = self.head.parts.iter().map(Part::to_string).collect();
+        ids.join(",")
+    }
+
     pub(crate) fn deadline(&self) -> Instant {
         self.caller_deadline.min(self.route_deadline)
     }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -139,6 +139,7 @@
             endpoint = run.endpoint.id,
             reason = cause,
             after_event = events.last(),
+            parts = call.parts(),
             "stream: broken"
         );
         if call.deadline() <= now() {
