Count crashes of engines against the prompt parts that the lost runs share

Cause: strikes were kept for the exact request (customer, path, body). No two of these requests are alike, so none ever reached three.

Ruled out: late spread of strikes (no request was ever refused), a fault of the customer or of the first part (both have sound requests that begin).

Change: a crash counts against the shared parts of each prompt whose answer had not begun; the first event of an answer clears its parts. A request is refused, at the leader and before any further send, if it has a part that explains three independent crashes of two prompts or more, and all parts that explain them as well; so a sound prompt that shares some of them runs and tells them apart. One request at a time may try a refused part after 10 s, then ever later. Findings go to all hosts at once, with each full report, and to restarted hosts. Reports have format version 3.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -90,6 +90,8 @@
     pub(crate) refused: Vec<(String, u32)>,
     /// Whether to choose a prefill engine too.
     pub(crate) prefill: bool,
+    /// Parts of the prompt.
+    pub(crate) prompt: Vec<Part>,
     /// Last part of the prompt, if an engine may still have the prompt in its KV cache.
     pub(crate) part: Option<Part>,
 }
@@ -112,6 +114,8 @@
     Full { wait_ms: u64 },
     /// The generation cannot finish before its deadline.
     Hopeless,
+    /// Engines crash on a part of the prompt.
+    Crashes { part: Part },
     /// The customer exceeds its quota; `wait_ms` is the time until its tokens are available.
     OverQuota { wait_ms: u64 },
 }
@@ -266,6 +270,14 @@
         host.health.borrow_mut().request_failed(now, key);
     }
     note_refusals(host, now, &query.refused);
+    let may_try = query.tried.is_empty() && !host.quotas.borrow().is_partitioned();
+    let admitted = host
+        .suspects
+        .borrow_mut()
+        .admit(now, &query.id, &query.prompt, may_try);
+    if let Err(part) = admitted {
+        return Verdict::Crashes { part };
+    }
     if let Some(customer) = query.customer.as_deref().filter(|_| query.tokens > 0) {
         let taken = host.charge(now, customer, query.tokens, Class::Generation);
         if let Err(wait) = taken {
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -161,6 +161,7 @@
                 .filter(|address| *address != endpoint.address)
                 .map_or(KvSource::None, KvSource::Parts),
         };
+        let sent_at = now();
         match decode(
             host,
             call,
@@ -184,6 +185,7 @@
                     exchange,
                     endpoint,
                     reservation,
+                    sent_at,
                     runs: runs + 1,
                 };
                 return Ok(Started {
@@ -312,6 +314,12 @@
     tried: &mut Tried,
 ) -> Result<Acquired<D, S>, Failure> {
     let queried_at = now();
+    // The leader may not have this host's last findings yet.
+    let refused = host.suspects.borrow().refused(&call.head.parts);
+    if let Some(part) = refused.filter(|_| !demand.is_first) {
+        tracing::info!(id = call.head.id, %part, "admission: not sent again; engines crash on a part of the prompt");
+        return Err(Failure::Reason(Reason::CrashesEndpoints, None));
+    }
     let tokens = demand.tokens;
     let run = Run {
         held: tokens.prompt,
@@ -332,6 +340,7 @@
         failed: tried.failed.take(),
         refused: host.refused.take(),
         prefill: demand.is_first,
+        prompt: call.head.parts.clone(),
         // Only for streams that a caller resumes: other prompts are new to the engines, or were
         // prefilled too long ago to be cached.
         part: call
@@ -383,6 +392,7 @@
             Reason::OverQuota,
             Some(Duration::from_millis(wait_ms)),
         )),
+        Verdict::Crashes { .. } => Err(Failure::Reason(Reason::CrashesEndpoints, None)),
         Verdict::Hopeless => Err(Failure::Reason(Reason::Hopeless, None)),
         Verdict::Pending => Err(Failure::Reason(
             Reason::EndpointsRefused,
@@ -492,6 +502,9 @@
             if matches!(error, Error::Lost(_)) {
                 host.strike(call, endpoint);
             }
+            if error.is_closed_by_peer() {
+                host.crashed(call, endpoint, started);
+            }
             tracing::info!(id = call.head.id, endpoint = endpoint.id, parts = call.parts(), %error, "decode: no answer from the engine; the request may have run");
             return Decoded::Lost(Suspicion::from(&error));
         }
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -15,9 +15,10 @@
 use crate::ledger::{Grant, Run};
 use crate::orders::Order;
 use crate::readers;
+use crate::suspects::{Clearance, Crash};
 
 /// Format version of reports; reports of other versions are dropped.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 /// Failure detector timeout: a peer without a report for this time counts as unreachable.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Failure detector timeout per known peer, since reports are less frequent with many peers. The larger
@@ -118,6 +119,10 @@
     pub services: Vec<(String, u64, u64)>,
     /// Recent strikes: fingerprint of the request, and the endpoint that aborted it.
     pub strikes: Vec<(u64, String)>,
+    /// Recent crashes of engines during runs of the sender that had no event yet.
+    pub crashes: Vec<Crash>,
+    /// Prompt parts that the sender has recently cleared of crashes.
+    pub cleared: Vec<Clearance>,
     /// Orders to engines that are not known to be complete for all hosts.
     pub orders: Vec<Order>,
     /// Running requests with their grants, by endpoint.
@@ -172,6 +177,8 @@
             customers: Vec::new(),
             services: Vec::new(),
             strikes: Vec::new(),
+            crashes: Vec::new(),
+            cleared: Vec::new(),
             orders: Vec::new(),
             endpoints: Vec::new(),
         }
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -3,6 +3,9 @@
 //! Uses `hyper` directly instead of `awc`: routing must know whether a request left the host at
 //! all, and a connection with unsolicited bytes must be dropped.
 
+use std::error::Error as _;
+use std::io::ErrorKind;
+
 mod pool;
 
 pub use pool::{Exchange, Pool, Timeouts};
@@ -29,5 +32,24 @@
     TimedOut,
 }
 
+impl Error {
+    /// Whether the peer closed or reset the connection, as a process that ends does; a peer that became
+    /// silent or sent malformed bytes does not count.
+    #[must_use]
+    pub fn is_closed_by_peer(&self) -> bool {
+        let (Self::Lost(error) | Self::Broken(error)) = self else {
+            return false;
+        };
+        let io = error.source().and_then(|source| source.downcast_ref());
+        let kind = io.map(std::io::Error::kind);
+        let is_closed = matches!(
+            kind,
+            Some(ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted | ErrorKind::BrokenPipe)
+                | Some(ErrorKind::UnexpectedEof)
+        );
+        error.is_incomplete_message() || is_closed
+    }
+}
+
 /// Result of an exchange.
 pub type Result<T> = std::result::Result<T, Error>;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,7 +1,7 @@
 //! Entry daemon: routes requests to model engines and plain services by their headers.
 //!
 //! Decision code ([`directory`], [`refresh`], [`readers`], [`ledger`], [`saturation`], [`waiting`],
-//! [`quota`], [`budget`], [`gossip`], [`stages`], [`orders`]) is free of I/O: it takes the current time
+//! [`quota`], [`budget`], [`gossip`], [`stages`], [`orders`], [`strikes`], [`suspects`]) is free of I/O: it takes the current time
 //! and an event. The platform is a type parameter ([`platform`]).
 
 pub mod args;
@@ -29,6 +29,7 @@
 pub mod shutdown;
 pub mod stages;
 pub mod strikes;
+pub mod suspects;
 pub mod waiting;
 
 pub(crate) mod admission;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -34,6 +34,7 @@
     pub(crate) answers: Family<Kind, Counter>,
     pub(crate) cuts: Family<Label, Counter>,
     pub(crate) latency: Family<Kind, Histogram>,
+    pub(crate) crashes: Counter,
     dropped_lines: Counter,
     dropped: Dropped,
 }
@@ -47,6 +48,7 @@
         let cuts = Family::default();
         let latency =
             Family::<Kind, Histogram>::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS_S));
+        let crashes = Counter::default();
         let dropped_lines = Counter::default();
         registry.register(
             "refusals",
@@ -65,6 +67,11 @@
             "Time to the first byte by kind",
             latency.clone(),
         );
+        registry.register(
+            "crashes",
+            "Generations whose engine closed the connection before the first event",
+            crashes.clone(),
+        );
         registry.register(
             "dropped_log_lines",
             "Log lines that were not written",
@@ -77,6 +84,7 @@
             answers,
             cuts,
             latency,
+            crashes,
             dropped_lines,
             dropped,
         }
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -179,6 +179,12 @@
             .borrow_mut()
             .strike(now, request, endpoint, false);
     }
+    for crash in &report.crashes {
+        host.learn_crash(crash, false);
+    }
+    for clearance in &report.cleared {
+        host.suspects.borrow_mut().clear(now, *clearance);
+    }
     let Some(delta) = host.view.borrow_mut().apply(now, from, report) else {
         return;
     };
@@ -209,9 +215,11 @@
     let phase = rand::rng().random_range(0.0..1.0);
     let mut due = now();
     let mut standbys_due = due;
+    let mut findings_due = due;
     loop {
         let leader = admission::leader(&host);
-        let to_all = host.full_report_due.replace(false) || now() >= due;
+        let has_findings = host.findings_due.get() && now() >= findings_due;
+        let to_all = host.full_report_due.replace(false) || has_findings || now() >= due;
         let to_standbys = leader.is_none() && now() >= standbys_due;
         let full = to_all || to_standbys;
         let bytes = match encode(&host, full) {
@@ -225,6 +233,8 @@
         let receivers = if to_all {
             let peers: Vec<SocketAddr> = host.view.borrow().addresses().collect();
             due = next_report(now(), peers.len(), phase);
+            host.findings_due.set(false);
+            findings_due = now() + MIN_REPORT_INTERVAL;
             peers
         } else if to_standbys {
             let own = SocketAddr::new(host.options.address, host.options.listen.peer_port);
@@ -239,11 +249,13 @@
             send(&socket, &bytes, receiver);
         }
         tokio::time::sleep(REPORT_DEBOUNCE_TIME).await;
-        let pause = if leader.is_none() {
-            due.min(standbys_due)
-        } else {
-            due
-        };
+        let mut pause = due;
+        if leader.is_none() {
+            pause = pause.min(standbys_due);
+        }
+        if host.findings_due.get() {
+            pause = pause.min(findings_due);
+        }
         // `Notify` stores a permit for a change during the sleep above.
         drop(tokio::time::timeout(pause.since(now()), host.load_changed.notified()).await);
     }
@@ -293,6 +305,11 @@
         .report(now())
         .map(|(request, endpoint)| (request.0, endpoint.to_owned()))
         .collect();
+    {
+        let suspects = host.suspects.borrow();
+        report.crashes = suspects.report(now(), full);
+        report.cleared = suspects.report_cleared(now());
+    }
     report.orders = host.orders.borrow().report(now()).collect();
     let directory = host.directory.borrow();
     let mut endpoints: HashMap<&str, Vec<(Run, Grant)>> = HashMap::new();
@@ -360,6 +377,7 @@
     host.ledger.borrow_mut().expire(now);
     host.backlogs.borrow_mut().expire(now);
     host.orders.borrow_mut().expire(now);
+    host.suspects.borrow_mut().expire(now);
     host.saturation.borrow_mut().expire(now);
     host.leader_cooldowns
         .borrow_mut()
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -36,6 +36,7 @@
 use crate::shutdown::Shutdown;
 use crate::stages::Demand;
 use crate::strikes::Strikes;
+use crate::suspects::{Crash, Suspects};
 
 /// Cost of an endpoint in another data centre, as a share of its slots.
 const REMOTE_COST: f64 = 0.35;
@@ -71,6 +72,7 @@
     pub(crate) budgets: RefCell<Budgets>,
     pub(crate) view: RefCell<View>,
     pub(crate) strikes: RefCell<Strikes>,
+    pub(crate) suspects: RefCell<Suspects>,
     pub(crate) waitlists: RefCell<HashMap<String, Waitlist>>,
     pub(crate) health: RefCell<Health>,
     /// Time of the store's last answer.
@@ -108,6 +110,8 @@
     pub(crate) peers_changed: Cell<bool>,
     /// Whether a report to all peers is due before the end of the interval.
     pub(crate) full_report_due: Cell<bool>,
+    /// Whether the next such report may wait for the minimum interval: it carries findings on crashes.
+    pub(crate) findings_due: Cell<bool>,
     /// Number of the last report.
     pub(crate) report_sequence: Cell<u64>,
     /// Wakes the sender of reports when a reservation was made or released.
@@ -152,6 +156,7 @@
             budgets: RefCell::new(budgets),
             view: RefCell::default(),
             strikes: RefCell::default(),
+            suspects: RefCell::default(),
             waitlists: RefCell::default(),
             health: RefCell::default(),
             store_answered: Cell::new(None),
@@ -173,6 +178,7 @@
             started: now(),
             peers_changed: Cell::new(false),
             full_report_due: Cell::new(false),
+            findings_due: Cell::new(false),
             report_sequence: Cell::new(0),
             load_changed: Notify::new(),
             mixes: RefCell::default(),
@@ -389,6 +395,54 @@
             .strike(now(), call.fingerprint, &endpoint.id, true);
     }
 
+    /// Records that an engine crashed during a run that was sent at `sent_at` and had no event yet.
+    pub(crate) fn crashed(&self, call: &Call, endpoint: &Endpoint, sent_at: Instant) {
+        let crash = Crash {
+            endpoint: endpoint.id.clone(),
+            parts: call.head.parts.clone(),
+            age_ms: 0,
+            run_ms: now().since(sent_at).as_millis() as u64,
+        };
+        tracing::info!(
+            id = call.head.id,
+            endpoint = endpoint.id,
+            parts = call.parts(),
+            "suspects: connection lost before the first event"
+        );
+        self.metrics.crashes.inc();
+        if self.learn_crash(&crash, true) {
+            self.report_findings();
+        }
+    }
+
+    /// Applies a crashed run that this host or a peer observed; returns whether it is new.
+    pub(crate) fn learn_crash(&self, crash: &Crash, own: bool) -> bool {
+        let mut suspects = self.suspects.borrow_mut();
+        let was_refused = suspects.refused(&crash.parts).is_some();
+        let is_new = suspects.crashed(now(), crash, own);
+        if let Some(part) = suspects.refused(&crash.parts).filter(|_| !was_refused) {
+            tracing::warn!(%part, endpoint = crash.endpoint, own, "suspects: engines crash on a prompt part; its requests are refused");
+        }
+        is_new
+    }
+
+    /// Records that an engine has begun an answer on the prompt of a request.
+    pub(crate) fn began(&self, call: &Call) {
+        if self.suspects.borrow_mut().began(now(), &call.head.parts) {
+            tracing::info!(
+                id = call.head.id,
+                parts = call.parts(),
+                "suspects: parts cleared"
+            );
+            self.report_findings();
+        }
+    }
+
+    fn report_findings(&self) {
+        self.findings_due.set(true);
+        self.load_changed.notify_one();
+    }
+
     /// Records the load and the misdirection that a response head reports.
     pub(crate) fn note_answer(
         &self,
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -31,6 +31,8 @@
     pub(crate) exchange: Exchange,
     pub(crate) endpoint: Endpoint,
     pub(crate) reservation: Reservation<D, S>,
+    /// Time at which the engine got the request.
+    pub(crate) sent_at: Instant,
     /// Number of engines that ran the request.
     pub(crate) runs: u32,
 }
@@ -92,6 +94,9 @@
                 Ok(complete) if complete.is_empty() => continue,
                 Ok(complete) => {
                     let produced = events.count() - delivered;
+                    if delivered == 0 {
+                        host.began(call);
+                    }
                     delivered += produced;
                     last_event = now();
                     gap_start = last_event;
@@ -128,8 +133,11 @@
                 return Ok(());
             }
             Ok(Ok(None)) => "incomplete event",
-            Ok(Err(_)) => {
+            Ok(Err(error)) => {
                 host.strike(call, &run.endpoint);
+                if delivered == 0 && error.is_closed_by_peer() {
+                    host.crashed(call, &run.endpoint, run.sent_at);
+                }
                 "connection lost"
             }
             Err(_) => NO_EVENT,
@@ -197,6 +205,7 @@
         endpoint,
         reservation,
         runs,
+        ..
     } = broken;
     // Closing the connection cancels the request at the engine.
     drop(exchange);
@@ -234,6 +243,7 @@
             ..
         } = acquired;
         tried.ids.push(next.id.clone());
+        let sent_at = now();
         match decode(host, call, reservation.key, &next, source, last_event_id).await {
             Decoded::Started(exchange) => {
                 host.metrics.retry("resumed");
@@ -248,6 +258,7 @@
                     exchange,
                     endpoint: next,
                     reservation,
+                    sent_at,
                     runs: runs + 1,
                 });
             }
