Check the strikes of a request before each further send

Seen by callers: a request that crashed three endpoints was sent to a fourth. Its host checked the strikes only when it accepted a request, not before it sent the same request again.

Change: own repeats and resumptions, of plain calls too, pass the same check as new requests. Both cases of the new test failed before with four sends instead of three.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -93,7 +93,7 @@
         let Some((key, endpoint)) = choose(host, call, &tried) else {
             break;
         };
-        if sent > 0 && !host.may_retry(call) {
+        if sent > 0 && (host.is_crashing(call) || !host.may_retry(call)) {
             break;
         }
         tried.push(key);
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -314,10 +314,7 @@
     tried: &mut Tried,
 ) -> Result<Acquired<D, S>, Failure> {
     let queried_at = now();
-    // The leader may not have this host's last findings yet.
-    let refused = host.suspects.borrow().refused(&call.head.parts);
-    if let Some(part) = refused.filter(|_| !demand.is_first) {
-        tracing::info!(id = call.head.id, %part, "admission: not sent again; engines crash on a part of the prompt");
+    if !demand.is_first && host.is_crashing(call) {
         return Err(Failure::Reason(Reason::CrashesEndpoints, None));
     }
     let tokens = demand.tokens;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -388,6 +388,22 @@
         granted
     }
 
+    /// Whether a request, or a part of its prompt, has crashed too many endpoints to be sent again.
+    /// Repeats of a run are decided here too, since the leader may not have the last findings yet.
+    pub(crate) fn is_crashing(&self, call: &Call) -> bool {
+        let part = self.suspects.borrow().refused(&call.head.parts);
+        let is_crashing =
+            part.is_some() || self.strikes.borrow().is_refused(now(), call.fingerprint);
+        if is_crashing {
+            tracing::info!(
+                id = call.head.id,
+                part = part.map(tracing::field::display),
+                "retry: not sent again; endpoints crash on the request"
+            );
+        }
+        is_crashing
+    }
+
     /// Records that an endpoint aborted a request.
     pub(crate) fn strike(&self, call: &Call, endpoint: &Endpoint) {
         self.strikes
