Keep the findings on crashing prompt parts in the store

Seen by callers: after a loss of all hosts a part that was refused before crashed as many engines again, since hosts keep nothing on disk.

Change: the leader writes the crashes that implicate a part as one record beside the announcements of the hosts, whenever they change; a host reads it with the announcements at its start. Weighed: a topic of its own (one more read at each start), every host writing (many writes for one crash).

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 
 use crate::directory;
+use crate::findings;
 use crate::peer;
 use crate::platform::{Dialect, Error, Feed, Record, Result, Store};
 use crate::readers::{Change, Changes};
@@ -309,6 +310,10 @@
         .await?;
     let (records, _) = read_all_newest(&host.store, Feed::Hosts).await?;
     for record in records {
+        if record.key == findings::KEY {
+            findings::restore(host, record.value.as_deref().unwrap_or_default());
+            continue;
+        }
         let text = record
             .value
             .as_deref()
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -36,6 +36,7 @@
 pub(crate) mod call;
 pub(crate) mod completion;
 pub(crate) mod control;
+pub(crate) mod findings;
 pub(crate) mod follow;
 pub(crate) mod locate;
 pub(crate) mod metrics;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -20,7 +20,7 @@
 use crate::readers::{Change, Changes};
 use crate::state::{Host, now};
 use crate::strikes::Fingerprint;
-use crate::{admission, follow};
+use crate::{admission, findings, follow};
 
 /// Maximum size of a report in bytes; a datagram on Ethernet carries about this much unfragmented.
 const MAX_REPORT_BYTES: usize = 8 * 1_024;
@@ -354,6 +354,7 @@
 }
 
 async fn maintain<D: Dialect, S: Store>(host: &Rc<Host<D, S>>) {
+    findings::write_if_changed(host);
     let now = now();
     let (unreachable, known) = {
         let mut view = host.view.borrow_mut();
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -222,8 +222,8 @@
     fn read_newest(&self, feed: Feed, after: Option<&str>) -> impl Future<Output = Result<Page>>;
     /// Reads records from a position, waiting up to `wait` for the first one.
     fn read(&self, feed: Feed, from: u64, wait: Duration) -> impl Future<Output = Result<Batch>>;
-    /// Publishes the announcement of an entry host.
-    fn announce(&self, host: &str, value: &[u8]) -> impl Future<Output = Result<()>>;
+    /// Publishes a record of the feed of hosts, such as the announcement of an entry host.
+    fn announce(&self, key: &str, value: &[u8]) -> impl Future<Output = Result<()>>;
     /// End of the lease log and its newest record, reading from a position.
     fn lease_tail(&self, from: u64) -> impl Future<Output = Result<(u64, Option<Bytes>)>>;
     /// Appends to the lease log if it ends at the position `at`; returns the record's position,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -112,6 +112,8 @@
     pub(crate) full_report_due: Cell<bool>,
     /// Whether the next such report may wait for the minimum interval: it carries findings on crashes.
     pub(crate) findings_due: Cell<bool>,
+    /// Revision of the findings that the store has.
+    pub(crate) findings_written: Cell<u64>,
     /// Number of the last report.
     pub(crate) report_sequence: Cell<u64>,
     /// Wakes the sender of reports when a reservation was made or released.
@@ -179,6 +181,7 @@
             peers_changed: Cell::new(false),
             full_report_due: Cell::new(false),
             findings_due: Cell::new(false),
+            findings_written: Cell::new(0),
             report_sequence: Cell::new(0),
             load_changed: Notify::new(),
             mixes: RefCell::default(),
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -117,6 +117,8 @@
     /// Parts that this host has cleared.
     cleared: Vec<(Part, Instant)>,
     trials: HashMap<Part, Trial>,
+    /// Number of changes of the crashes that implicate a part.
+    revision: u64,
 }
 
 impl Suspects {
@@ -162,6 +164,9 @@
             });
             strikes.sort_by_key(|strike| strike.at);
         }
+        if parts.iter().any(|part| self.is_implicated(*part)) {
+            self.revision += 1;
+        }
         self.crashes[key].prompts.push(Prompt {
             parts: parts.iter().copied().chain([prompt]).collect(),
             sent_at,
@@ -194,9 +199,10 @@
     pub fn began(&mut self, now: Instant, parts: &[Part]) -> bool {
         let mut has_cleared = false;
         for part in shared(parts) {
-            if self.strikes.remove(part).is_none() {
+            let Some(strikes) = self.strikes.remove(part) else {
                 continue;
-            }
+            };
+            self.revision += u64::from(is_implicated(&strikes));
             self.trials.remove(part);
             self.cleared.retain(|(cleared, _)| cleared != part);
             self.cleared.push((*part, now));
@@ -208,6 +214,7 @@
     /// Applies the clearance of a peer: crashes before it no longer count against the part.
     pub fn clear(&mut self, now: Instant, clearance: Clearance) {
         let began_at = before(now, clearance.age_ms);
+        let was_implicated = self.is_implicated(clearance.part);
         let Some(strikes) = self.strikes.get_mut(&clearance.part) else {
             return;
         };
@@ -216,6 +223,18 @@
             self.strikes.remove(&clearance.part);
             self.trials.remove(&clearance.part);
         }
+        self.revision += u64::from(was_implicated && !self.is_implicated(clearance.part));
+    }
+
+    fn is_implicated(&self, part: Part) -> bool {
+        let strikes = self.strikes.get(&part);
+        strikes.is_some_and(|strikes| is_implicated(strikes))
+    }
+
+    /// Number of changes of the crashes that implicate a part, as a full report carries them.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
     }
 
     /// The part for which a prompt is refused, if any.
@@ -308,10 +327,8 @@
     }
 
     fn implicates(&self, prompt: &Prompt) -> bool {
-        let parts = shared(&prompt.parts).iter();
-        parts
-            .filter_map(|part| self.strikes.get(part))
-            .any(|strikes| is_implicated(strikes))
+        let parts = shared(&prompt.parts);
+        parts.iter().any(|part| self.is_implicated(*part))
     }
 
     /// Parts that this host has cleared recently, for the report to peers.
