Take a stream that ends before its first event for broken off

Seen by callers: when an engine closed an answer without a length and without chunks before its first event, the caller got an empty stream that looked complete, and the crash counted against nothing.

Cause: the end of the body counted as success whenever the received bytes ended between events, which zero bytes do.

Change: an end before the first event is a break: a resumable stream starts elsewhere, another is cut for its caller. If the body ended with the connection it counts as a crash.

--- a/crates/entry/src/http/pool.rs
+++ b/crates/entry/src/http/pool.rs
@@ -236,6 +236,16 @@
         }
     }
 
+    /// Whether the end of the body is that of the connection, for want of a length and of chunks.
+    #[must_use]
+    pub fn ends_with_connection(&self) -> bool {
+        let framing = [
+            http::header::CONTENT_LENGTH,
+            http::header::TRANSFER_ENCODING,
+        ];
+        framing.iter().all(|name| !self.headers.contains_key(name))
+    }
+
     /// Reads the next chunk of the body; `None` at its end, where the connection returns to the
     /// pool.
     ///
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -114,6 +114,12 @@
                 }
                 Err(_) => "malformed events",
             },
+            Ok(Ok(None)) if events.last().is_none() => {
+                if run.exchange.ends_with_connection() {
+                    host.crashed(call, &run.endpoint, run.sent_at);
+                }
+                "no event before the end"
+            }
             Ok(Ok(None)) if events.is_at_boundary() => {
                 host.answered(run.reservation.key, 1.0);
                 if let Some(tokens) = call.head.tokens {
