Decode and log the request rates that endpoints state

Change: the head of an answer carries the stated rate, and a line is logged when an endpoint begins, changes or ends it. An answer to an older request does not end a limit. Answers to prefills note load and misdirection like all others. No decision depends on the rate yet.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -277,7 +277,7 @@
     };
     let answer = D::answer(exchange.status, &exchange.headers);
     let classification = call.classify(&answer, exchange.status, &exchange.headers);
-    host.note_answer(key, &answer, classification);
+    host.note_answer(key, &answer, classification, started);
     match classification {
         Classification::Valid => {}
         Classification::Mismatched => return Attempt::Mismatched,
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -508,7 +508,7 @@
     };
     let answer = D::answer(exchange.status, &exchange.headers);
     let classification = call.classify(&answer, exchange.status, &exchange.headers);
-    host.note_answer(key, &answer, classification);
+    host.note_answer(key, &answer, classification, started);
     tracing::info!(
         id = call.head.id,
         endpoint = endpoint.id,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod http;
 pub mod lease;
 pub mod ledger;
+pub mod limits;
 pub mod mix;
 pub mod options;
 pub mod orders;
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -118,6 +118,8 @@
     pub is_signed: bool,
     /// Running requests, waiting requests and slots of the endpoint.
     pub load: Option<(u32, u32, u32)>,
+    /// Requests a second that the endpoint takes from all hosts together.
+    pub limit: Option<f64>,
 }
 
 /// The caller and endpoint protocols.
--- a/crates/entry/src/prefill.rs
+++ b/crates/entry/src/prefill.rs
@@ -13,7 +13,7 @@
 use crate::ledger::Run;
 use crate::own;
 use crate::platform::{Cache, Dialect, Outbound, Store, Tokens};
-use crate::request::Call;
+use crate::request::{Call, Classification};
 use crate::state::{Host, NO_GRANT, Reservation, now};
 
 /// Timeout of a prefill request, including its wait in the engine's queue.
@@ -130,10 +130,14 @@
             return None;
         }
     };
-    if answer.misdirected {
-        host.health.borrow_mut().misdirected(now(), key);
-    }
-    if !status.is_success() || answer.id.is_some_and(|id| id != call.head.id) {
+    let is_mismatched = answer.id.as_ref().is_some_and(|id| *id != call.head.id);
+    let classification = if is_mismatched {
+        Classification::Mismatched
+    } else {
+        Classification::Valid
+    };
+    host.note_answer(key, &answer, classification, started);
+    if !status.is_success() || is_mismatched {
         host.budgets.borrow_mut().charge(now(), &call.service);
         host.suspect(key, Suspicion::Faulty);
         tracing::info!(
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -22,6 +22,7 @@
 use crate::health::{Group, Health, Suspicion};
 use crate::http::Pool;
 use crate::ledger::{Grant, Ledger, Run, Ticket};
+use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::mix::Mix;
 use crate::options::Options;
@@ -73,6 +74,8 @@
     pub(crate) view: RefCell<View>,
     pub(crate) strikes: RefCell<Strikes>,
     pub(crate) suspects: RefCell<Suspects>,
+    /// Limits that endpoints state.
+    pub(crate) limits: RefCell<Limits>,
     pub(crate) waitlists: RefCell<HashMap<String, Waitlist>>,
     pub(crate) health: RefCell<Health>,
     /// Time of the store's last answer.
@@ -159,6 +162,7 @@
             view: RefCell::default(),
             strikes: RefCell::default(),
             suspects: RefCell::default(),
+            limits: RefCell::default(),
             waitlists: RefCell::default(),
             health: RefCell::default(),
             store_answered: Cell::new(None),
@@ -462,16 +466,18 @@
         self.load_changed.notify_one();
     }
 
-    /// Records the load and the misdirection that a response head reports.
+    /// Records the load, the limit and the misdirection that a response head reports.
     pub(crate) fn note_answer(
         &self,
         key: Key,
         answer: &AnswerHead,
         classification: Classification,
+        sent_at: Instant,
     ) {
         if classification == Classification::Mismatched {
             return;
         }
+        self.note_limit(key, answer, sent_at);
         let mut health = self.health.borrow_mut();
         if let Some(load) = answer.load {
             health.record_load(now(), key, load);
@@ -481,6 +487,21 @@
         }
     }
 
+    fn note_limit(&self, key: Key, answer: &AnswerHead, sent_at: Instant) {
+        let directory = self.directory.borrow();
+        let Some(endpoint) = directory.get(key).filter(|_| !answer.misdirected) else {
+            return;
+        };
+        let mut limits = self.limits.borrow_mut();
+        if limits.heard(now(), &endpoint.id, answer.limit, sent_at) {
+            tracing::info!(
+                endpoint = endpoint.id,
+                per_s = answer.limit,
+                "limit: endpoint states how many requests it takes"
+            );
+        }
+    }
+
     /// Records a response with its latency in milliseconds.
     pub(crate) fn answered(&self, key: Key, millis: f64) {
         self.record_outcome(key, |health, group| {
