Keep to the request rates that endpoints state, summed over all hosts

Change: limits.rs holds a token bucket for each endpoint that states a limit. Endpoints without a limit are preferred until they are full. A call that no endpoint takes is refused at once (503, endpoints_limited, Retry-After). What is heard goes to all hosts at once and with the reports; a host that has lost contact with others uses the share of those that it hears, or an equal one when the leader does not answer. Weighed: equal shares of each limit (useless below one request a host and second, and lost where callers are uneven); counting by reports (at 295 hosts these are 5 s old).

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -37,7 +37,7 @@
 /// deadlines, so a failed leader is detected within this time.
 const LONG_POLL: Duration = Duration::from_millis(350);
 /// Timeout of a query beyond the long poll.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+pub(crate) const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Cooldown of a leader that did not answer.
 const LEADER_COOLDOWN: Duration = Duration::from_secs(2);
 /// Interval between checks whether a host that has just started has heard from its peers.
@@ -198,9 +198,7 @@
                 Ok(verdict) => verdict,
                 Err(error) => {
                     tracing::info!(%leader, %error, "admission: leader lost");
-                    host.leader_cooldowns
-                        .borrow_mut()
-                        .insert(leader, now() + LEADER_COOLDOWN);
+                    cool_down(host, leader);
                     continue;
                 }
             },
@@ -214,6 +212,13 @@
     }
 }
 
+/// Skips a leader that did not answer for a while.
+pub(crate) fn cool_down<D, S>(host: &Host<D, S>, leader: SocketAddr) {
+    host.leader_cooldowns
+        .borrow_mut()
+        .insert(leader, now() + LEADER_COOLDOWN);
+}
+
 async fn query_leader<D, S>(
     host: &Host<D, S>,
     leader: SocketAddr,
@@ -490,6 +495,7 @@
     let ledger = host.ledger.borrow();
     let saturation = host.saturation.borrow();
     let limit = |key| saturation.limit(now, key);
+    let share = host.limit_share();
     let cost = |key, endpoint: &Endpoint, suspicion| {
         let fault = match suspicion {
             None => 0.0,
@@ -500,6 +506,14 @@
             slots: engine.slots.min(endpoint.slots),
             kv_tokens: u64::from(engine.capacity),
         };
+        if !host
+            .limits
+            .borrow()
+            .wait(now, &endpoint.id, share)
+            .is_zero()
+        {
+            return None;
+        }
         let mut runs: Vec<Run> = ledger.runs(key).collect();
         runs.push(run);
         let share = capacity.share(&mut runs).filter(|share| *share <= fill)?;
@@ -514,21 +528,39 @@
         };
         Some(share + fault + failures + jitter(DECODE_JITTER) - bonus)
     };
-    host.choose(service, Some(Stage::Decode), tried, cost)
-        .map(|(key, _)| key)
+    let (key, endpoint) = host.choose(service, Some(Stage::Decode), tried, cost)?;
+    let taken = host.limits.borrow_mut().take(now, &endpoint.id, share);
+    taken.is_ok().then_some(key)
 }
 
 /// The prefill engine with the shortest backlog, preferably in the data centre of the decode engine.
 fn best_prefill<D, S>(host: &Host<D, S>, query: &Query, decode: &Endpoint) -> Option<String> {
     let now = now();
+    let share = host.limit_share();
     let (key, endpoint) = {
         let backlogs = host.backlogs.borrow();
         let cost = |key, endpoint: &Endpoint, suspicion| {
+            if !host
+                .limits
+                .borrow()
+                .wait(now, &endpoint.id, share)
+                .is_zero()
+            {
+                return None;
+            }
             let is_near = endpoint.data_centre == decode.data_centre;
             Some(backlogs.cost(now, key, is_near, suspicion)? + jitter(PREFILL_JITTER_MS))
         };
         host.choose(&query.service, Some(Stage::Prefill), &[], cost)?
     };
+    if host
+        .limits
+        .borrow_mut()
+        .take(now, &endpoint.id, share)
+        .is_err()
+    {
+        return None;
+    }
     let time = Duration::from_secs_f64(f64::from(query.run.held) * PREFILL_MS_PER_TOKEN / 1_000.0);
     host.backlogs.borrow_mut().add(now, key, time);
     Some(endpoint.id)
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -9,11 +9,12 @@
 
 use crate::directory::{Endpoint, Key};
 use crate::fleet::Kind;
-use crate::health::Suspicion;
+use crate::health::{Group, Suspicion};
 use crate::http::{Error, Timeouts};
 use crate::ledger::Run;
 use crate::metrics::Label;
 use crate::peer;
+use crate::permit;
 use crate::platform::{Dialect, Store};
 use crate::refusal::Reason;
 use crate::request::{Call, Classification, Reply, answer_headers};
@@ -30,6 +31,9 @@
 const ATTEMPT_TIMEOUT_FACTOR: f64 = 2.5;
 /// Maximum number of sends per attempt of a caller, refused ones included.
 const MAX_SENDS: usize = 4;
+/// Cost of an endpoint that limits its requests, as a share of its slots: it serves what would have to
+/// queue elsewhere.
+const LIMITED_COST: f64 = 1.0;
 /// Maximum random cost in the choice of an endpoint, as a share of its slots.
 const COST_JITTER: f64 = 0.05;
 
@@ -79,6 +83,7 @@
     let mut sent = 0;
     let mut last = None;
     let mut reason = Reason::NoEndpoint;
+    let mut retry_after = RETRY_AFTER;
     for _ in 0..MAX_SENDS {
         let now = now();
         let left = call.deadline().since(now);
@@ -90,8 +95,14 @@
             };
             return rejection(host, reason, None);
         }
-        let Some((key, endpoint)) = choose(host, call, &tried) else {
-            break;
+        let (key, endpoint) = match acquire(host, call, &tried).await {
+            Ok(chosen) => chosen,
+            Err(Unavailable::None) => break,
+            Err(Unavailable::Limited(wait)) => {
+                reason = Reason::EndpointsLimited;
+                retry_after = retry_after.max(wait);
+                break;
+            }
         };
         if sent > 0 && (host.is_crashing(call) || !host.may_retry(call)) {
             break;
@@ -160,7 +171,7 @@
         return rejection(host, Reason::EndpointLost, None);
     }
     let left = call.deadline().since(now());
-    rejection(host, reason, Some(jittered(RETRY_AFTER).min(left / 3)))
+    rejection(host, reason, Some(jittered(retry_after).min(left / 3)))
 }
 
 /// Mean `Retry-After` of rejected calls; plain calls take tens of milliseconds.
@@ -186,12 +197,66 @@
     reason.reply(after)
 }
 
+/// Why no endpoint takes a call.
+enum Unavailable {
+    /// None is ready, or all were tried.
+    None,
+    /// Those that are left limit their requests; the time until one takes a request.
+    Limited(Duration),
+}
+
+/// Chooses an endpoint; one that limits its requests only with a permit.
+async fn acquire<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    call: &Call,
+    tried: &[Key],
+) -> Result<(Key, Endpoint), Unavailable> {
+    let chosen = choose(host, call, tried, true).ok_or(Unavailable::None)?;
+    if host.limits.borrow().rate(&chosen.1.id).is_none() {
+        return Ok(chosen);
+    }
+    let denied_until = host.denials.borrow().get(&call.service).copied();
+    let denied = denied_until.map(|until| until.since(now()));
+    let wait = match denied.filter(|wait| !wait.is_zero()) {
+        Some(wait) => wait,
+        None => {
+            let mut candidates = limited(host, call, tried);
+            candidates.retain(|(key, _)| *key != chosen.0);
+            candidates.insert(0, chosen);
+            match permit::take(host, &call.service, candidates).await {
+                Ok(granted) => return Ok(granted),
+                Err(wait) => wait,
+            }
+        }
+    };
+    choose(host, call, tried, false).ok_or(Unavailable::Limited(wait))
+}
+
+/// Ready endpoints that limit their requests and are not suspected.
+fn limited<D, S>(host: &Host<D, S>, call: &Call, tried: &[Key]) -> Vec<(Key, Endpoint)> {
+    let directory = host.directory.borrow();
+    let limits = host.limits.borrow();
+    let health = host.health.borrow();
+    let now = now();
+    let ready = directory.ready(&call.service);
+    let limited = ready.filter(|(key, endpoint)| {
+        let suspicion = health.suspicion(now, *key, &Group::of(endpoint));
+        limits.rate(&endpoint.id).is_some() && suspicion.is_none() && !tried.contains(key)
+    });
+    limited
+        .map(|(key, endpoint)| (key, endpoint.clone()))
+        .collect()
+}
+
+/// The endpoint with the lowest cost; `with_limited` includes those that limit their requests.
 fn choose<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     call: &Call,
     tried: &[Key],
+    with_limited: bool,
 ) -> Option<(Key, Endpoint)> {
-    if tried.is_empty()
+    if with_limited
+        && tried.is_empty()
         && call.route().kind == Kind::Idempotent
         && let Some(key) = host.probe(&call.service, None)
         && let Some(endpoint) = host.directory.borrow().get(key)
@@ -201,6 +266,7 @@
     }
     peer::refresh_peer_load(host);
     let ledger = host.ledger.borrow();
+    let limits = host.limits.borrow();
     let cost = |key, endpoint: &Endpoint, suspicion: Option<Suspicion>| {
         let counted = f64::from(ledger.requests(key)) / f64::from(endpoint.slots.max(1));
         let share = counted.max(host.health.borrow().reported_load(now(), key));
@@ -209,7 +275,12 @@
         } else {
             0.0
         };
-        Some(share + host.distance_cost(endpoint) + last + jitter(COST_JITTER))
+        let limited = match limits.rate(&endpoint.id) {
+            Some(_) if with_limited => LIMITED_COST,
+            Some(_) => return None,
+            None => 0.0,
+        };
+        Some(share + host.distance_cost(endpoint) + last + limited + jitter(COST_JITTER))
     };
     let fresh = host.choose(&call.service, None, tried, cost);
     // Without another endpoint the second send may go to the same one.
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -13,6 +13,7 @@
 
 use crate::budget::Count;
 use crate::ledger::{Grant, Run};
+use crate::limits::Limit;
 use crate::orders::Order;
 use crate::readers;
 use crate::suspects::{Clearance, Crash};
@@ -89,7 +90,7 @@
 }
 
 /// Report of a host.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Report {
     /// Format version.
@@ -123,6 +124,8 @@
     pub crashes: Vec<Crash>,
     /// Prompt parts that the sender has recently cleared of crashes.
     pub cleared: Vec<Clearance>,
+    /// Limits on requests that endpoints have recently stated to the sender.
+    pub limits: Vec<Limit>,
     /// Orders to engines that are not known to be complete for all hosts.
     pub orders: Vec<Order>,
     /// Running requests with their grants, by endpoint.
@@ -179,6 +182,7 @@
             strikes: Vec::new(),
             crashes: Vec::new(),
             cleared: Vec::new(),
+            limits: Vec::new(),
             orders: Vec::new(),
             endpoints: Vec::new(),
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,7 +1,8 @@
 //! Entry daemon: routes requests to model engines and plain services by their headers.
 //!
 //! Decision code ([`directory`], [`refresh`], [`readers`], [`ledger`], [`saturation`], [`waiting`],
-//! [`quota`], [`budget`], [`gossip`], [`stages`], [`orders`], [`strikes`], [`suspects`]) is free of I/O: it takes the current time
+//! [`quota`], [`budget`], [`gossip`], [`stages`], [`orders`], [`strikes`], [`suspects`],
+//! [`limits`]) is free of I/O: it takes the current time
 //! and an event. The platform is a type parameter ([`platform`]).
 
 pub mod args;
@@ -43,6 +44,7 @@
 pub(crate) mod metrics;
 pub(crate) mod own;
 pub(crate) mod peer;
+pub(crate) mod permit;
 pub(crate) mod prefill;
 pub(crate) mod refusal;
 pub(crate) mod request;
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -1,16 +1,71 @@
-//! Request rates that endpoints in need state in their answers.
+//! Limits on the requests that an endpoint in need takes from all hosts together.
+//!
+//! Endpoints state the limit in their answers. Hosts that each kept to it alone would exceed it by their
+//! number, and equal shares of one request a second are useless at hundreds of hosts. So one host, the
+//! leader, counts the sends to such endpoints for all: a token bucket per endpoint. A host that has
+//! lost contact with others uses the share of those that it hears.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
+use serde::{Deserialize, Serialize};
+
+/// Burst of a bucket: a number of requests, and what the limit allows in some time. Two buckets that
+/// both are full, as after a change of the leader, still stay below one and a half times the limit and
+/// five requests in 4 s.
+const BURST_REQUESTS: f64 = 2.0;
+const BURST_SECONDS: f64 = 1.0;
+/// Smallest rate in requests a second; without requests the end of a limit would not be noticed.
+const MIN_RATE: f64 = 0.1;
+/// Time in which an own finding is repeated in reports, so that a lost report does no harm.
+const REPORT_DURATION: Duration = Duration::from_secs(5);
+/// Largest number of limits in a report.
+const MAX_REPORTED: usize = 32;
+
+/// Limit of an endpoint, as hosts tell each other.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Limit {
+    /// Id of the endpoint.
+    pub endpoint: String,
+    /// Requests a second that it takes from all hosts together; `None` for no limit.
+    pub rate: Option<f64>,
+    /// Time since the answer that said so, in milliseconds.
+    pub age_ms: u64,
+}
 
 /// What is known of an endpoint's limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug)]
 struct Known {
-    /// Requests a second that it takes from all hosts together; `None` for no limit.
     rate: Option<f64>,
-    /// Time of the answer that said so.
     heard_at: Instant,
+    /// Whether this host got the answer.
+    own: bool,
+    tokens: f64,
+    refilled_at: Instant,
+}
+
+impl Known {
+    fn new(now: Instant, rate: Option<f64>, heard_at: Instant, own: bool) -> Self {
+        Self {
+            rate,
+            heard_at,
+            own,
+            tokens: 0.0,
+            refilled_at: now,
+        }
+    }
+
+    /// Rate that the bucket refills with, for a host that may use `share` of the limit.
+    fn refill_rate(&self, share: f64) -> Option<f64> {
+        Some(self.rate?.max(MIN_RATE) * share)
+    }
+
+    fn tokens_at(&self, now: Instant, rate: f64) -> f64 {
+        let elapsed = now.since(self.refilled_at).as_secs_f64();
+        (self.tokens + elapsed * rate).min(BURST_REQUESTS + rate * BURST_SECONDS)
+    }
 }
 
 /// Limits of all endpoints by id.
@@ -31,9 +86,8 @@
     ) -> bool {
         let Some(known) = self.known.get_mut(endpoint) else {
             if rate.is_some() {
-                let heard_at = now;
-                self.known
-                    .insert(endpoint.to_owned(), Known { rate, heard_at });
+                let known = Known::new(now, rate, now, true);
+                self.known.insert(endpoint.to_owned(), known);
             }
             return rate.is_some();
         };
@@ -41,10 +95,110 @@
             return false;
         }
         let has_changed = known.rate != rate;
-        *known = Known {
-            rate,
-            heard_at: now,
+        known.rate = rate;
+        known.heard_at = now;
+        known.own = true;
+        has_changed
+    }
+
+    /// Applies the limit that a peer has heard, unless a newer one is known. Returns whether it changes
+    /// what is known.
+    pub fn apply(&mut self, now: Instant, limit: &Limit) -> bool {
+        let heard_at = Instant::from_millis(now.as_millis().saturating_sub(limit.age_ms));
+        let Some(known) = self.known.get_mut(&limit.endpoint) else {
+            if limit.rate.is_some() {
+                let known = Known::new(now, limit.rate, heard_at, false);
+                self.known.insert(limit.endpoint.clone(), known);
+            }
+            return limit.rate.is_some();
         };
+        if heard_at <= known.heard_at {
+            return false;
+        }
+        let has_changed = known.rate != limit.rate;
+        known.rate = limit.rate;
+        known.heard_at = heard_at;
+        known.own = false;
         has_changed
     }
+
+    /// The limit of an endpoint, if it has one.
+    #[must_use]
+    pub fn rate(&self, endpoint: &str) -> Option<f64> {
+        self.known.get(endpoint)?.rate
+    }
+
+    /// Time until an endpoint takes a request, for a host that may use `share` of its limit.
+    #[must_use]
+    pub fn wait(&self, now: Instant, endpoint: &str, share: f64) -> Duration {
+        let known = self.known.get(endpoint);
+        let wait = known.and_then(|known| {
+            let rate = known.refill_rate(share)?;
+            let missing = 1.0 - known.tokens_at(now, rate);
+            Some(Duration::from_secs_f64((missing / rate).max(0.0)))
+        });
+        wait.unwrap_or_default()
+    }
+
+    /// Limits of the given endpoints, for a query to the leader.
+    pub fn describe<'a>(
+        &self,
+        now: Instant,
+        endpoints: impl Iterator<Item = &'a str>,
+    ) -> Vec<Limit> {
+        let known = endpoints.filter_map(|id| Some((id, self.known.get(id)?)));
+        known
+            .map(|(id, known)| Limit {
+                endpoint: id.to_owned(),
+                rate: known.rate,
+                age_ms: now.since(known.heard_at).as_millis() as u64,
+            })
+            .collect()
+    }
+
+    /// Takes one request of an endpoint's limit, for a host that may use `share` of it.
+    ///
+    /// # Errors
+    /// Fails with the time until the endpoint takes a request.
+    pub fn take(&mut self, now: Instant, endpoint: &str, share: f64) -> Result<(), Duration> {
+        let wait = self.wait(now, endpoint, share);
+        if !wait.is_zero() {
+            return Err(wait);
+        }
+        if let Some(known) = self.known.get_mut(endpoint)
+            && let Some(rate) = known.refill_rate(share)
+        {
+            known.tokens = known.tokens_at(now, rate) - 1.0;
+            known.refilled_at = now;
+        }
+        Ok(())
+    }
+
+    /// Forgets an endpoint that has restarted.
+    pub fn remove(&mut self, endpoint: &str) {
+        self.known.remove(endpoint);
+    }
+
+    /// Forgets the endpoints for which `is_known` does not hold, and the limits that ended long ago.
+    pub fn expire(&mut self, now: Instant, is_known: impl Fn(&str) -> bool) {
+        self.known.retain(|endpoint, known| {
+            let is_due = known.rate.is_some() || now.since(known.heard_at) < REPORT_DURATION;
+            is_due && is_known(endpoint)
+        });
+    }
+
+    /// Limits and ends of limits that this host has heard recently, for the report to peers.
+    pub fn report(&self, now: Instant) -> Vec<Limit> {
+        let own = self
+            .known
+            .iter()
+            .filter(|(_, known)| known.own && now.since(known.heard_at) < REPORT_DURATION);
+        own.take(MAX_REPORTED)
+            .map(|(endpoint, known)| Limit {
+                endpoint: endpoint.clone(),
+                rate: known.rate,
+                age_ms: now.since(known.heard_at).as_millis() as u64,
+            })
+            .collect()
+    }
 }
--- a/crates/entry/src/locate.rs
+++ b/crates/entry/src/locate.rs
@@ -32,9 +32,11 @@
     if parts.is_stale(now()) {
         let engines: Vec<(Key, Endpoint)> = {
             let directory = host.directory.borrow();
+            let limits = host.limits.borrow();
             directory
                 .ready(service)
                 .filter(|(_, endpoint)| endpoint.stage == Some(Stage::Decode))
+                .filter(|(_, endpoint)| limits.rate(&endpoint.id).is_none())
                 .map(|(key, endpoint)| (key, endpoint.clone()))
                 .collect()
         };
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -182,6 +182,16 @@
     for crash in &report.crashes {
         host.learn_crash(crash, false);
     }
+    for limit in &report.limits {
+        if host.limits.borrow_mut().apply(now, limit) {
+            tracing::info!(
+                endpoint = limit.endpoint,
+                per_s = limit.rate,
+                peer = %from,
+                "limit: peer reports how many requests an endpoint takes"
+            );
+        }
+    }
     for clearance in &report.cleared {
         host.suspects.borrow_mut().clear(now, *clearance);
     }
@@ -310,6 +320,7 @@
         report.crashes = suspects.report(now(), full);
         report.cleared = suspects.report_cleared(now());
     }
+    report.limits = host.limits.borrow().report(now());
     report.orders = host.orders.borrow().report(now()).collect();
     let directory = host.directory.borrow();
     let mut endpoints: HashMap<&str, Vec<(Run, Grant)>> = HashMap::new();
@@ -379,6 +390,12 @@
     host.backlogs.borrow_mut().expire(now);
     host.orders.borrow_mut().expire(now);
     host.suspects.borrow_mut().expire(now);
+    {
+        let directory = host.directory.borrow();
+        let is_known = |id: &str| directory.key(id).is_some();
+        host.limits.borrow_mut().expire(now, is_known);
+    }
+    host.denials.borrow_mut().retain(|_, until| *until > now);
     host.saturation.borrow_mut().expire(now);
     host.leader_cooldowns
         .borrow_mut()
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -25,6 +25,7 @@
     Stopping,
     CrashesEndpoints,
     EndpointsRefused,
+    EndpointsLimited,
     EndpointLost,
     TimedOut,
 }
@@ -47,6 +48,7 @@
             Self::Stopping => "stopping",
             Self::CrashesEndpoints => "crashes_endpoints",
             Self::EndpointsRefused => "endpoints_refused",
+            Self::EndpointsLimited => "endpoints_limited",
             Self::EndpointLost => "endpoint_lost",
             Self::TimedOut => "timed_out",
         }
@@ -68,7 +70,8 @@
             | Self::Starting
             | Self::Stopping
             | Self::CrashesEndpoints
-            | Self::EndpointsRefused => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::EndpointsRefused
+            | Self::EndpointsLimited => StatusCode::SERVICE_UNAVAILABLE,
             Self::EndpointLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -23,7 +23,7 @@
 use crate::request::{Call, Reply, Request};
 use crate::state::{Host, now};
 use crate::strikes::Fingerprint;
-use crate::{admission, call, completion, peer};
+use crate::{admission, call, completion, peer, permit};
 
 /// Idle timeout of a caller's connection. Callers reuse connections for up to four fifths of the
 /// configured idle time (15 s in the platform's specification), so the listener must not close
@@ -118,14 +118,14 @@
             plain(status, Bytes::new())
         }
         Audience::Peers => {
-            let is_admission = incoming.path() == admission::PATH;
+            let path = incoming.path().to_owned();
             let body = read_body(incoming, DEFAULT_MAX_BODY_BYTES)
                 .await
                 .unwrap_or_default();
-            let answer = if is_admission {
-                admission::answer(&host, &body).await
-            } else {
-                peer::answer(&host, &body).await
+            let answer = match path.as_str() {
+                admission::PATH => admission::answer(&host, &body).await,
+                permit::PATH => permit::answer(&host, &body),
+                _ => peer::answer(&host, &body).await,
             };
             match answer {
                 Some(answer) => plain(200, answer),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -76,6 +76,8 @@
     pub(crate) suspects: RefCell<Suspects>,
     /// Limits that endpoints state.
     pub(crate) limits: RefCell<Limits>,
+    /// Services whose limited endpoints take no call of this host until the given time.
+    pub(crate) denials: RefCell<HashMap<String, Instant>>,
     pub(crate) waitlists: RefCell<HashMap<String, Waitlist>>,
     pub(crate) health: RefCell<Health>,
     /// Time of the store's last answer.
@@ -113,7 +115,7 @@
     pub(crate) peers_changed: Cell<bool>,
     /// Whether a report to all peers is due before the end of the interval.
     pub(crate) full_report_due: Cell<bool>,
-    /// Whether the next such report may wait for the minimum interval: it carries findings on crashes.
+    /// Whether a report to all peers is due after the minimum interval, for findings on endpoints.
     pub(crate) findings_due: Cell<bool>,
     /// Revision of the findings that the store has.
     pub(crate) findings_written: Cell<u64>,
@@ -163,6 +165,7 @@
             strikes: RefCell::default(),
             suspects: RefCell::default(),
             limits: RefCell::default(),
+            denials: RefCell::default(),
             waitlists: RefCell::default(),
             health: RefCell::default(),
             store_answered: Cell::new(None),
@@ -349,6 +352,7 @@
                     self.pool.close_idle(endpoint.address);
                     health.restarted(key);
                     self.saturation.borrow_mut().remove(key);
+                    self.limits.borrow_mut().remove(&endpoint.id);
                 }
                 self.orders.borrow_mut().observe(endpoint);
                 health.add(key, Group::of(endpoint));
@@ -499,9 +503,22 @@
                 per_s = answer.limit,
                 "limit: endpoint states how many requests it takes"
             );
+            self.report_findings();
         }
     }
 
+    /// Share of the endpoints' limits that this host may use when it decides for all that it hears.
+    pub(crate) fn limit_share(&self) -> f64 {
+        let (_, unreachable) = self.view.borrow().hosts(now());
+        1.0 - unreachable
+    }
+
+    /// Share of the endpoints' limits that this host may use when it decides for itself alone.
+    pub(crate) fn equal_share(&self) -> f64 {
+        let (hosts, _) = self.view.borrow().hosts(now());
+        1.0 / hosts as f64
+    }
+
     /// Records a response with its latency in milliseconds.
     pub(crate) fn answered(&self, key: Key, millis: f64) {
         self.record_outcome(key, |health, group| {
--- /dev/null
+++ b/crates/entry/tests/limits.rs
@@ -0,0 +1,198 @@
+//! Guards against sending an endpoint more requests than it states to take from all hosts together, and
+//! against refusing requests that it would take.
+
+use std::time::Duration;
+
+use berylknot_coordination::clock::Instant;
+use berylknot_entry::limits::{Limit, Limits};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use yare::parameterized;
+
+const ENDPOINT: &str = "e1";
+/// Time of a query to the leader and its answer, each way.
+const QUERY_MS: u64 = 3;
+/// Window and slack of the users' bound: one and a half times the limit, and five requests.
+const WINDOW_MS: u64 = 4_000;
+const SLACK: f64 = 5.0;
+const SECONDS: u64 = 40;
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(1_000_000 + millis)
+}
+
+fn limit(rate: Option<f64>, age_ms: u64) -> Limit {
+    Limit {
+        endpoint: ENDPOINT.to_owned(),
+        rate,
+        age_ms,
+    }
+}
+
+/// How the hosts of a fleet keep to a limit.
+#[derive(Clone, Copy, PartialEq)]
+enum Policy {
+    /// They do not.
+    Ignore,
+    /// Each for itself, with all of the limit.
+    Alone,
+    /// One of them counts for all; another one takes its place every 7 s.
+    Leader,
+}
+
+/// Times at which the endpoint got requests, all hosts knowing the limit from the begin.
+fn play(policy: Policy, hosts: usize, rate: f64, demand_per_s: f64, seed: u64) -> Vec<u64> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut limits: Vec<Limits> = (0..hosts).map(|_| Limits::default()).collect();
+    for known in &mut limits {
+        known.apply(at(0), &limit(Some(rate), 0));
+    }
+    let mut arrivals = Vec::new();
+    for now in 0..SECONDS * 1_000 {
+        // Demand comes in waves, with pauses in which the buckets fill.
+        let wave = if now / 2_500 % 2 == 0 { 1.9 } else { 0.1 };
+        let mut due = demand_per_s * wave / 1_000.0;
+        while random.random_bool(due.min(1.0)) {
+            due -= 1.0;
+            let host = random.random_range(0..hosts);
+            let is_sent = match policy {
+                Policy::Ignore => true,
+                Policy::Alone => limits[host].take(at(now), ENDPOINT, 1.0).is_ok(),
+                Policy::Leader => {
+                    let leader = now as usize / 7_000 % hosts;
+                    limits[leader].take(at(now), ENDPOINT, 1.0).is_ok()
+                }
+            };
+            if is_sent {
+                arrivals.push(now + QUERY_MS);
+            }
+            if due <= 0.0 {
+                break;
+            }
+        }
+    }
+    arrivals
+}
+
+fn most_in_a_window(arrivals: &[u64]) -> usize {
+    let in_window = |(index, start): (usize, &u64)| {
+        let end = arrivals.partition_point(|at| *at < start + WINDOW_MS);
+        end - index
+    };
+    arrivals
+        .iter()
+        .enumerate()
+        .map(in_window)
+        .max()
+        .unwrap_or(0)
+}
+
+#[parameterized(
+    one_a_second = { 7, 1.0, 30.0 },
+    rounded_figure = { 8, 1.1, 30.0 },
+    plain_service = { 7, 4.2, 75.0 },
+    grown = { 75, 6.0, 150.0 },
+    hundreds = { 295, 20.0, 400.0 },
+    planned_size = { 360, 40.0, 900.0 },
+)]
+fn hosts_together_stay_below_the_limit_and_use_it(hosts: usize, rate: f64, demand_per_s: f64) {
+    let allowed = 1.5 * rate * WINDOW_MS as f64 / 1_000.0 + SLACK;
+    for seed in 0..3 {
+        for policy in [Policy::Ignore, Policy::Alone] {
+            let most = most_in_a_window(&play(policy, hosts, rate, demand_per_s, seed));
+            assert!(most as f64 > allowed, "the load is harmless: {most}");
+        }
+        let arrivals = play(Policy::Leader, hosts, rate, demand_per_s, seed);
+        let most = most_in_a_window(&arrivals);
+        assert!(most as f64 <= allowed, "{most} requests, {allowed} allowed");
+        // Half of the time there is hardly any demand.
+        let usable = rate * SECONDS as f64 / 2.0;
+        assert!(arrivals.len() as f64 >= 0.9 * usable, "{}", arrivals.len());
+    }
+}
+
+#[test]
+fn parts_of_a_divided_fleet_stay_below_the_limit_together() {
+    let (hosts, rate) = (8, 4.0);
+    let mut parts: Vec<Limits> = (0..hosts).map(|_| Limits::default()).collect();
+    let mut arrivals = Vec::new();
+    for part in &mut parts {
+        part.apply(at(0), &limit(Some(rate), 0));
+    }
+    for now in 0..20_000 {
+        for part in &mut parts {
+            if part.take(at(now), ENDPOINT, 1.0 / hosts as f64).is_ok() {
+                arrivals.push(now);
+            }
+        }
+    }
+    let allowed = 1.5 * rate * WINDOW_MS as f64 / 1_000.0 + SLACK;
+    assert!(most_in_a_window(&arrivals) as f64 <= allowed);
+}
+
+#[test]
+fn endpoint_without_a_limit_takes_every_request() {
+    let mut limits = Limits::default();
+    assert!(!limits.heard(at(0), ENDPOINT, None, at(0)));
+    assert!((0..1_000).all(|_| limits.take(at(0), ENDPOINT, 1.0).is_ok()));
+    assert!(limits.report(at(0)).is_empty());
+}
+
+#[test]
+fn limit_ends_with_an_answer_to_a_later_request_only() {
+    let mut limits = Limits::default();
+    assert!(limits.heard(at(1_000), ENDPOINT, Some(2.0), at(900)));
+    assert!(
+        !limits.heard(at(1_100), ENDPOINT, None, at(950)),
+        "sent before the limit was heard"
+    );
+    assert_eq!(limits.rate(ENDPOINT), Some(2.0));
+    assert!(limits.heard(at(1_200), ENDPOINT, None, at(1_150)));
+    assert!((0..100).all(|_| limits.take(at(1_200), ENDPOINT, 1.0).is_ok()));
+}
+
+#[test]
+fn newest_answer_holds_among_peers() {
+    let mut limits = Limits::default();
+    limits.apply(at(1_000), &limit(Some(2.0), 100));
+    limits.apply(at(1_000), &limit(Some(5.0), 300));
+    assert_eq!(limits.rate(ENDPOINT), Some(2.0));
+    limits.apply(at(1_100), &limit(None, 50));
+    assert_eq!(limits.rate(ENDPOINT), None);
+    limits.apply(at(1_200), &limit(Some(2.0), 300));
+    assert_eq!(
+        limits.rate(ENDPOINT),
+        None,
+        "a late report does not bring the limit back"
+    );
+}
+
+#[test]
+fn wait_tells_when_the_next_request_is_taken() {
+    let mut limits = Limits::default();
+    limits.heard(at(0), ENDPOINT, Some(2.0), at(0));
+    let wait = limits
+        .take(at(0), ENDPOINT, 1.0)
+        .expect_err("the bucket starts empty");
+    assert_eq!(wait, Duration::from_millis(500));
+    assert!(limits.take(at(499), ENDPOINT, 1.0).is_err());
+    assert!(limits.take(at(500), ENDPOINT, 1.0).is_ok());
+}
+
+#[test]
+fn limit_of_zero_lets_a_rare_request_find_its_end() {
+    let mut limits = Limits::default();
+    limits.heard(at(0), ENDPOINT, Some(0.0), at(0));
+    let taken = (0..60_000).filter(|now| limits.take(at(*now), ENDPOINT, 1.0).is_ok());
+    assert!((1..=10).contains(&taken.count()));
+}
+
+#[test]
+fn limits_of_restarted_and_removed_endpoints_are_forgotten() {
+    let mut limits = Limits::default();
+    limits.heard(at(0), ENDPOINT, Some(1.0), at(0));
+    limits.heard(at(0), "e2", Some(1.0), at(0));
+    limits.remove(ENDPOINT);
+    limits.expire(at(10_000), |endpoint| endpoint != "e2");
+    assert_eq!((limits.rate(ENDPOINT), limits.rate("e2")), (None, None));
+}
