Leave prefill engines that limit their requests to long prompts

Change: where a prefill engine limits its requests, a prompt that a decode engine reads within 0.6 of the gap objective stays there; and an engine that is reading prompts itself costs more, so that two readings do not fall together.

Test: short_prompts_leave_limited_prefill_engines_to_long_ones plays 600 prompts with and without the rule; without it some are read where they make streams late, with it none.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -17,13 +17,13 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::backlog;
 use crate::directory::{Endpoint, Key, Stage};
 use crate::fleet::Engine;
 use crate::health::Suspicion;
 use crate::http::Timeouts;
 use crate::ledger::{Capacity, Grant, Run, peak};
 use crate::locate;
-use crate::mix::PREFILL_MS_PER_TOKEN;
 use crate::parts::Part;
 use crate::peer;
 use crate::platform::{Dialect, Store};
@@ -407,7 +407,12 @@
     let parts_at = cached_at.and_then(|cached_at| Some(directory.get(cached_at)?.id.clone()));
     drop(directory);
     let prefill = if query.prefill && cached_at.is_none() {
-        best_prefill(host, query, &endpoint)
+        let prefill = best_prefill(host, query, &endpoint);
+        if prefill.is_none() {
+            let time = backlog::decode_read_time(query.run.held);
+            host.backlogs.borrow_mut().add(now(), key, time);
+        }
+        prefill
     } else {
         None
     };
@@ -526,13 +531,23 @@
         } else {
             0.0
         };
-        Some(share + fault + failures + jitter(DECODE_JITTER) - bonus)
+        let reading = host.backlogs.borrow().reading_cost(now, key);
+        Some(share + fault + failures + reading + jitter(DECODE_JITTER) - bonus)
     };
     let (key, endpoint) = host.choose(service, Some(Stage::Decode), tried, cost)?;
     let taken = host.limits.borrow_mut().take(now, &endpoint.id, share);
     taken.is_ok().then_some(key)
 }
 
+/// Strictest objective for the gap between events of a service's streams.
+fn gap_target<D, S>(host: &Host<D, S>, service: &str) -> Duration {
+    let fleet = host.fleet.borrow();
+    let routes = fleet.iter().flat_map(|fleet| &fleet.routes);
+    let routes = routes.filter(|route| route.services.iter().any(|(name, _)| name == service));
+    let gaps = routes.map(|route| route.gap_target);
+    gaps.filter(|gap| !gap.is_zero()).min().unwrap_or_default()
+}
+
 /// The prefill engine with the shortest backlog, preferably in the data centre of the decode engine.
 fn best_prefill<D, S>(host: &Host<D, S>, query: &Query, decode: &Endpoint) -> Option<String> {
     let now = now();
@@ -553,6 +568,10 @@
         };
         host.choose(&query.service, Some(Stage::Prefill), &[], cost)?
     };
+    let is_limited = host.limits.borrow().rate(&endpoint.id).is_some();
+    if is_limited && backlog::fits_decode(query.run.held, gap_target(host, &query.service)) {
+        return None;
+    }
     if host
         .limits
         .borrow_mut()
@@ -561,7 +580,7 @@
     {
         return None;
     }
-    let time = Duration::from_secs_f64(f64::from(query.run.held) * PREFILL_MS_PER_TOKEN / 1_000.0);
+    let time = backlog::read_time(query.run.held);
     host.backlogs.borrow_mut().add(now, key, time);
     Some(endpoint.id)
 }
--- a/crates/entry/src/backlog.rs
+++ b/crates/entry/src/backlog.rs
@@ -11,6 +11,7 @@
 
 use crate::directory::Key;
 use crate::health::Suspicion;
+use crate::mix::PREFILL_MS_PER_TOKEN;
 
 /// Backlog beyond which the decode engine runs the prefill itself.
 const MAX_BACKLOG: Duration = Duration::from_millis(1_200);
@@ -21,6 +22,33 @@
 /// runs the prefill at half the speed, about 200 ms for 5,000 tokens.
 const FAULTY_COST_MS: f64 = 200.0;
 
+/// Slowdown of a prefill that a decode engine runs between the tokens of its streams (platform pages).
+const DECODE_SLOWDOWN: u32 = 2;
+/// Share of the gap objective of streams that such a prefill may take, beside the time of an event.
+const MAX_GAP_SHARE: f64 = 0.6;
+/// Cost of a decode engine for each second of prompts that it has yet to read, as a share of the engine:
+/// its streams pause meanwhile.
+const READING_COST_PER_S: f64 = 1.5;
+
+/// Time in which a decode engine reads a prompt itself.
+#[must_use]
+pub fn decode_read_time(tokens: u32) -> Duration {
+    read_time(tokens) * DECODE_SLOWDOWN
+}
+
+/// Time in which a prefill engine reads a prompt.
+#[must_use]
+pub fn read_time(tokens: u32) -> Duration {
+    Duration::from_secs_f64(f64::from(tokens) * PREFILL_MS_PER_TOKEN / 1_000.0)
+}
+
+/// Whether a decode engine may read a prompt itself without its streams missing their gap objective. It
+/// does so where prefill engines limit their requests, which are left to longer prompts.
+#[must_use]
+pub fn fits_decode(tokens: u32, gap_target: Duration) -> bool {
+    decode_read_time(tokens) <= gap_target.mul_f64(MAX_GAP_SHARE)
+}
+
 /// Estimated end of each prefill engine's backlog.
 #[derive(Debug, Default)]
 pub struct Backlogs {
@@ -57,6 +85,12 @@
         Some(backlog.as_secs_f64() * 1_000.0 + distance + fault)
     }
 
+    /// Cost of a decode engine that reads prompts itself, as a share of the engine.
+    #[must_use]
+    pub fn reading_cost(&self, now: Instant, key: Key) -> f64 {
+        self.backlog(now, key).as_secs_f64() * READING_COST_PER_S
+    }
+
     /// Adds a prompt with the estimated prefill time `time`.
     pub fn add(&mut self, now: Instant, key: Key, time: Duration) {
         let until = now + self.backlog(now, key) + time;
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -140,6 +140,12 @@
         wait.unwrap_or_default()
     }
 
+    /// Whether no endpoint has a limit.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.known.values().all(|known| known.rate.is_none())
+    }
+
     /// Limits of the given endpoints, for a query to the leader.
     pub fn describe<'a>(
         &self,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -509,6 +509,9 @@
 
     /// Share of the endpoints' limits that this host may use when it decides for all that it hears.
     pub(crate) fn limit_share(&self) -> f64 {
+        if self.limits.borrow().is_empty() {
+            return 1.0;
+        }
         let (_, unreachable) = self.view.borrow().hosts(now());
         1.0 - unreachable
     }
--- a/crates/entry/tests/backlog.rs
+++ b/crates/entry/tests/backlog.rs
@@ -1,11 +1,13 @@
-//! Guards against prompts that queue at one prefill engine while others are idle.
+//! Guards against prompts that queue at one prefill engine while others are idle, and against streams
+//! that pause while their engine reads long prompts.
 
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
-use berylknot_entry::backlog::Backlogs;
+use berylknot_entry::backlog::{Backlogs, decode_read_time, fits_decode};
 use berylknot_entry::directory::{Key, Stage};
 use berylknot_entry::health::{Group, Health, Suspicion};
+use berylknot_entry::limits::Limits;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use slotmap::SlotMap;
@@ -103,3 +105,39 @@
         assert!(share > 0.95, "seed {seed}: {share}");
     }
 }
+
+/// Prompts whose reading at a decode engine would make its streams late, of 600 prompts at 10 a second
+/// beside prefill engines that take eight requests a second, more than there are long prompts. Short
+/// prompts leave these to long ones, or all prompts use them in the order of arrival.
+fn late_readings(short_ones_yield: bool) -> usize {
+    let gap_target = Duration::from_millis(300);
+    let mut limits = Limits::default();
+    limits.heard(at(0), "prefill", Some(8.0), at(0));
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut late = 0;
+    for prompt in 0..600 {
+        let now = at(2_000 + prompt * 100);
+        let tokens = random.random_range(500..10_000);
+        let yields = short_ones_yield && fits_decode(tokens, gap_target);
+        let is_at_prefill = !yields && limits.take(now, "prefill", 1.0).is_ok();
+        late += usize::from(!is_at_prefill && decode_read_time(tokens) > gap_target);
+    }
+    late
+}
+
+#[test]
+fn short_prompts_leave_limited_prefill_engines_to_long_ones() {
+    let (before, after) = (late_readings(false), late_readings(true));
+    assert!(before > 0, "the load is harmless");
+    assert_eq!(after, 0, "{before} prompts before");
+}
+
+#[test]
+fn decode_engine_that_reads_prompts_is_avoided_until_it_has_read_them() {
+    let mut backlogs = Backlogs::default();
+    let key = keys(1)[0];
+    assert!(backlogs.reading_cost(at(0), key) <= 0.0);
+    backlogs.add(at(0), key, decode_read_time(5_000));
+    assert!(backlogs.reading_cost(at(0), key) > 0.2);
+    assert!(backlogs.reading_cost(at(1_000), key) <= 0.0);
+}
