Wait longer before a refused prompt part is tried again

The first trial now comes after 30 s, then after 120 and 480 s. The test of the trials has the new times; its bound of three trials in ten minutes is unchanged.

--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -41,8 +41,9 @@
 const MAX_PROMPTS: usize = 32;
 /// Largest number of parts of a prompt that count.
 const MAX_PARTS: usize = 64;
-/// Time until one request may try a refused part again, after the last of [`MIN_CRASHES`] crashes.
-const FIRST_TRIAL: Duration = Duration::from_secs(10);
+/// Time until one request may try a refused part again, after the last of [`MIN_CRASHES`] crashes. Each
+/// trial of a part that is rightly refused costs an engine.
+const FIRST_TRIAL: Duration = Duration::from_secs(30);
 /// Growth of that time with each further crash.
 const TRIAL_GROWTH: u32 = 4;
 /// Largest number of crashes for which it grows; it exceeds [`RETENTION`] by then.
--- a/crates/entry/tests/suspects.rs
+++ b/crates/entry/tests/suspects.rs
@@ -303,13 +303,13 @@
     let mut suspects = implicated();
     let prompt = parts(&[1, LETHAL, 7]);
     let after = |seconds: u64| at(3_000 + seconds * 1_000);
-    assert!(suspects.admit(after(39), "r1", &prompt, true).is_err());
-    assert!(suspects.admit(after(41), "r1", &prompt, false).is_err());
-    assert!(suspects.admit(after(41), "r1", &prompt, true).is_ok());
-    assert!(suspects.admit(after(41), "r1", &prompt, true).is_ok());
-    assert!(suspects.admit(after(42), "r2", &prompt, true).is_err());
-    assert!(suspects.began(after(42), &prompt));
-    assert!(suspects.admit(after(42), "r2", &prompt, true).is_ok());
+    assert!(suspects.admit(after(119), "r1", &prompt, true).is_err());
+    assert!(suspects.admit(after(121), "r1", &prompt, false).is_err());
+    assert!(suspects.admit(after(121), "r1", &prompt, true).is_ok());
+    assert!(suspects.admit(after(121), "r1", &prompt, true).is_ok());
+    assert!(suspects.admit(after(122), "r2", &prompt, true).is_err());
+    assert!(suspects.began(after(122), &prompt));
+    assert!(suspects.admit(after(122), "r2", &prompt, true).is_ok());
 }
 
 #[test]
