Resume streams that have begun whatever crashed their engines

Change: the check does not apply to a stream of which the caller has events.

Test: stream_that_has_begun_resumes_after_crashes_that_others_cause failed before.

--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -118,6 +118,7 @@
         start_by: call.arrived + call.route().latency_target.mul_f64(1.0 - PREFILL_SHARE),
         hopeless_at: hopeless_at(host, call, tokens, call.arrived),
         is_first: true,
+        has_begun: false,
     };
     let mut tried = Tried::default();
     let mut runs = 0;
@@ -296,6 +297,8 @@
     pub(crate) hopeless_at: Instant,
     /// Whether this is the first admission of the request, the only one that is charged.
     pub(crate) is_first: bool,
+    /// Whether an engine has begun the answer, so that the request does not crash engines.
+    pub(crate) has_begun: bool,
 }
 
 /// Engines that a request was sent to, which admission excludes.
@@ -314,7 +317,7 @@
     tried: &mut Tried,
 ) -> Result<Acquired<D, S>, Failure> {
     let queried_at = now();
-    if !demand.is_first && host.is_crashing(call) {
+    if !demand.is_first && !demand.has_begun && host.is_crashing(call) {
         return Err(Failure::Reason(Reason::CrashesEndpoints, None));
     }
     let tokens = demand.tokens;
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -237,6 +237,7 @@
         start_by: hopeless_at,
         hopeless_at,
         is_first: false,
+        has_begun: resume_point.last_event_id.is_some(),
     };
     for _ in 0..MAX_SENDS {
         let acquired = acquire(host, call, demand, &mut tried).await.ok()?;
