Count a crash against the exact request only if it had hardly begun

Seen by callers: a caller whose sound stream had been broken by three crashes got 503 (crashes_endpoints) for the same request for ten minutes.

Cause: a crash struck all requests of the engine, those in the middle of their streams too, while a request that crashes engines does so when they begin to run it.

Change: a run with more than one event gets no strike.

Test: the last step of stream_that_has_begun_resumes_after_crashes_that_others_cause failed before with 503.

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -37,6 +37,9 @@
     pub(crate) runs: u32,
 }
 
+/// Events after which the crash of an engine no longer counts against the exact request: requests that
+/// crash engines do so when these begin to run them.
+const MAX_EVENTS_OF_A_CRASH: u32 = 1;
 /// Cause of a break when no event came within the maximum gap.
 const NO_EVENT: &str = "no event";
 
@@ -140,7 +143,9 @@
             }
             Ok(Ok(None)) => "incomplete event",
             Ok(Err(error)) => {
-                host.strike(call, &run.endpoint);
+                if delivered <= MAX_EVENTS_OF_A_CRASH {
+                    host.strike(call, &run.endpoint);
+                }
                 if delivered == 0 && error.is_closed_by_peer() {
                     host.crashed(call, &run.endpoint, run.sent_at);
                 }
