--- a/crates/entry/src/parts.rs
+++ b/crates/entry/src/parts.rs
@@ -21,10 +21,16 @@
 pub const MAX_ENGINES: usize = 64;
 
 /// Id of a part of a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct Part(pub u64);
 
+impl fmt::Debug for Part {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "Part({self})")
+    }
+}
+
 impl fmt::Display for Part {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:x}", self.0)
