Bound the bytes of findings on long prompts in a report

Cause: the number of crashed runs in a report was bounded, not their parts.

Change: at most 320 parts together, the newest runs first.

--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -6,6 +6,7 @@
 //! has a part that explains several crashes, and every other part that explains them as well: a prompt
 //! that shares only some of those parts is admitted, and its outcome tells them apart.
 
+use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
@@ -54,6 +55,9 @@
 const REPORT_DURATION: Duration = Duration::from_secs(5);
 /// Largest number of crashed runs, and of cleared parts, in a report.
 const MAX_REPORTED: usize = 16;
+/// Largest number of parts in the crashed runs of a report: at most 9 bytes each, so that they take less
+/// than half of a datagram.
+const MAX_REPORTED_PARTS: usize = 320;
 
 /// A run that an engine's crash broke off before its first event.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -322,9 +326,15 @@
                 runs.push((record.at, crash));
             }
         }
-        runs.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
-        runs.truncate(MAX_REPORTED);
-        runs.into_iter().map(|(_, crash)| crash).collect()
+        runs.sort_by_key(|(at, _)| Reverse(*at));
+        let mut parts_left = MAX_REPORTED_PARTS;
+        let fits = |(_, crash): &(Instant, Crash)| {
+            let left = parts_left.checked_sub(crash.parts.len());
+            parts_left = left.unwrap_or_default();
+            left.is_some()
+        };
+        let newest = runs.into_iter().take(MAX_REPORTED).take_while(fits);
+        newest.map(|(_, crash)| crash).collect()
     }
 
     fn implicates(&self, prompt: &Prompt) -> bool {
--- a/crates/entry/tests/suspects.rs
+++ b/crates/entry/tests/suspects.rs
@@ -356,6 +356,21 @@
     assert_eq!(restarted.refused(&parts(&[1, LETHAL, 7])), None);
 }
 
+#[test]
+fn findings_on_long_prompts_leave_room_for_the_rest_of_a_report() {
+    let mut suspects = Suspects::default();
+    for prompt in 0..16 {
+        let ids: Vec<u64> = (0..200)
+            .map(|part| u64::MAX - 1_000 * prompt - part)
+            .collect();
+        let lost = crash(&format!("e{prompt}"), &ids, 300);
+        suspects.crashed(at(prompt * 300), &lost, true);
+    }
+    let bytes = rmp_serde::to_vec(&suspects.report(at(4_800), true)).expect("findings are encoded");
+    // A report is dropped by its receivers from 8 KiB on.
+    assert!(bytes.len() < 4_096, "{} bytes", bytes.len());
+}
+
 #[test]
 fn findings_are_bounded_and_forgotten() {
     let mut suspects = implicated();
