--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -24,6 +24,7 @@
 use crate::http::Timeouts;
 use crate::ledger::{Capacity, Grant, Run, peak};
 use crate::locate;
+use crate::own;
 use crate::parts::Part;
 use crate::peer;
 use crate::platform::{Dialect, Store};
@@ -224,21 +225,13 @@
     leader: SocketAddr,
     query: &Query,
 ) -> eyre::Result<Verdict> {
-    let body = rmp_serde::to_vec(query)?;
-    let request = http::Request::post(PATH)
-        .header(http::header::HOST, "peer")
-        .body(http_body_util::Full::new(Bytes::from(body)))?;
     let timeouts = Timeouts {
         connect: ANSWER_TIMEOUT,
         head: LONG_POLL + ANSWER_TIMEOUT,
         max_idle: Duration::MAX,
     };
-    let mut exchange = host.pool.send(leader, request, timeouts).await?;
-    let body = exchange.read(MAX_ANSWER_BYTES, ANSWER_TIMEOUT).await?;
-    if !exchange.status.is_success() {
-        eyre::bail!("the leader answered with status {}", exchange.status);
-    }
-    Ok(rmp_serde::from_slice(&body)?)
+    let (read, limit) = (ANSWER_TIMEOUT, MAX_ANSWER_BYTES);
+    own::ask(&host.pool, leader, PATH, query, timeouts, read, limit).await
 }
 
 /// Path of admission queries between hosts.
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -9,9 +9,9 @@
 
 use crate::directory;
 use crate::findings;
-use crate::peer;
 use crate::platform::{Dialect, Error, Feed, Record, Result, Store};
 use crate::readers::{Change, Changes};
+use crate::records;
 use crate::state::{Host, now};
 
 /// Long-poll timeout of configuration reads. Keep-alive probes detect a dead connection within it.
@@ -196,7 +196,7 @@
 /// Follows the entries of the endpoints: asks a reader for the changes, or reads the store.
 pub(crate) async fn endpoints<D: Dialect, S: Store>(host: Rc<Host<D, S>>) {
     loop {
-        let backoff = if peer::ask_reader(&host).await {
+        let backoff = if records::ask_reader(&host).await {
             None
         } else {
             read_entries(&host, Duration::ZERO).await
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -46,6 +46,7 @@
 pub(crate) mod peer;
 pub(crate) mod permit;
 pub(crate) mod prefill;
+pub(crate) mod records;
 pub(crate) mod refusal;
 pub(crate) mod request;
 pub(crate) mod server;
--- a/crates/entry/src/own.rs
+++ b/crates/entry/src/own.rs
@@ -1,11 +1,13 @@
-//! Control requests from the router to endpoints: orders, releases of KV handles, prefix cache
-//! lists.
+//! Requests of the router's own: commands to endpoints (orders, releases of KV handles, prefix cache
+//! lists) and queries between hosts.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::StatusCode;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use crate::http::{Pool, Timeouts};
 use crate::platform::{Command, Dialect, Error, Result};
@@ -46,3 +48,30 @@
     let body = exchange.read(max_body_bytes, timeouts.head).await?;
     Ok((exchange.status, body))
 }
+
+/// Sends a query to another host and reads its answer, both as MessagePack. `timeouts` limit the steps
+/// up to the head of the answer, `read_timeout` and `max_answer_bytes` its body.
+///
+/// # Errors
+/// Fails when the host does not answer in time, with another status than success, or with an answer
+/// that cannot be decoded.
+pub(crate) async fn ask<Q: Serialize, A: DeserializeOwned>(
+    pool: &Pool,
+    host: SocketAddr,
+    path: &str,
+    query: &Q,
+    timeouts: Timeouts,
+    read_timeout: Duration,
+    max_answer_bytes: usize,
+) -> eyre::Result<A> {
+    let body = Bytes::from(rmp_serde::to_vec(query)?);
+    let request = http::Request::post(path)
+        .header(http::header::HOST, "peer")
+        .body(http_body_util::Full::new(body))?;
+    let mut exchange = pool.send(host, request, timeouts).await?;
+    let body = exchange.read(max_answer_bytes, read_timeout).await?;
+    if !exchange.status.is_success() {
+        eyre::bail!("the host answered with status {}", exchange.status);
+    }
+    Ok(rmp_serde::from_slice(&body)?)
+}
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -11,6 +11,7 @@
 use crate::directory::{Endpoint, Key};
 use crate::http::Timeouts;
 use crate::limits::Limit;
+use crate::own;
 use crate::state::{Host, now};
 
 /// Path of permit queries between hosts.
@@ -85,21 +86,13 @@
     leader: SocketAddr,
     query: &Query,
 ) -> eyre::Result<Answer> {
-    let body = Bytes::from(rmp_serde::to_vec(query)?);
-    let request = http::Request::post(PATH)
-        .header(http::header::HOST, "peer")
-        .body(http_body_util::Full::new(body))?;
     let timeouts = Timeouts {
         connect: ANSWER_TIMEOUT,
         head: ANSWER_TIMEOUT,
         max_idle: Duration::MAX,
     };
-    let mut exchange = host.pool.send(leader, request, timeouts).await?;
-    let body = exchange.read(MAX_ANSWER_BYTES, ANSWER_TIMEOUT).await?;
-    if !exchange.status.is_success() {
-        eyre::bail!("the leader answered with status {}", exchange.status);
-    }
-    Ok(rmp_serde::from_slice(&body)?)
+    let (read, limit) = (ANSWER_TIMEOUT, MAX_ANSWER_BYTES);
+    own::ask(&host.pool, leader, PATH, query, timeouts, read, limit).await
 }
 
 /// Answers the query of another host; `None` if it is malformed.
--- /dev/null
+++ b/crates/entry/src/records.rs
@@ -0,0 +1,252 @@
+//! Queries between hosts for the newest records: the configuration, and the endpoint entries that a host
+//! does not read from the store itself.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use berylknot_coordination::clock::Instant;
+use bytes::Bytes;
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::follow;
+use crate::http::Timeouts;
+use crate::own;
+use crate::peer::{entries_age_ms, millis_since_store_answer};
+use crate::platform::{Dialect, Store};
+use crate::readers::{Change, Changes};
+use crate::state::{Host, now};
+
+/// Path of these queries.
+pub(crate) const PATH: &str = "/v1/records";
+/// Timeout of each step of a query to a peer.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum size of an answer in bytes.
+const MAX_ANSWER_BYTES: usize = 16 * 1_024 * 1_024;
+
+/// Query for newer records.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct Query {
+    /// Version of the configuration that the querying host has.
+    configuration: u64,
+    /// Whether the endpoint entries are requested, which take a thousand times the bytes.
+    endpoints: bool,
+    /// Offset in the store from which on the changes of the entries are requested.
+    changes_from: Option<u64>,
+}
+
+/// Newest records of a peer, as the answer to a query.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct Answer {
+    /// Time since the store last answered the peer, in milliseconds.
+    age_ms: u64,
+    /// Age of the peer's endpoint entries, in milliseconds.
+    entries_age_ms: u64,
+    /// The configuration, if it is newer than that of the querying host.
+    configuration: Option<Bytes>,
+    /// Endpoint entries by id.
+    endpoints: Vec<(String, Bytes)>,
+    /// The requested changes and the offset up to which they go; `None` if not all are known.
+    changes: Option<(Vec<Change>, u64)>,
+    /// Digest of the peer's directory.
+    digest: u64,
+}
+
+/// Answers a peer's query; `None` if it is malformed.
+pub(crate) async fn answer<D: Dialect, S: Store>(host: &Host<D, S>, body: &[u8]) -> Option<Bytes> {
+    let query: Query = rmp_serde::from_slice(body).ok()?;
+    if query.changes_from.is_some() {
+        // After a failed read the answer tells how old the entries are.
+        follow::read_entries(host, host.refresh.get().reader_age()).await;
+    }
+    let changes = query.changes_from.and_then(|from| {
+        let known = host.changes.borrow();
+        let known = known.as_ref()?;
+        Some((known.since(from)?, known.end()))
+    });
+    let newer = configuration_version(host) > query.configuration;
+    let answer = Answer {
+        age_ms: millis_since_store_answer(host),
+        entries_age_ms: entries_age_ms(host),
+        configuration: newer.then(|| host.document.borrow().clone()),
+        endpoints: if query.endpoints {
+            let entries = host.entries.borrow();
+            let entries = entries.iter();
+            entries
+                .map(|(id, value)| (id.clone(), value.clone()))
+                .collect()
+        } else {
+            Vec::new()
+        },
+        changes,
+        digest: host.directory.borrow().digest(),
+    };
+    rmp_serde::to_vec(&answer).ok().map(Bytes::from)
+}
+
+/// Version of the configuration in force; 0 without one.
+fn configuration_version<D, S>(host: &Host<D, S>) -> u64 {
+    host.fleet
+        .borrow()
+        .as_ref()
+        .map_or(0, |fleet| fleet.version)
+}
+
+/// Asks a peer for its newest records if it has a newer configuration, or if the store is overdue.
+pub(crate) async fn fetch_newer<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    is_store_overdue: bool,
+) {
+    let version = configuration_version(host);
+    let draw = rand::rng().random_range(0.0..1.0);
+    let source = host
+        .view
+        .borrow()
+        .source(now(), version, is_store_overdue, draw);
+    let Some(source) = source else {
+        return;
+    };
+    let query = Query {
+        configuration: version,
+        endpoints: false,
+        changes_from: None,
+    };
+    if let Err(error) = query_peer(host, source, &query, QUERY_TIMEOUT).await {
+        tracing::info!(peer = %source, %error, "peer: query for newer records failed; retried at the next maintenance");
+    }
+}
+
+/// Keeps the endpoint entries current while the store does not answer this host: asks peers that have
+/// fresher ones.
+pub(crate) async fn confirm_entries<D: Dialect, S: Store>(host: Rc<Host<D, S>>) {
+    let mut was_expired = false;
+    loop {
+        let pause = host.refresh.get().query_pause();
+        tokio::time::sleep(pause).await;
+        let is_expired = host.is_directory_expired(now());
+        if is_expired != was_expired {
+            tracing::info!(
+                is_expired,
+                "directory: age of the endpoint entries checked against the drain deadline"
+            );
+            was_expired = is_expired;
+        }
+        if let Some(source) = entries_source(&host) {
+            let query = Query {
+                configuration: configuration_version(&host),
+                endpoints: true,
+                changes_from: None,
+            };
+            if let Err(error) = query_peer(&host, source, &query, pause * 2).await {
+                tracing::info!(peer = %source, %error, "peer: query for endpoint entries failed; another peer is asked");
+            }
+        }
+    }
+}
+
+/// The peer to ask for endpoint entries; `None` while the own ones are young enough.
+fn entries_source<D, S>(host: &Host<D, S>) -> Option<SocketAddr> {
+    let now = now();
+    let refresh = host.refresh.get();
+    if !refresh.is_late(now) {
+        return None;
+    }
+    let view = host.view.borrow();
+    if !refresh.asks_peer(now, view.freshest_entries(now)) {
+        return None;
+    }
+    let draw = rand::rng().random_range(0.0..1.0);
+    view.entries_source(now, refresh.tolerance(), draw)
+}
+
+/// Sends a query to a peer and reads its answer.
+async fn ask<D, S>(
+    host: &Host<D, S>,
+    peer: SocketAddr,
+    query: &Query,
+    step_timeout: Duration,
+) -> eyre::Result<Answer> {
+    let timeouts = Timeouts {
+        connect: step_timeout,
+        head: step_timeout,
+        max_idle: Duration::MAX,
+    };
+    let (read, limit) = (step_timeout, MAX_ANSWER_BYTES);
+    own::ask(&host.pool, peer, PATH, query, timeouts, read, limit).await
+}
+
+/// Asks a reader for the changes of the endpoint entries; returns whether it has answered with them.
+pub(crate) async fn ask_reader<D: Dialect, S: Store>(host: &Rc<Host<D, S>>) -> bool {
+    let from = host.changes.borrow().as_ref().map(Changes::end);
+    let own = SocketAddr::new(host.options.address, host.options.listen.peer_port);
+    let draw = rand::rng().random_range(0.0..1.0);
+    let reader = host.view.borrow().reader(now(), own, draw);
+    let (Some(from), Some(reader)) = (from, reader) else {
+        return false;
+    };
+    let query = Query {
+        configuration: configuration_version(host),
+        endpoints: false,
+        changes_from: Some(from),
+    };
+    let queried_at = now();
+    let step_timeout = host.refresh.get().query_pause() * 2;
+    let answer = match ask(host, reader, &query, step_timeout).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            tracing::info!(%reader, %error, "peer: reader did not answer; the store is read instead");
+            return false;
+        }
+    };
+    let as_of = queried_at.as_millis().checked_sub(answer.entries_age_ms);
+    let as_of = as_of.map(Instant::from_millis);
+    let is_current = as_of.is_some_and(|as_of| host.refresh.get().accepts(queried_at, as_of));
+    let (Some(as_of), Some((changes, end))) = (as_of.filter(|_| is_current), answer.changes) else {
+        tracing::info!(%reader, age_ms = answer.entries_age_ms, "peer: reader's entries are too old or incomplete; the store is read instead");
+        return false;
+    };
+    follow::reader_answered(host).await;
+    follow::apply_changes::<D, S>(host, changes, end, false);
+    if let Some(document) = answer.configuration {
+        follow::configure::<D, S>(host, document, "peer");
+    }
+    if host.directory.borrow().digest() != answer.digest {
+        // The hosts deferred removals differently, or one has missed a change: read the whole list.
+        tracing::info!(%reader, "peer: reader's directory differs; the store is read instead");
+        *host.changes.borrow_mut() = None;
+        return false;
+    }
+    host.confirm_entries(as_of);
+    true
+}
+
+/// Queries a peer for newer records and applies the answer.
+async fn query_peer<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    peer: SocketAddr,
+    query: &Query,
+    step_timeout: Duration,
+) -> eyre::Result<()> {
+    let queried_at = now();
+    let answer = ask(host, peer, query, step_timeout).await?;
+    if let Some(document) = answer.configuration {
+        follow::configure::<D, S>(host, document, "peer");
+    }
+    let before = |age_ms| {
+        let as_of = queried_at.as_millis().checked_sub(age_ms);
+        as_of.map(Instant::from_millis)
+    };
+    let confirmed = host.configuration_confirmed.get();
+    host.configuration_confirmed
+        .set(confirmed.max(before(answer.age_ms)));
+    if let Some(as_of) = before(answer.entries_age_ms).filter(|_| query.endpoints) {
+        // The list is complete as of that time, so endpoints that it lacks were removed.
+        let is_newer = host.refresh.get().confirmed_at() < Some(as_of);
+        follow::merge_endpoints::<D, S>(host, answer.endpoints, is_newer);
+        host.confirm_entries(as_of);
+    }
+    Ok(())
+}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -17,7 +17,7 @@
 use crate::platform::{Dialect, Store};
 use crate::server::{self, Audience};
 use crate::state::{Host, now};
-use crate::{control, follow, peer};
+use crate::{control, follow, peer, records};
 
 /// Time after SIGTERM within which the load balancer detects that the host is not ready: two
 /// checks, one second apart, and their answers.
@@ -86,7 +86,7 @@
     actix_rt::spawn(peer::receive(Rc::clone(&host), Rc::clone(&socket)));
     actix_rt::spawn(peer::report(Rc::clone(&host), socket));
     actix_rt::spawn(peer::run_maintenance(Rc::clone(&host)));
-    actix_rt::spawn(peer::confirm_entries(Rc::clone(&host)));
+    actix_rt::spawn(records::confirm_entries(Rc::clone(&host)));
     actix_rt::spawn(control::run(Rc::clone(&host)));
     actix_rt::spawn(dispatcher(Rc::clone(&host)));
     actix_rt::spawn(reload(Rc::clone(&host), settings));
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -23,7 +23,7 @@
 use crate::request::{Call, Reply, Request};
 use crate::state::{Host, now};
 use crate::strikes::Fingerprint;
-use crate::{admission, call, completion, peer, permit};
+use crate::{admission, call, completion, permit, records};
 
 /// Idle timeout of a caller's connection. Callers reuse connections for up to four fifths of the
 /// configured idle time (15 s in the platform's specification), so the listener must not close
@@ -125,7 +125,8 @@
             let answer = match path.as_str() {
                 admission::PATH => admission::answer(&host, &body).await,
                 permit::PATH => permit::answer(&host, &body),
-                _ => peer::answer(&host, &body).await,
+                records::PATH => records::answer(&host, &body).await,
+                _ => None,
             };
             match answer {
                 Some(answer) => plain(200, answer),
