--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -494,6 +494,7 @@
     let saturation = host.saturation.borrow();
     let limit = |key| saturation.limit(now, key);
     let share = host.limit_share();
+    let limits = host.limits.borrow();
     let cost = |key, endpoint: &Endpoint, suspicion| {
         let fault = match suspicion {
             None => 0.0,
@@ -504,12 +505,7 @@
             slots: engine.slots.min(endpoint.slots),
             kv_tokens: u64::from(engine.capacity),
         };
-        if !host
-            .limits
-            .borrow()
-            .wait(now, &endpoint.id, share)
-            .is_zero()
-        {
+        if !limits.takes(now, &endpoint.id, share) {
             return None;
         }
         let mut runs: Vec<Run> = ledger.runs(key).collect();
@@ -528,6 +524,7 @@
         Some(share + fault + failures + reading + jitter(DECODE_JITTER) - bonus)
     };
     let (key, endpoint) = host.choose(service, Some(Stage::Decode), tried, cost)?;
+    drop(limits);
     let taken = host.limits.borrow_mut().take(now, &endpoint.id, share);
     taken.is_ok().then_some(key)
 }
@@ -546,14 +543,10 @@
     let now = now();
     let share = host.limit_share();
     let (key, endpoint) = {
+        let limits = host.limits.borrow();
         let backlogs = host.backlogs.borrow();
         let cost = |key, endpoint: &Endpoint, suspicion| {
-            if !host
-                .limits
-                .borrow()
-                .wait(now, &endpoint.id, share)
-                .is_zero()
-            {
+            if !limits.takes(now, &endpoint.id, share) {
                 return None;
             }
             let is_near = endpoint.data_centre == decode.data_centre;
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -146,6 +146,12 @@
         self.known.values().all(|known| known.rate.is_none())
     }
 
+    /// Whether an endpoint takes a request now, for a host that may use `share` of its limit.
+    #[must_use]
+    pub fn takes(&self, now: Instant, endpoint: &str, share: f64) -> bool {
+        self.wait(now, endpoint, share).is_zero()
+    }
+
     /// Limits of the given endpoints, for a query to the leader.
     pub fn describe<'a>(
         &self,
