Clear prompt parts by events only, not by comments

Seen by a test: an engine that sends a comment and crashes at its first event went on to be chosen; a comment counted as the begin of an answer and cleared the parts of the prompt, so that all 24 requests of the case reached engines.

The case resumable_after_a_comment failed before.

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -97,7 +97,8 @@
                 Ok(complete) if complete.is_empty() => continue,
                 Ok(complete) => {
                     let produced = events.count() - delivered;
-                    if delivered == 0 {
+                    // A comment is no event.
+                    if delivered == 0 && produced > 0 {
                         host.began(call);
                     }
                     delivered += produced;
