Prefer prefill engines without a limit for short prompts too

Seen by a test: while a limited prefill engine had a request left and looked as near as one without a limit, short prompts were read by decode engines instead of the engine without a limit.

Cause: the rule that leaves limited prefill engines to long prompts was applied after the choice of the engine instead of to each candidate. Found while reading the change.

Test: the last step of generations_keep_to_the_limits_of_engines failed before.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -542,11 +542,13 @@
 fn best_prefill<D, S>(host: &Host<D, S>, query: &Query, decode: &Endpoint) -> Option<String> {
     let now = now();
     let share = host.limit_share();
+    let is_short = backlog::fits_decode(query.run.held, gap_target(host, &query.service));
     let (key, endpoint) = {
         let limits = host.limits.borrow();
         let backlogs = host.backlogs.borrow();
         let cost = |key, endpoint: &Endpoint, suspicion| {
-            if !limits.takes(now, &endpoint.id, share) {
+            let yields = is_short && limits.rate(&endpoint.id).is_some();
+            if yields || !limits.takes(now, &endpoint.id, share) {
                 return None;
             }
             let is_near = endpoint.data_centre == decode.data_centre;
@@ -554,10 +556,6 @@
         };
         host.choose(&query.service, Some(Stage::Prefill), &[], cost)?
     };
-    let is_limited = host.limits.borrow().rate(&endpoint.id).is_some();
-    if is_limited && backlog::fits_decode(query.run.held, gap_target(host, &query.service)) {
-        return None;
-    }
     if host
         .limits
         .borrow_mut()
