Bound the queries of denied hosts to the leader

Cause: after a denial a host asked again when the next request was due, 20 ms at the earliest. At 360 hosts the leader would get up to 18,000 queries a second while a limited service is short. Found while working out the load at the planned size.

Change: the answer tells how long to wait, by the number of hosts and the rate that the endpoints take: at most ten queries for each request, or two a host and second.

Test: denied_hosts_ask_the_leader_a_bounded_number_of_times at 7, 295 and 360 hosts whose callers never pause: the bound holds and nine in ten of the requests that the endpoints take are granted.

--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -20,6 +20,11 @@
 const MIN_RATE: f64 = 0.1;
 /// Time in which an own finding is repeated in reports, so that a lost report does no harm.
 const REPORT_DURATION: Duration = Duration::from_secs(5);
+/// Queries of all hosts together for each request that the endpoints take, while they take fewer than
+/// callers send.
+const MAX_QUERIES_PER_REQUEST: f64 = 10.0;
+/// Bounds of the time for which a denied host asks no more.
+const DENIAL_BOUNDS: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
 /// Largest number of limits in a report.
 const MAX_REPORTED: usize = 32;
 
@@ -35,6 +40,17 @@
     pub age_ms: u64,
 }
 
+/// Time for which a host asks no more after a denial, `wait` being the time until the next request is
+/// taken. With many hosts it is longer, since each gets one of `hosts` requests of the `rate` that the
+/// endpoints take per second, and the leader answers all.
+#[must_use]
+pub fn denial_time(wait: Duration, hosts: usize, rate: f64) -> Duration {
+    let (shortest, longest) = DENIAL_BOUNDS;
+    let interval = hosts as f64 / (rate.max(MIN_RATE) * MAX_QUERIES_PER_REQUEST);
+    let interval = Duration::from_secs_f64(interval).clamp(shortest, longest);
+    wait.max(interval)
+}
+
 /// What is known of an endpoint's limit.
 #[derive(Clone, Copy, Debug)]
 struct Known {
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -10,7 +10,7 @@
 use crate::admission::{self, ANSWER_TIMEOUT};
 use crate::directory::{Endpoint, Key};
 use crate::http::Timeouts;
-use crate::limits::Limit;
+use crate::limits::{Limit, denial_time};
 use crate::own;
 use crate::state::{Host, now};
 
@@ -18,8 +18,6 @@
 pub(crate) const PATH: &str = "/v1/permit";
 /// Largest accepted answer.
 const MAX_ANSWER_BYTES: usize = 4 * 1_024;
-/// Shortest time for which a denial is remembered, so that a burst of calls asks once.
-const MIN_DENIAL: Duration = Duration::from_millis(20);
 
 /// Query for a permit at one of several endpoints.
 #[derive(Clone, Debug)]
@@ -69,10 +67,10 @@
             let granted = endpoints
                 .into_iter()
                 .find(|(_, endpoint)| endpoint.id == id);
-            granted.ok_or(MIN_DENIAL)
+            granted.ok_or(Duration::ZERO)
         }
         Answer::Denied(wait_ms) => {
-            let wait = Duration::from_millis(wait_ms).max(MIN_DENIAL);
+            let wait = Duration::from_millis(wait_ms);
             host.denials
                 .borrow_mut()
                 .insert(service.to_owned(), now() + wait);
@@ -109,11 +107,15 @@
     let now = now();
     let mut limits = host.limits.borrow_mut();
     let mut shortest = Duration::MAX;
+    let mut rate = 0.0;
     for limit in &query.limits {
         match limits.take(now, &limit.endpoint, share) {
             Ok(()) => return Answer::Granted(limit.endpoint.clone()),
             Err(wait) => shortest = shortest.min(wait),
         }
+        rate += limits.rate(&limit.endpoint).unwrap_or_default();
     }
-    Answer::Denied(shortest.as_millis() as u64)
+    let (hosts, _) = host.view.borrow().hosts(now);
+    let wait = denial_time(shortest, hosts, rate * share);
+    Answer::Denied(wait.as_millis() as u64)
 }
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
-use berylknot_entry::limits::{Limit, Limits};
+use berylknot_entry::limits::{Limit, Limits, denial_time};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use yare::parameterized;
@@ -196,3 +196,34 @@
     limits.expire(at(10_000), |endpoint| endpoint != "e2");
     assert_eq!((limits.rate(ENDPOINT), limits.rate("e2")), (None, None));
 }
+
+#[parameterized(
+    few_hosts = { 7, 12.6 },
+    hundreds = { 295, 60.0 },
+    planned_size = { 360, 30.0 },
+)]
+fn denied_hosts_ask_the_leader_a_bounded_number_of_times(hosts: usize, rate: f64) {
+    let mut limits = Limits::default();
+    limits.apply(at(0), &limit(Some(rate), 0));
+    let mut denied_until = vec![0; hosts];
+    let (mut queries, mut granted) = (0, 0);
+    // Every host always has calls.
+    for now in 0..20_000 {
+        for until in &mut denied_until {
+            if *until > now {
+                continue;
+            }
+            queries += 1;
+            match limits.take(at(now), ENDPOINT, 1.0) {
+                Ok(()) => granted += 1,
+                Err(wait) => *until = now + denial_time(wait, hosts, rate).as_millis() as u64,
+            }
+        }
+    }
+    assert!(f64::from(granted) >= 0.9 * rate * 20.0, "{granted} granted");
+    let most = (10.0 * rate).max(2.0 * hosts as f64) * 20.0;
+    assert!(
+        f64::from(queries) <= 1.2 * most,
+        "{queries} queries, {granted} granted"
+    );
+}
