--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -56,7 +56,7 @@
         Some(leader) => match query_leader(host, leader, &query).await {
             Ok(answer) => answer,
             Err(error) => {
-                tracing::info!(%leader, %error, "permit: leader lost; this host's share of the limits is used");
+                tracing::info!(%leader, %error, "permit: leader lost; this host's equal share of the limits is used");
                 admission::cool_down(host, leader);
                 decide(host, &query, host.equal_share())
             }
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -1,10 +1,10 @@
 //! Detection of prompt parts that crash the engines which begin an answer on them.
 //!
-//! Requests with such a part differ in everything else, so counting the crashes of each request never
-//! refused one of them. Here a crash counts against the shared parts of every prompt whose answer the
-//! engine had not begun, and the first event of an answer clears its parts. A request is refused if it
-//! has a part that explains several crashes, and every other part that explains them as well: a prompt
-//! that shares only some of those parts is admitted, and its outcome tells them apart.
+//! Requests with such a part may differ in everything else, so the crashes of each request for itself do
+//! not add up. A crash therefore counts against the shared parts of every prompt whose answer the engine
+//! had not begun, and the first event of an answer clears its parts. A request is refused if it has a
+//! part that explains several crashes, and every rival of that part: a prompt that shares only some of
+//! these parts is admitted, and its outcome tells them apart.
 
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
@@ -93,6 +93,7 @@
     at: Instant,
 }
 
+/// A prompt whose answer had not begun when its engine crashed.
 #[derive(Clone, Debug)]
 struct Prompt {
     parts: Vec<Part>,
@@ -100,6 +101,7 @@
     own: bool,
 }
 
+/// A crash of an engine, as all hosts together saw it.
 #[derive(Clone, Debug)]
 struct Record {
     endpoint: String,
@@ -107,7 +109,7 @@
     prompts: Vec<Prompt>,
 }
 
-/// A request that may try a refused part.
+/// Permission of one request to run with a refused part.
 #[derive(Clone, Debug)]
 struct Trial {
     request: String,
@@ -118,6 +120,7 @@
 #[derive(Debug, Default)]
 pub struct Suspects {
     crashes: SlotMap<CrashKey, Record>,
+    /// Strikes of each part in the order of time; one for each crash.
     strikes: HashMap<Part, Vec<Strike>>,
     /// Parts that this host has cleared.
     cleared: Vec<(Part, Instant)>,
@@ -247,15 +250,15 @@
     pub fn refused(&self, parts: &[Part]) -> Option<Part> {
         let shared = shared(parts);
         let refuses = |part: &&Part| {
-            self.strikes
-                .get(part)
-                .is_some_and(|strikes| is_implicated(strikes) && self.has_rivals(strikes, shared))
+            self.strikes.get(part).is_some_and(|strikes| {
+                is_implicated(strikes) && self.has_all_rivals(strikes, shared)
+            })
         };
         shared.iter().find(refuses).copied()
     }
 
-    /// Whether a prompt has all the parts that explain the crashes as well as its own part does.
-    fn has_rivals(&self, strikes: &[Strike], prompt: &[Part]) -> bool {
+    /// Whether a prompt has every part that may have caused the crashes of these strikes.
+    fn has_all_rivals(&self, strikes: &[Strike], prompt: &[Part]) -> bool {
         self.strikes.iter().all(|(rival, others)| {
             let others: HashSet<CrashKey> = others.iter().map(|strike| strike.crash).collect();
             let exclusive = strikes
