Report findings on endpoints to the leader instead of to all hosts

Reports to all hosts at each finding are as many as the hosts squared when engines fail together, and each full report carried all crashes that implicate a part.

Change: findings go to the leader at once, which decides on admission, and to the others with the regular reports; only the leader's full reports carry the crashes that implicate a part.

--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -147,11 +147,9 @@
     let phase = rand::rng().random_range(0.0..1.0);
     let mut due = now();
     let mut standbys_due = due;
-    let mut findings_due = due;
     loop {
         let leader = admission::leader(&host);
-        let has_findings = host.findings_due.get() && now() >= findings_due;
-        let to_all = host.full_report_due.replace(false) || has_findings || now() >= due;
+        let to_all = host.full_report_due.replace(false) || now() >= due;
         let to_standbys = leader.is_none() && now() >= standbys_due;
         let full = to_all || to_standbys;
         let bytes = match encode(&host, full) {
@@ -165,8 +163,6 @@
         let receivers = if to_all {
             let peers: Vec<SocketAddr> = host.view.borrow().addresses().collect();
             due = next_report(now(), peers.len(), phase);
-            host.findings_due.set(false);
-            findings_due = now() + MIN_REPORT_INTERVAL;
             peers
         } else if to_standbys {
             let own = SocketAddr::new(host.options.address, host.options.listen.peer_port);
@@ -181,13 +177,11 @@
             send(&socket, &bytes, receiver);
         }
         tokio::time::sleep(REPORT_DEBOUNCE_TIME).await;
-        let mut pause = due;
-        if leader.is_none() {
-            pause = pause.min(standbys_due);
-        }
-        if host.findings_due.get() {
-            pause = pause.min(findings_due);
-        }
+        let pause = if leader.is_none() {
+            due.min(standbys_due)
+        } else {
+            due
+        };
         // `Notify` stores a permit for a change during the sleep above.
         drop(tokio::time::timeout(pause.since(now()), host.load_changed.notified()).await);
     }
@@ -239,7 +233,9 @@
         .collect();
     {
         let suspects = host.suspects.borrow();
-        report.crashes = suspects.report(now(), full);
+        // One host is enough to tell those that have restarted.
+        let with_implicating = full && admission::leader(host).is_none();
+        report.crashes = suspects.report(now(), with_implicating);
         report.cleared = suspects.report_cleared(now());
     }
     report.limits = host.limits.borrow().report(now());
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -115,8 +115,6 @@
     pub(crate) peers_changed: Cell<bool>,
     /// Whether a report to all peers is due before the end of the interval.
     pub(crate) full_report_due: Cell<bool>,
-    /// Whether a report to all peers is due after the minimum interval, for findings on endpoints.
-    pub(crate) findings_due: Cell<bool>,
     /// Revision of the findings that the store has.
     pub(crate) findings_written: Cell<u64>,
     /// Number of the last report.
@@ -187,7 +185,6 @@
             started: now(),
             peers_changed: Cell::new(false),
             full_report_due: Cell::new(false),
-            findings_due: Cell::new(false),
             findings_written: Cell::new(0),
             report_sequence: Cell::new(0),
             load_changed: Notify::new(),
@@ -465,8 +462,9 @@
         }
     }
 
+    /// Reports findings on endpoints to the leader at once, since it decides on admission. The others get
+    /// them with the regular reports: reports to all at each finding would flood hundreds of hosts.
     fn report_findings(&self) {
-        self.findings_due.set(true);
         self.load_changed.notify_one();
     }
 
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -239,7 +239,7 @@
         strikes.is_some_and(|strikes| is_implicated(strikes))
     }
 
-    /// Number of changes of the crashes that implicate a part, as a full report carries them.
+    /// Number of changes of the crashes that implicate a part, as the leader reports them.
     #[must_use]
     pub const fn revision(&self) -> u64 {
         self.revision
@@ -309,14 +309,14 @@
         Some(strikes.last()?.at + pause)
     }
 
-    /// Crashed runs for the report to peers: own ones for a while, and in a full report all that
+    /// Crashed runs for the report to peers: own ones for a while, and `with_implicating` all that
     /// implicate a part, so that a host which has restarted learns of them.
-    pub fn report(&self, now: Instant, full: bool) -> Vec<Crash> {
+    pub fn report(&self, now: Instant, with_implicating: bool) -> Vec<Crash> {
         let mut runs: Vec<(Instant, Crash)> = Vec::new();
         for record in self.crashes.values() {
             for prompt in &record.prompts {
                 let is_recent = prompt.own && now.since(record.at) < REPORT_DURATION;
-                let is_due = is_recent || full && self.implicates(prompt);
+                let is_due = is_recent || with_implicating && self.implicates(prompt);
                 if !is_due {
                     continue;
                 }
