Spread many orders over several reports

Every report carried all known orders, about 70 bytes each, for as long as they are known (26 s); from some 115 on a report exceeds the 8 KiB that its receivers take, and hosts no longer hear each other.

Change: a report carries at most 40 orders, and the full reports that follow each other carry all in turn.

Test: many_orders_leave_room_for_the_rest_of_a_report_and_all_reach_a_peer. The interface is new; the old one returned all 256 orders, as the test before it still checks for the list itself.

--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -18,6 +18,9 @@
 /// Largest number of orders that are kept; beyond it the one that ends first is dropped.
 const MAX_ORDERS: usize = 256;
 
+/// Largest number of orders in a report, about 70 bytes each: with all 256 it would exceed a datagram.
+const MAX_REPORTED: usize = 40;
+
 /// What is known of an order. When hosts know different things, the later state holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Serialize, Deserialize)]
@@ -136,7 +139,20 @@
         self.by_endpoint.retain(|_, (_, until)| *until > now);
     }
 
-    /// Known orders with their remaining times, for the report to peers.
+    /// A part of the known orders, for the report with the given number: reports that follow each other
+    /// carry all of them in turn.
+    #[must_use]
+    pub fn report_page(&self, now: Instant, number: u64) -> Vec<Order> {
+        let mut known: Vec<Order> = self.report(now).collect();
+        known.sort_by(|one, other| one.endpoint.cmp(&other.endpoint));
+        let pages = known.len().div_ceil(MAX_REPORTED).max(1);
+        let page = number as usize % pages;
+        known.drain(..page * MAX_REPORTED);
+        known.truncate(MAX_REPORTED);
+        known
+    }
+
+    /// Known orders with their remaining times.
     pub fn report(&self, now: Instant) -> impl Iterator<Item = Order> {
         self.by_endpoint.values().filter_map(move |(order, until)| {
             let left_ms = until.since(now).as_millis() as u64;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -239,7 +239,9 @@
         report.cleared = suspects.report_cleared(now());
     }
     report.limits = host.limits.borrow().report(now());
-    report.orders = host.orders.borrow().report(now()).collect();
+    let page = host.order_page.get();
+    host.order_page.set(page + u64::from(full));
+    report.orders = host.orders.borrow().report_page(now(), page);
     let directory = host.directory.borrow();
     let mut endpoints: HashMap<&str, Vec<(Run, Grant)>> = HashMap::new();
     let ledger = host.ledger.borrow();
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -98,6 +98,8 @@
     pub(crate) open_requests: Cell<usize>,
     /// Stage changes under way.
     pub(crate) orders: RefCell<Orders>,
+    /// Number of full reports so far, each of which carries the next part of the orders.
+    pub(crate) order_page: Cell<u64>,
     /// Engines that have refused work.
     pub(crate) saturation: RefCell<Saturation>,
     /// Engines that refused work since the last query to the leader, with the tokens refused.
@@ -176,6 +178,7 @@
             hosts_known: Cell::new(false),
             open_requests: Cell::new(0),
             orders: RefCell::default(),
+            order_page: Cell::new(0),
             saturation: RefCell::default(),
             refused: RefCell::default(),
             demand: RefCell::default(),
--- a/crates/entry/tests/orders.rs
+++ b/crates/entry/tests/orders.rs
@@ -155,3 +155,28 @@
     }
     assert_eq!(orders.report(at(2_000)).count(), 256);
 }
+
+#[test]
+fn many_orders_leave_room_for_the_rest_of_a_report_and_all_reach_a_peer() {
+    let mut orders = Orders::default();
+    for engine in 0..200 {
+        let order = Order {
+            endpoint: format!("i-{engine:010}"),
+            sender: "edge-cordoba-a-120".to_owned(),
+            incarnation: 1_700_000_000_000 + engine,
+            ..order(7 + engine, Stage::Prefill, State::Accepted)
+        };
+        orders.apply(at(0), order);
+    }
+    let mut peer = Orders::default();
+    for number in 0..5 {
+        let page = orders.report_page(at(1_000), number);
+        let bytes = rmp_serde::to_vec(&page).expect("orders are encoded");
+        // A report is dropped by its receivers from 8 KiB on.
+        assert!(bytes.len() < 4_096, "{} bytes", bytes.len());
+        for order in page {
+            peer.apply(at(1_000), order);
+        }
+    }
+    assert_eq!(peer.report(at(1_000)).count(), 200);
+}
