Judge all feeds of the store by the same outage

Cause, from the logs of edge-kortrijk-a-1: the store had turned this host away alone. Its feed of entries regained the store at 23.71 s, judged as the host's own outage. The feed of the configuration, with a backoff of its own, regained it at 24.48 s, when the state of the outage had been reset, and was judged as a return of the store for all; so the removal of the endpoint was deferred.

Change: the end of an own outage is remembered for 3 s.

Test: feed_that_the_store_answers_a_second_later_is_judged_like_the_first failed before.

--- a/crates/entry/src/contact.rs
+++ b/crates/entry/src/contact.rs
@@ -20,16 +20,25 @@
 /// this host's own. When the store recovers, peers may be answered a second earlier.
 const MIN_OWN_OUTAGE: Duration = Duration::from_secs(2);
 
+/// Time after the first answer in which the store answers all feeds again: each has a backoff of its own
+/// of up to a second, and a timeout.
+const REGAIN_TIME: Duration = Duration::from_secs(3);
+
 /// Distinguishes an outage of the store from one of this host's path to it. Entries expire only during
 /// the former; an entry that is missing after the latter has been removed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Outage {
     alone_since: Option<Instant>,
+    /// End of the last outage that affected only this host.
+    own_ended_at: Option<Instant>,
 }
 
 impl Outage {
     /// Records whether the store is overdue at this host and whether it answers any peer.
     pub fn observe(&mut self, now: Instant, is_overdue: bool, answers_peers: bool) {
+        if !is_overdue && self.is_alone(now) {
+            self.own_ended_at = Some(now);
+        }
         self.alone_since = if is_overdue && answers_peers {
             self.alone_since.or(Some(now))
         } else {
@@ -37,10 +46,15 @@
         };
     }
 
+    fn is_alone(&self, now: Instant) -> bool {
+        self.alone_since
+            .is_some_and(|since| now.since(since) >= MIN_OWN_OUTAGE)
+    }
+
     /// Whether the outage that ends at `now` affected only this host.
     #[must_use]
     pub fn is_own(&self, now: Instant) -> bool {
-        self.alone_since
-            .is_some_and(|since| now.since(since) >= MIN_OWN_OUTAGE)
+        let ended = self.own_ended_at;
+        self.is_alone(now) || ended.is_some_and(|at| now.since(at) < REGAIN_TIME)
     }
 }
--- a/crates/entry/tests/contact.rs
+++ b/crates/entry/tests/contact.rs
@@ -56,3 +56,12 @@
     outage.observe(at(8_000), true, false);
     assert!(!outage.is_own(at(9_000)));
 }
+
+#[test]
+fn feed_that_the_store_answers_a_second_later_is_judged_like_the_first() {
+    let mut outage = outage(0);
+    // Another feed has got an answer: the store is no longer overdue.
+    outage.observe(at(8_000), false, true);
+    assert!(outage.is_own(at(8_700)));
+    assert!(!outage.is_own(at(20_000)), "a later outage is judged anew");
+}
