--- a/review/harness/src/cases/mod.rs
+++ b/review/harness/src/cases/mod.rs
@@ -1,11 +1,12 @@
 //! The cases, and what they share.
 
 mod exit_during_write;
-mod forgotten_origin;
 mod lost_tail;
 mod oversized_report;
 mod queued_at_stop;
+mod silent_store;
 mod split_limit;
+mod unlisted_origin;
 
 use std::net::IpAddr;
 use std::thread;
@@ -31,8 +32,9 @@
     match name {
         "queued-at-stop" => Some(queued_at_stop::run),
         "exit-during-write" => Some(exit_during_write::run),
+        "silent-store" => Some(silent_store::run),
         "split-limit" => Some(split_limit::run),
-        "forgotten-origin" => Some(forgotten_origin::run),
+        "unlisted-origin" => Some(unlisted_origin::run),
         "oversized-report" => Some(oversized_report::run),
         "lost-tail" => Some(lost_tail::run),
         _ => None,
