Repeat polls of the configuration that a silent store has lost

What callers saw: after a silent outage of the store, withdrawn keys worked and new keys and routes got 401 and 404 at all hosts for up to 26 s.

Cause: a poll that a silent store has lost was waited for, 25 s and the timeout, although the store answered other calls. All hosts polled from the same moment, so none had the new version to pass on. Reads of the entries and answers of readers also counted as a confirmation of the configuration, so keys were never refused as stale. Pauses after failures ran out per feed.

Ruled out: a version that is read and not applied (no "config: read" in the log); peers that do not pass it on (none had it).

Change: a poll waits for half of config_apply_ms (new optional setting); the outcomes of all store calls are kept together, and when the store answers after a failed call, polls in flight are repeated and pauses end. Only the feed of the configuration, or a peer whose own is confirmed, confirms it.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod order;
 pub mod origin;
 pub mod placement;
+pub mod poll;
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
--- a/crates/entry/src/archive.rs
+++ b/crates/entry/src/archive.rs
@@ -3,11 +3,16 @@
 //! Positions carry the era of the store. A read or append at a position of another era fails with
 //! [`Error::Restored`], so that its caller reads everything again, and tasks can wait for the next restore
 //! to write again what this host has written.
+//!
+//! The outcomes of all calls tell when the store is back after a failure: polls in flight are abandoned
+//! then, and pauses after failures end.
 
 use std::time::Duration;
 
 use berylknot_coordination::history::{Era, History, Observation, Position};
+use berylknot_coordination::poll::{Contact, Outcome};
 use bytes::Bytes;
+use http::StatusCode;
 use tokio::sync::watch;
 
 use crate::platform::{Answer, Error, Feed, Log, Record, Result, Store};
@@ -17,6 +22,7 @@
 pub(crate) struct Archive<S> {
     store: S,
     history: watch::Sender<History>,
+    contact: watch::Sender<Contact>,
 }
 
 /// Records of a log, read from a position on.
@@ -29,11 +35,24 @@
     pub(crate) records: Vec<Bytes>,
 }
 
+/// What the result of a call says about the store.
+const fn outcome<T>(result: &Result<T>) -> Outcome {
+    match result {
+        Err(Error::Status(StatusCode::TOO_MANY_REQUESTS) | Error::Abandoned) => Outcome::Limited,
+        Err(Error::Exchange(_) | Error::Status(_)) => Outcome::Failed,
+        Ok(_)
+        | Err(Error::Malformed(_) | Error::Expired(_) | Error::Restored | Error::Conflict(_)) => {
+            Outcome::Answered
+        }
+    }
+}
+
 impl<S: Store> Archive<S> {
     pub(crate) fn new(store: S) -> Self {
         Self {
             store,
             history: watch::Sender::default(),
+            contact: watch::Sender::default(),
         }
     }
 
@@ -49,8 +68,24 @@
         drop(history.wait_for(|history| history.era() != known).await);
     }
 
+    /// Waits until the store is back after a failed call.
+    async fn returned(&self) {
+        let mut contact = self.contact.subscribe();
+        let known = contact.borrow_and_update().returns();
+        // The sender lives as long as `self`, so waiting cannot fail.
+        drop(contact.wait_for(|contact| contact.returns() != known).await);
+    }
+
+    /// Waits before the next call after a failed one; not longer than until the store answers any call.
+    pub(crate) async fn pause(&self, pause: Duration) {
+        drop(tokio::time::timeout(pause, self.returned()).await);
+    }
+
     /// Records the era of an answer, and fails one that was given before a known restore.
     fn observe<T>(&self, answer: Answer<T>) -> Result<T> {
+        let outcome = outcome(&answer.result);
+        self.contact
+            .send_if_modified(|contact| contact.record(outcome));
         let mut observation = Observation::Current;
         self.history.send_if_modified(|history| {
             observation = history.observe(answer.era);
@@ -94,13 +129,19 @@
 
     /// Reads records from a position, waiting up to `wait` for the first one; returns them and the
     /// position after them.
+    ///
+    /// # Errors
+    /// Fails with [`Error::Abandoned`] when the store is back after a failure while the call waits.
     pub(crate) async fn read(
         &self,
         feed: Feed,
         from: Position,
         wait: Duration,
     ) -> Result<(Vec<Record>, Position)> {
-        let answer = self.store.read(feed, from.offset, wait).await;
+        let answer = tokio::select! {
+            answer = self.store.read(feed, from.offset, wait) => answer,
+            () = self.returned(), if !wait.is_zero() => return Err(Error::Abandoned),
+        };
         let records = self.observe_at(from, answer)?;
         let next = from.after(records.len() as u64);
         Ok((records, next))
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use berylknot_coordination::history::{Era, Position};
+use berylknot_coordination::poll;
 use bytes::Bytes;
 
 use crate::directory;
@@ -16,8 +17,6 @@
 use crate::state::{Host, jitter, now};
 use crate::versions;
 
-/// Long-poll timeout of configuration reads. Keep-alive probes detect a dead connection within it.
-const CONFIGURATION_POLL_TIMEOUT: Duration = Duration::from_secs(25);
 /// Base of the exponential backoff after failed store calls; the first delay is twice as long.
 const BACKOFF_BASE: Duration = Duration::from_millis(150);
 /// Longest backoff after failed store calls.
@@ -138,7 +137,14 @@
             }
             *failures = 0;
             host.store_answered.set(Some(now));
-            host.configuration_confirmed.set(Some(now));
+            // The other feeds say nothing about the configuration.
+            if feed == Feed::Configuration {
+                host.configuration_confirmed.set(Some(now));
+            }
+            None
+        }
+        Err(error @ Error::Abandoned) => {
+            tracing::info!(?feed, %error, "store: poll repeated");
             None
         }
         Err(error) => {
@@ -153,17 +159,13 @@
 
 /// Follows the operator's configuration by long polling.
 pub(crate) async fn configuration<D: Dialect, S: Store>(host: Rc<Host<D, S>>) {
+    let wait = poll::wait(host.options.bounds.config_apply());
     let mut position = None;
     let mut failures = 0;
     loop {
         let result = match position {
             None => host.store.read_newest(Feed::Configuration).await,
-            Some(from) => {
-                let store = &host.store;
-                store
-                    .read(Feed::Configuration, from, CONFIGURATION_POLL_TIMEOUT)
-                    .await
-            }
+            Some(from) => host.store.read(Feed::Configuration, from, wait).await,
         };
         let pause = record_outcome(&host, Feed::Configuration, &result, &mut failures);
         match result {
@@ -184,7 +186,7 @@
             Err(_) => {}
         }
         if let Some(pause) = pause {
-            tokio::time::sleep(pause).await;
+            host.store.pause(pause).await;
         }
     }
 }
@@ -200,8 +202,10 @@
         } else {
             read_entries(&host, Duration::ZERO).await
         };
-        let until_next = host.refresh.get().pause(now());
-        tokio::time::sleep(backoff.unwrap_or(until_next)).await;
+        match backoff {
+            Some(backoff) => host.store.pause(backoff).await,
+            None => tokio::time::sleep(host.refresh.get().pause(now())).await,
+        }
     }
 }
 
@@ -308,7 +312,7 @@
                 let spread = HOST_WRITE_INTERVAL * host.view.borrow().hosts(now()).0 as u32;
                 tokio::time::sleep(spread.mul_f64(jitter(1.0))).await;
             }
-            (pause, _) => tokio::time::sleep(pause.unwrap_or(BACKOFF_BASE)).await,
+            (pause, _) => host.store.pause(pause.unwrap_or(BACKOFF_BASE)).await,
         }
     }
 }
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -78,6 +78,13 @@
     pub grace_s: f64,
     /// Duration of the lease under which a host gives orders to engines, in milliseconds.
     pub lease_ms: u64,
+    /// Time after the store has accepted a configuration by when it must be in force, in milliseconds.
+    #[serde(default = "default_config_apply_ms")]
+    pub config_apply_ms: u64,
+}
+
+const fn default_config_apply_ms() -> u64 {
+    2_000
 }
 
 impl Bounds {
@@ -93,6 +100,12 @@
         Duration::from_millis(self.lease_ms)
     }
 
+    /// Time after the store has accepted a configuration by when it must be in force.
+    #[must_use]
+    pub const fn config_apply(&self) -> Duration {
+        Duration::from_millis(self.config_apply_ms)
+    }
+
     /// Sliding window of the customers' token quotas, in milliseconds.
     #[must_use]
     pub fn quota_window_ms(&self) -> u64 {
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use berylknot_coordination::clock::Instant;
 use rand::Rng;
 use tokio::net::UdpSocket;
 
@@ -22,17 +23,15 @@
 const REPORT_DEBOUNCE_TIME: Duration = Duration::from_millis(20);
 /// Interval of the periodic maintenance.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
-/// Milliseconds since the last answer of the store; `u64::MAX` before the first one.
-pub(crate) fn millis_since_store_answer<D, S>(host: &Host<D, S>) -> u64 {
-    host.store_answered
-        .get()
-        .map_or(u64::MAX, |at| now().since(at).as_millis() as u64)
+
+/// Milliseconds since an event; `u64::MAX` before the first one.
+pub(crate) fn millis_since(event: Option<Instant>) -> u64 {
+    event.map_or(u64::MAX, |at| now().since(at).as_millis() as u64)
 }
 
 /// Age of the endpoint entries in milliseconds; `u64::MAX` before the first read.
 pub(crate) fn entries_age_ms<D, S>(host: &Host<D, S>) -> u64 {
-    let confirmed_at = host.refresh.get().confirmed_at();
-    confirmed_at.map_or(u64::MAX, |at| now().since(at).as_millis() as u64)
+    millis_since(host.refresh.get().confirmed_at())
 }
 
 /// Receives and applies reports of peers.
@@ -216,7 +215,7 @@
         .borrow()
         .as_ref()
         .map_or(0, |fleet| fleet.version);
-    report.store_age_ms = millis_since_store_answer(host);
+    report.store_age_ms = millis_since(host.store_answered.get());
     report.entries_age_ms = entries_age_ms(host);
     report.leaving = host.is_stopping();
     report.is_able = host.directory_known.get();
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -33,6 +33,9 @@
     /// The answer has an unexpected status.
     #[error("unexpected status {0}")]
     Status(StatusCode),
+    /// The store was lost and is back, so that it may never answer the call.
+    #[error("given up when the store was back after a failure")]
+    Abandoned,
     /// The exchange failed or timed out.
     #[error("exchange failed: {0}")]
     Exchange(#[from] crate::http::Error),
--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -14,7 +14,7 @@
 use crate::follow;
 use crate::http::Timeouts;
 use crate::own;
-use crate::peer::{entries_age_ms, millis_since_store_answer};
+use crate::peer::{entries_age_ms, millis_since};
 use crate::platform::{Dialect, Store};
 use crate::readers::{Change, Changes};
 use crate::state::{Host, now};
@@ -42,8 +42,8 @@
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
 struct Answer {
-    /// Time since the store last answered the peer, in milliseconds.
-    age_ms: u64,
+    /// Age of the peer's configuration, in milliseconds.
+    configuration_age_ms: u64,
     /// Age of the peer's endpoint entries, in milliseconds.
     entries_age_ms: u64,
     /// The configuration, if it is newer than that of the querying host.
@@ -70,7 +70,7 @@
     });
     let newer = configuration_version(host) > query.configuration;
     let answer = Answer {
-        age_ms: millis_since_store_answer(host),
+        configuration_age_ms: millis_since(host.configuration_confirmed.get()),
         entries_age_ms: entries_age_ms(host),
         configuration: newer.then(|| host.document.borrow().clone()),
         endpoints: if query.endpoints {
@@ -242,7 +242,7 @@
     };
     let confirmed = host.configuration_confirmed.get();
     host.configuration_confirmed
-        .set(confirmed.max(before(answer.age_ms)));
+        .set(confirmed.max(before(answer.configuration_age_ms)));
     if let Some(as_of) = before(answer.entries_age_ms).filter(|_| query.endpoints) {
         // The list is complete as of that time, so endpoints that it lacks were removed.
         let is_newer = host.refresh.get().confirmed_at() < Some(as_of);
