Let hosts with a reader learn of configurations from it

Cause: polls of half of config_apply_ms at all hosts cost more calls to the store than large deployments gain.

Change: from 18 hosts on only the readers of the entries poll so often. The other hosts poll for 25 s; the answers of their reader, about one a second, bring a newer configuration and the age of the reader's, as the answers of peers do while the store is away.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -17,6 +17,8 @@
 use crate::state::{Host, jitter, now};
 use crate::versions;
 
+/// Longest wait of a poll at a host whose reader tells it of new configurations as well.
+const BACKED_POLL_WAIT: Duration = Duration::from_secs(25);
 /// Base of the exponential backoff after failed store calls; the first delay is twice as long.
 const BACKOFF_BASE: Duration = Duration::from_millis(150);
 /// Longest backoff after failed store calls.
@@ -159,13 +161,21 @@
 
 /// Follows the operator's configuration by long polling.
 pub(crate) async fn configuration<D: Dialect, S: Store>(host: Rc<Host<D, S>>) {
-    let wait = poll::wait(host.options.bounds.config_apply());
+    let own = SocketAddr::new(host.options.address, host.options.listen.peer_port);
     let mut position = None;
     let mut failures = 0;
     loop {
         let result = match position {
             None => host.store.read_newest(Feed::Configuration).await,
-            Some(from) => host.store.read(Feed::Configuration, from, wait).await,
+            Some(from) => {
+                let has_reader = host.view.borrow().reader(now(), own, 0.0).is_some();
+                let wait = if has_reader {
+                    BACKED_POLL_WAIT
+                } else {
+                    poll::wait(host.options.bounds.config_apply())
+                };
+                host.store.read(Feed::Configuration, from, wait).await
+            }
         };
         let pause = record_outcome(&host, Feed::Configuration, &result, &mut failures);
         match result {
--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -163,6 +163,26 @@
     view.entries_source(now, refresh.tolerance(), draw)
 }
 
+fn time_before(now: Instant, age_ms: u64) -> Option<Instant> {
+    let millis = now.as_millis().checked_sub(age_ms);
+    millis.map(Instant::from_millis)
+}
+
+/// Applies a peer's configuration if it is newer; the peer's was confirmed `age_ms` before the query.
+fn apply_configuration<D: Dialect, S: Store>(
+    host: &Host<D, S>,
+    queried_at: Instant,
+    document: Option<Bytes>,
+    age_ms: u64,
+) {
+    if let Some(document) = document {
+        follow::configure::<D, S>(host, document, "peer");
+    }
+    let confirmed = host.configuration_confirmed.get();
+    let confirmed = confirmed.max(time_before(queried_at, age_ms));
+    host.configuration_confirmed.set(confirmed);
+}
+
 /// Sends a query to a peer and reads its answer.
 async fn ask<D, S>(
     host: &Host<D, S>,
@@ -202,8 +222,7 @@
             return false;
         }
     };
-    let as_of = queried_at.as_millis().checked_sub(answer.entries_age_ms);
-    let as_of = as_of.map(Instant::from_millis);
+    let as_of = time_before(queried_at, answer.entries_age_ms);
     let is_current = as_of.is_some_and(|as_of| host.refresh.get().accepts(queried_at, as_of));
     let (Some(as_of), Some((changes, end))) = (as_of.filter(|_| is_current), answer.changes) else {
         tracing::info!(%reader, age_ms = answer.entries_age_ms, "peer: reader's entries are too old or incomplete; the store is read instead");
@@ -211,9 +230,12 @@
     };
     follow::reader_answered(host).await;
     follow::apply_changes::<D, S>(host, changes, end, false);
-    if let Some(document) = answer.configuration {
-        follow::configure::<D, S>(host, document, "peer");
-    }
+    apply_configuration(
+        host,
+        queried_at,
+        answer.configuration,
+        answer.configuration_age_ms,
+    );
     if host.directory.borrow().digest() != answer.digest {
         // The hosts deferred removals differently, or one has missed a change: read the whole list.
         tracing::info!(%reader, "peer: reader's directory differs; the store is read instead");
@@ -233,17 +255,14 @@
 ) -> eyre::Result<()> {
     let queried_at = now();
     let answer = ask(host, peer, query, step_timeout).await?;
-    if let Some(document) = answer.configuration {
-        follow::configure::<D, S>(host, document, "peer");
-    }
-    let before = |age_ms| {
-        let as_of = queried_at.as_millis().checked_sub(age_ms);
-        as_of.map(Instant::from_millis)
-    };
-    let confirmed = host.configuration_confirmed.get();
-    host.configuration_confirmed
-        .set(confirmed.max(before(answer.configuration_age_ms)));
-    if let Some(as_of) = before(answer.entries_age_ms).filter(|_| query.endpoints) {
+    apply_configuration(
+        host,
+        queried_at,
+        answer.configuration,
+        answer.configuration_age_ms,
+    );
+    let as_of = time_before(queried_at, answer.entries_age_ms);
+    if let Some(as_of) = as_of.filter(|_| query.endpoints) {
         // The list is complete as of that time, so endpoints that it lacks were removed.
         let is_newer = host.refresh.get().confirmed_at() < Some(as_of);
         follow::merge_endpoints::<D, S>(host, answer.endpoints, is_newer);
