--- a/crates/coordination/src/origin.rs
+++ b/crates/coordination/src/origin.rs
@@ -2,22 +2,31 @@
 //!
 //! While one version serves a service, nothing is kept: the regime says that every stream began there.
 //! Once a second one serves, each stream is listed with its version, in memory and in a log that outlives
-//! all hosts. A regime is written to the store before its new version gets streams, so a host that knows
-//! nothing but the store can tell where a stream began, or that nobody can.
+//! all hosts. A host that knows nothing but the store can then tell where a stream began, or that nobody
+//! can. This rests on three conditions, none of which depends on the store being reachable:
+//!
+//! - A regime is stored for a while before it is stored as open and its new version gets streams, so that
+//!   every host whose knowledge is [`Currency::is_current`] has seen that version by then. A host gives
+//!   streams to a version only if it has read the stored regime since that version appeared.
+//! - While the stored regime names a version for unlisted streams, a stream of another version is listed
+//!   before its first event ([`Listing::Ahead`]). A version gets no streams that cannot be listed.
+//! - A stream that the log lacks began at the regime's version only if no record of the log is missing,
+//!   and if the log announces no later regime: each is announced there before it is stored.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::Hash;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Instant;
+use crate::history::Position;
 
-/// Longest time for which a new version waits for its regime to be written, as when the store is away.
-const MAX_HOLD: Duration = Duration::from_millis(1_000);
-/// Time for which a read of the log counts as current: listing a stream takes place before its first
-/// event, and its caller returns later than that.
-const LOG_FRESHNESS: Duration = Duration::from_millis(100);
+/// Time for which a read of the log or of the regimes counts as current: listing a stream takes place
+/// before its first event, and its caller returns later than that.
+const READ_FRESHNESS: Duration = Duration::from_millis(100);
+/// Longest answer time of a slow store. An append that takes longer may be lost.
+const SLOW_APPEND: Duration = Duration::from_millis(300);
 
 /// Where streams began that are not listed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,6 +40,40 @@
     Mixed,
 }
 
+impl<V> Regime<V> {
+    /// The version at which unlisted streams began.
+    const fn presumed(&self) -> Option<&V> {
+        match self {
+            Self::Single(version) | Self::Mixing(version) => Some(version),
+            Self::Mixed => None,
+        }
+    }
+}
+
+/// A regime as the store keeps it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Record<V> {
+    /// The regime.
+    pub regime: Regime<V>,
+    /// Position in the log from which on it lists the streams that began at other versions.
+    pub listed_from: Position,
+    /// Position in the log after the announcement of the write that brought this record.
+    pub written_at: Position,
+    /// Whether versions beside the regime's may get streams.
+    pub is_open: bool,
+}
+
+/// Regime in the store, as far as a host knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Stored<V> {
+    /// Not read yet, or the store was restored from an older copy since.
+    Unknown,
+    /// None has been written.
+    Missing,
+    Known(Record<V>),
+}
+
 /// Answer to where a stream began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Origin<V> {
@@ -38,14 +81,150 @@
     Known(V),
     /// The log may tell; ask again when it has been read.
     ReadLog,
+    /// The store's regime may tell; ask again when it has been read.
+    ReadRegime,
     /// At an unknown version.
     Unknown,
 }
 
+/// When a stream that begins has to be in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listing {
+    /// It is there, or is not needed there.
+    None,
+    /// Some time later.
+    Behind,
+    /// Before its first event.
+    Ahead,
+}
+
+/// State of the listing of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// The log has it.
+    Listed,
+    /// It is being written.
+    Pending,
+    /// It is certainly not in the log yet.
+    Refused,
+    /// The last write may be carried out later.
+    Doubtful,
+}
+
 #[derive(Clone, Debug)]
 struct Begun<V> {
     version: V,
     expires_at: Instant,
+    progress: Progress,
+}
+
+/// The log of streams, as this host has read and written it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Log {
+    /// Time of the last read to the end, and the position from which on no record is missing.
+    read: Option<(Instant, Position)>,
+    /// Position after the last announcement of regimes that was read.
+    announced: Position,
+    has_failed: bool,
+    appending_since: Option<Instant>,
+}
+
+impl Log {
+    /// Records that the log had been read to its end at `now`, without a gap from `from` on.
+    pub const fn read(&mut self, now: Instant, from: Position) {
+        self.read = Some((now, from));
+    }
+
+    /// Records that the log announces regimes up to `position`.
+    pub fn announced(&mut self, position: Position) {
+        self.announced = self.announced.max(position);
+    }
+
+    /// Whether the log was read to its end at `since` or later.
+    #[must_use]
+    pub fn is_read_since(&self, since: Instant) -> bool {
+        self.read.is_some_and(|(at, _)| at >= since)
+    }
+
+    fn is_fresh(&self, now: Instant) -> bool {
+        self.read
+            .is_some_and(|(at, _)| now.since(at) <= READ_FRESHNESS)
+    }
+
+    /// Whether no record from `position` on is missing in what was read.
+    fn covers(&self, position: Position) -> bool {
+        self.read.is_some_and(|(_, from)| {
+            from.era == position.era && from.offset <= position.offset && position.offset < u64::MAX
+        })
+    }
+
+    /// Records the start of an append.
+    pub fn begin_append(&mut self, now: Instant) {
+        self.appending_since = Some(now);
+    }
+
+    /// Records the end of an append.
+    pub const fn end_append(&mut self, succeeded: bool) {
+        self.appending_since = None;
+        self.has_failed = !succeeded;
+    }
+
+    /// Whether the last append has failed, so that one without streams has to tell when the log is back.
+    #[must_use]
+    pub const fn has_failed(&self) -> bool {
+        self.has_failed
+    }
+
+    /// Whether streams can be listed.
+    #[must_use]
+    pub fn is_writable(&self, now: Instant) -> bool {
+        let is_slow = self
+            .appending_since
+            .is_some_and(|since| now.since(since) > SLOW_APPEND);
+        !self.has_failed && !is_slow
+    }
+}
+
+/// Age of a host's knowledge of the versions that serve, and whether it has followed them without a gap.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Currency {
+    as_of: Option<Instant>,
+    has_gap: bool,
+}
+
+impl Currency {
+    /// Records that the host knows the versions that served at `as_of`. A version may have come and gone
+    /// unseen since the last time if that was longer ago than `max_age`.
+    pub fn confirm(&mut self, as_of: Instant, max_age: Duration) {
+        let known = self.as_of.unwrap_or(as_of);
+        self.has_gap |= as_of.since(known) > max_age;
+        self.as_of = self.as_of.max(Some(as_of));
+    }
+
+    /// Records that the regimes were read from the store, which tell what a gap has hidden.
+    pub const fn close_gap(&mut self) {
+        self.has_gap = false;
+    }
+
+    /// Whether every version that gets streams at `now` is known, if versions get streams `max_age` after
+    /// their regime was stored.
+    #[must_use]
+    pub fn is_current(&self, now: Instant, max_age: Duration) -> bool {
+        !self.has_gap && self.as_of.is_some_and(|at| now.since(at) <= max_age)
+    }
+
+    /// Whether the versions were followed without a gap up to the last time.
+    #[must_use]
+    pub const fn is_gapless(&self) -> bool {
+        !self.has_gap && self.as_of.is_some()
+    }
+
+    /// Whether every version is known that got streams up to the last time at which the store answered
+    /// any host: while it is away, no further one can.
+    #[must_use]
+    pub fn includes(&self, last_answer: Instant, max_age: Duration) -> bool {
+        !self.has_gap && self.as_of.is_some_and(|at| at + max_age >= last_answer)
+    }
 }
 
 /// Origins of one service's streams, as known to a host.
@@ -56,13 +235,18 @@
     unwritten: BTreeSet<K>,
     /// `None` before the first observation.
     regime: Option<Regime<V>>,
-    /// Regime that the store has, as far as this host knows.
-    stored: Option<Regime<V>>,
+    stored: Stored<V>,
+    /// Time since when the store has that regime, and of its last read.
+    stored_at: Instant,
+    stored_read: Option<Instant>,
     /// Time of the last change from one version to several.
     mixing_since: Instant,
     /// The only version that serves, and since when.
     alone: Option<(V, Instant)>,
-    log_read: Option<Instant>,
+    /// Versions that serve, and when they appeared.
+    serving: BTreeMap<V, Instant>,
+    /// Whether listings from before a restore of the store may be lost.
+    has_lost_listings: bool,
 }
 
 impl<K, V> Default for Origins<K, V> {
@@ -71,20 +255,64 @@
             begun: HashMap::new(),
             unwritten: BTreeSet::new(),
             regime: None,
-            stored: None,
+            stored: Stored::Unknown,
+            stored_at: Instant::default(),
+            stored_read: None,
             mixing_since: Instant::default(),
             alone: None,
-            log_read: None,
+            serving: BTreeMap::new(),
+            has_lost_listings: false,
         }
     }
 }
 
 impl<K: Copy + Eq + Hash + Ord, V: Clone + Eq + Ord> Origins<K, V> {
-    /// Takes over the regime that other hosts have written to the store.
-    pub fn restore(&mut self, now: Instant, regime: Regime<V>) {
-        self.mixing_since = now;
-        self.regime = Some(regime.clone());
-        self.stored = Some(regime);
+    /// Takes over the regime that the store had at `read_at`, if any. `is_dated` says that it was written
+    /// before the store was restored from an older copy.
+    pub fn restore(&mut self, read_at: Instant, record: Option<Record<V>>, is_dated: bool) {
+        self.stored_read = self.stored_read.max(Some(read_at));
+        let Some(record) = record else {
+            self.stored = Stored::Missing;
+            return;
+        };
+        // What this host has observed since continues the record that it knows, and goes before one that
+        // is older than the restore.
+        let known = self.stored_record().map(|known| known.written_at);
+        let is_followed = known == Some(record.written_at) || is_dated;
+        let keeps =
+            is_followed && self.regime.is_some() || self.regime.as_ref() == Some(&record.regime);
+        if !keeps {
+            self.mixing_since = read_at;
+            self.regime = Some(record.regime.clone());
+        }
+        if is_dated {
+            self.stored = Stored::Unknown;
+            self.has_lost_listings = true;
+        } else {
+            self.set_stored(read_at, record);
+        }
+    }
+
+    fn set_stored(&mut self, now: Instant, record: Record<V>) {
+        let is_same = self
+            .stored_record()
+            .is_some_and(|stored| stored.regime == record.regime);
+        if !is_same {
+            self.stored_at = now;
+        }
+        self.stored = Stored::Known(record);
+    }
+
+    /// Records which versions serve, before the regime in the store is known.
+    pub fn note_serving(&mut self, now: Instant, serving: &BTreeSet<V>) {
+        self.serving.retain(|version, _| serving.contains(version));
+        for version in serving {
+            self.serving.entry(version.clone()).or_insert(now);
+        }
+        let only = serving.first().filter(|_| serving.len() == 1);
+        if self.alone.as_ref().map(|(version, _)| version) != only {
+            self.alone = only.map(|version| (version.clone(), now));
+        }
     }
 
     /// Records the versions that serve. `is_first` says that no stream began before this host started.
@@ -95,13 +323,11 @@
         lifetime: Duration,
         is_first: bool,
     ) {
-        let Some(first) = serving.first() else {
+        if serving.is_empty() {
             return;
-        };
-        let only = (serving.len() == 1).then(|| first.clone());
-        if self.alone.as_ref().map(|(version, _)| version) != only.as_ref() {
-            self.alone = only.clone().map(|version| (version, now));
         }
+        self.note_serving(now, serving);
+        let only = self.alone.as_ref().map(|(version, _)| version.clone());
         let settled = self.alone.as_ref();
         let settled = settled.filter(|(_, since)| now.since(*since) >= lifetime);
         let settled = settled.map(|(version, _)| version.clone());
@@ -122,56 +348,148 @@
         };
     }
 
-    /// Whether a version may get new streams: the store has a regime that includes it, or was away too
-    /// long.
+    /// Whether the store's regime has to be read before some version that serves may get streams.
     #[must_use]
-    pub fn is_usable(&self, now: Instant, version: &V) -> bool {
+    pub fn needs_read(&self) -> bool {
+        self.serving
+            .values()
+            .any(|since| !self.is_read_since(*since))
+    }
+
+    fn is_read_since(&self, since: Instant) -> bool {
+        self.stored_read.is_some_and(|at| at >= since)
+    }
+
+    /// Whether a version may get new streams: the store's regime includes it, and its streams can be
+    /// listed.
+    #[must_use]
+    pub fn is_usable(&self, now: Instant, version: &V, log: &Log) -> bool {
+        if self
+            .serving
+            .get(version)
+            .is_none_or(|since| !self.is_read_since(*since))
+        {
+            return false;
+        }
         match &self.stored {
-            Some(Regime::Single(only)) if only != version => {
-                let is_changing = !matches!(&self.regime, Some(Regime::Single(_)) | None);
-                is_changing && now >= self.mixing_since + MAX_HOLD
+            Stored::Unknown => false,
+            Stored::Missing => {
+                let presumed = self.regime.as_ref().and_then(Regime::presumed);
+                presumed.is_none_or(|presumed| presumed == version)
             }
-            _ => true,
+            Stored::Known(record) => match &record.regime {
+                Regime::Single(only) => only == version,
+                Regime::Mixing(old) => old == version || record.is_open && log.is_writable(now),
+                Regime::Mixed => true,
+            },
         }
     }
 
-    /// Records that a stream begins at a version; returns whether it has to be written to the log.
-    pub fn begin(&mut self, now: Instant, stream: K, version: &V, lifetime: Duration) -> bool {
+    /// Records that a stream begins at a version; returns when it has to be in the log.
+    pub fn begin(&mut self, now: Instant, stream: K, version: &V, lifetime: Duration) -> Listing {
+        let stored = match &self.stored {
+            Stored::Known(record) => Some(&record.regime),
+            Stored::Unknown | Stored::Missing => None,
+        };
+        let before = self.begun.get_mut(&stream);
+        let is_moved = before
+            .as_ref()
+            .is_some_and(|before| before.version != *version);
+        let is_only =
+            |regime: &Regime<V>| matches!(regime, Regime::Single(only) if only == version);
         // A host that knows nothing but the store must come to the same version.
-        let is_only = |regime: &Option<Regime<V>>| matches!(regime, Some(Regime::Single(only)) if only == version);
-        if is_only(&self.regime) && is_only(&self.stored) {
+        if !is_moved && self.regime.as_ref().is_some_and(is_only) && stored.is_some_and(is_only) {
             self.begun.remove(&stream);
-            return false;
+            self.unwritten.remove(&stream);
+            return Listing::None;
+        }
+        let presumed = stored.and_then(Regime::presumed);
+        let listing = if is_moved || presumed.is_some_and(|presumed| presumed != version) {
+            Listing::Ahead
+        } else {
+            Listing::Behind
+        };
+        if let Some(before) = before.filter(|_| !is_moved) {
+            before.expires_at = now + lifetime;
+            return match before.progress {
+                Progress::Listed => Listing::None,
+                Progress::Pending | Progress::Refused | Progress::Doubtful => listing,
+            };
         }
         let begun = Begun {
             version: version.clone(),
             expires_at: now + lifetime,
+            progress: Progress::Pending,
         };
-        let before = self.begun.insert(stream, begun);
-        if before.is_some_and(|before| before.version == *version) {
-            return false;
-        }
+        self.begun.insert(stream, begun);
         self.unwritten.insert(stream);
-        true
+        listing
     }
 
-    /// Where a stream began. A stream that is asked for stays listed, as its caller may return again.
-    pub fn find(&mut self, now: Instant, stream: K, lifetime: Duration) -> Origin<V> {
-        if let Some(begun) = self.begun.get_mut(&stream) {
+    /// State of the listing of a stream that has begun.
+    #[must_use]
+    pub fn progress(&self, stream: K) -> Progress {
+        let begun = self.begun.get(&stream);
+        begun.map_or(Progress::Listed, |begun| begun.progress)
+    }
+
+    /// Forgets a stream that did not begin, unless it may be listed.
+    pub fn withdraw(&mut self, stream: K) {
+        if self.progress(stream) == Progress::Refused {
+            self.begun.remove(&stream);
+            self.unwritten.remove(&stream);
+        }
+    }
+
+    /// Where a stream began; `None` stands for a stream that its caller does not name. A stream that is
+    /// asked for stays listed, as its caller may return again.
+    pub fn find(
+        &mut self,
+        now: Instant,
+        stream: Option<K>,
+        lifetime: Duration,
+        log: &Log,
+    ) -> Origin<V> {
+        if let Some(begun) = stream.and_then(|stream| self.begun.get_mut(&stream)) {
             begun.expires_at = now + lifetime;
             return Origin::Known(begun.version.clone());
         }
-        let is_read = self
-            .log_read
-            .is_some_and(|at| now.since(at) <= LOG_FRESHNESS);
         match &self.regime {
             Some(Regime::Single(version)) => Origin::Known(version.clone()),
-            Some(Regime::Mixing(_) | Regime::Mixed) if !is_read => Origin::ReadLog,
-            Some(Regime::Mixing(version)) => Origin::Known(version.clone()),
+            Some(Regime::Mixing(_) | Regime::Mixed) if stream.is_none() => Origin::Unknown,
+            Some(Regime::Mixing(_) | Regime::Mixed) if !log.is_fresh(now) => Origin::ReadLog,
+            Some(Regime::Mixing(version)) => match &self.stored {
+                Stored::Unknown => Origin::Unknown,
+                Stored::Known(record)
+                    if log.announced > record.written_at && !self.is_stored_fresh(now) =>
+                {
+                    Origin::ReadRegime
+                }
+                Stored::Known(record) if record.regime.presumed() != Some(version) => {
+                    Origin::Unknown
+                }
+                Stored::Known(record) if matches!(record.regime, Regime::Mixing(_)) => {
+                    if log.covers(record.listed_from) {
+                        Origin::Known(version.clone())
+                    } else {
+                        Origin::Unknown
+                    }
+                }
+                // No other version has got streams while the store has only the former regime.
+                Stored::Known(_) | Stored::Missing if self.is_stored_fresh(now) => {
+                    Origin::Known(version.clone())
+                }
+                Stored::Known(_) | Stored::Missing => Origin::ReadRegime,
+            },
             Some(Regime::Mixed) | None => Origin::Unknown,
         }
     }
 
+    fn is_stored_fresh(&self, now: Instant) -> bool {
+        self.stored_read
+            .is_some_and(|at| now.since(at) <= READ_FRESHNESS)
+    }
+
     /// Takes the streams that the log lacks.
     pub fn take_unwritten(&mut self) -> Vec<(K, V)> {
         let unwritten = std::mem::take(&mut self.unwritten);
@@ -182,40 +500,94 @@
         begun.collect()
     }
 
-    /// Returns streams whose write has failed.
-    pub fn return_unwritten(&mut self, streams: impl IntoIterator<Item = K>) {
-        self.unwritten.extend(streams);
+    /// Records that the log has streams with their versions.
+    pub fn written<'a>(&mut self, streams: impl IntoIterator<Item = &'a (K, V)>)
+    where
+        K: 'a,
+        V: 'a,
+    {
+        for (stream, version) in streams {
+            let begun = self.begun.get_mut(stream);
+            if let Some(begun) = begun.filter(|begun| begun.version == *version) {
+                begun.progress = Progress::Listed;
+            }
+        }
+    }
+
+    /// Returns streams whose write has failed; a write in doubt may be carried out later.
+    pub fn return_unwritten(&mut self, streams: impl IntoIterator<Item = K>, in_doubt: bool) {
+        for stream in streams {
+            let Some(begun) = self.begun.get_mut(&stream) else {
+                continue;
+            };
+            begun.progress = if in_doubt || begun.progress == Progress::Doubtful {
+                Progress::Doubtful
+            } else {
+                Progress::Refused
+            };
+            self.unwritten.insert(stream);
+        }
     }
 
     /// Records a stream that the log lists; a later one of the same stream replaces it.
     pub fn learn(&mut self, now: Instant, stream: K, version: V, lifetime: Duration) {
-        if self.unwritten.contains(&stream) {
+        // What this host has not written yet is newer.
+        if self.progress(stream) != Progress::Listed {
             return;
         }
-        let expires_at = now + lifetime;
         let begun = Begun {
             version,
-            expires_at,
+            expires_at: now + lifetime,
+            progress: Progress::Listed,
         };
         self.begun.insert(stream, begun);
     }
 
-    /// Records that the log had been read to its end at `now`.
-    pub fn log_read(&mut self, now: Instant) {
-        self.log_read = Some(now);
+    /// The record to store after an announcement that ends at `position` in the log. A regime that the
+    /// store has already keeps the start of its listings, and is opened after `hold`.
+    #[must_use]
+    pub fn record(&self, now: Instant, position: Position, hold: Duration) -> Option<Record<V>> {
+        let regime = self.regime.clone()?;
+        let stored = self.stored_record();
+        let stored = stored.filter(|record| record.regime == regime);
+        let listed_from = match stored {
+            Some(record) => record.listed_from,
+            // No read of the log covers it.
+            None if self.has_lost_listings => Position::new(position.era, u64::MAX),
+            None => position,
+        };
+        let is_open = match &regime {
+            Regime::Single(_) => false,
+            Regime::Mixing(_) => {
+                stored.is_some_and(|record| record.is_open || now >= self.stored_at + hold)
+            }
+            Regime::Mixed => true,
+        };
+        Some(Record {
+            regime,
+            listed_from,
+            written_at: position,
+            is_open,
+        })
     }
 
-    /// Whether the log was read to its end at `since` or later.
+    /// Whether the store lacks the regime, or should have it open.
     #[must_use]
-    pub fn is_log_read_since(&self, since: Instant) -> bool {
-        self.log_read.is_some_and(|at| at >= since)
+    pub fn is_due(&self, now: Instant, hold: Duration) -> bool {
+        let Some(record) = self.record(now, Position::default(), hold) else {
+            return false;
+        };
+        self.stored_record()
+            .is_none_or(|stored| stored.regime != record.regime || stored.is_open != record.is_open)
     }
 
-    /// The regime if the store has another one.
+    /// The record that the store has, as far as this host knows.
     #[must_use]
-    pub fn due_regime(&self) -> Option<&Regime<V>> {
-        let regime = self.regime.as_ref()?;
-        (self.stored.as_ref() != Some(regime)).then_some(regime)
+    pub const fn stored_record(&self) -> Option<&Record<V>> {
+        match &self.stored {
+            Stored::Known(record) => Some(record),
+            Stored::Unknown | Stored::Missing => None,
+        }
     }
 
     /// The current regime.
@@ -224,14 +596,20 @@
         self.regime.as_ref()
     }
 
-    /// Records that the store has a regime.
-    pub fn stored(&mut self, regime: Regime<V>) {
-        self.stored = Some(regime);
+    /// Records that the store has a regime since `now`.
+    pub fn stored(&mut self, now: Instant, record: Record<V>) {
+        self.set_stored(now, record);
+        self.stored_read = Some(now);
     }
 
-    /// Writes everything again, since the store may have lost it.
+    /// Writes everything again, since the store was restored from an older copy. Other hosts' streams may
+    /// have been lost there.
     pub fn rewrite(&mut self) {
-        self.stored = None;
+        self.stored = Stored::Unknown;
+        self.has_lost_listings = true;
+        for begun in self.begun.values_mut() {
+            begun.progress = Progress::Pending;
+        }
         self.unwritten.extend(self.begun.keys());
     }
 
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
+use berylknot_coordination::origin::{Listing, Progress};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
@@ -124,6 +125,8 @@
     Hopeless,
     /// The stream that the caller takes up began at a software version that nobody knows.
     UnknownVersion,
+    /// The store would have to tell that version, or to list the stream, and does not answer.
+    StoreAway,
     /// No engine is left of the software version that began the stream.
     VersionGone,
     /// Engines crash on a part of the prompt.
@@ -299,11 +302,16 @@
         Constraint::None => None,
         Constraint::Version(version) => Some(version.clone()),
         Constraint::TakenUp(stream) => {
-            let found = versions::find(host, &query.service, stream.as_deref()).await;
-            let Some(version) = found else {
-                return Verdict::UnknownVersion;
-            };
-            Some(version)
+            let find = versions::find(host, &query.service, stream.as_deref());
+            match timeout(LONG_POLL, find).await {
+                Ok(Ok(Some(version))) => Some(version),
+                Ok(Ok(None)) => return Verdict::UnknownVersion,
+                Ok(Err(error)) => {
+                    tracing::info!(id = query.id, %error, "versions: origin of the stream not read");
+                    return Verdict::StoreAway;
+                }
+                Err(_) => return Verdict::StoreAway,
+            }
         }
     };
     if version
@@ -341,7 +349,16 @@
         query,
         due: true,
     };
-    let verdict = grant_or_queue(host, query, version, now).await;
+    let mut verdict = grant_or_queue(host, query, version, now).await;
+    if let Verdict::Granted {
+        endpoint, grant, ..
+    } = &verdict
+        && let Err(refused) = list(host, query, endpoint, now).await
+    {
+        host.ledger.borrow_mut().settle(*grant);
+        host.capacity_freed.notify_one();
+        verdict = refused;
+    }
     if query.prefill && matches!(verdict, Verdict::Granted { .. }) {
         let mut demand = host.demand.borrow_mut();
         let demand = demand.entry(query.service.clone()).or_default();
@@ -351,6 +368,37 @@
     verdict
 }
 
+/// Records where a stream begins, and waits until the log lists it where it has to.
+///
+/// # Errors
+/// Fails with the verdict that replaces the grant when the log does not list it in time.
+async fn list<D, S>(
+    host: &Host<D, S>,
+    query: &Query,
+    endpoint: &str,
+    arrived: Instant,
+) -> Result<(), Verdict> {
+    let stream = match &query.constraint {
+        Constraint::None => query.id.as_str(),
+        Constraint::TakenUp(Some(stream)) => stream,
+        Constraint::TakenUp(None) | Constraint::Version(_) => return Ok(()),
+    };
+    let found = host.directory.borrow().find(endpoint);
+    let Some((_, endpoint)) = found else {
+        return Err(Verdict::Pending);
+    };
+    let listing = versions::begin(host, &query.service, stream, &endpoint.version);
+    if listing != Listing::Ahead {
+        return Ok(());
+    }
+    let deadline = arrived + LONG_POLL + ANSWER_TIMEOUT / 2;
+    match versions::listed(host, &query.service, stream, deadline).await {
+        Progress::Listed => Ok(()),
+        Progress::Pending | Progress::Refused => Err(Verdict::Pending),
+        Progress::Doubtful => Err(Verdict::StoreAway),
+    }
+}
+
 /// Tokens of a customer that a stream waits for, to be resumed; they are reserved until dropped.
 struct Awaited<'a, D, S> {
     host: &'a Rc<Host<D, S>>,
@@ -504,14 +552,6 @@
     let cached_at = cached_at.filter(|cached_at| cached_at.version == endpoint.version);
     let parts_at = cached_at.map(|cached_at| cached_at.id.clone());
     drop(directory);
-    let stream = match &query.constraint {
-        Constraint::None => Some(query.id.as_str()),
-        Constraint::TakenUp(stream) => stream.as_deref(),
-        Constraint::Version(_) => None,
-    };
-    if let Some(stream) = stream {
-        versions::begin(host, &query.service, stream, &endpoint.version);
-    }
     let prefill = if query.prefill && parts_at.is_none() {
         let prefill = best_prefill(host, query, &endpoint);
         if prefill.is_none() {
--- a/crates/entry/src/archive.rs
+++ b/crates/entry/src/archive.rs
@@ -28,6 +28,8 @@
 /// Records of a log, read from a position on.
 #[derive(Clone, Debug)]
 pub(crate) struct Tail {
+    /// Position of the first record, after the requested one if records have expired in between.
+    pub(crate) start: Position,
     /// End of the log.
     pub(crate) end: Position,
     /// Position after the records.
@@ -167,6 +169,7 @@
         };
         let start = Position::new(self.era(), offset);
         Ok(Tail {
+            start,
             end: Position::new(self.era(), end),
             next: start.after(records.len() as u64),
             records,
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -448,6 +448,7 @@
             Some(Duration::from_millis(wait_ms)),
         )),
         Verdict::UnknownVersion => Err(Failure::Reason(Reason::UnknownVersion, None)),
+        Verdict::StoreAway => Err(Failure::Reason(Reason::StoreAway, Some(MIN_RETRY_AFTER))),
         Verdict::VersionGone => Err(Failure::Reason(Reason::VersionGone, None)),
         Verdict::Crashes { .. } => Err(Failure::Reason(Reason::CrashesEndpoints, None)),
         Verdict::Hopeless => Err(Failure::Reason(Reason::Hopeless, None)),
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -337,9 +337,9 @@
         .store
         .announce(&host.options.host, own.ip().to_string().as_bytes())
         .await?;
+    let read_at = now();
     let (records, _) = host.store.read_newest(Feed::Hosts).await?;
-    let regimes = records.iter().find(|record| record.key == versions::KEY);
-    versions::restore(host, regimes.and_then(|record| record.value.as_deref()));
+    versions::restore(host, read_at, &records);
     for record in records {
         if record.key == versions::KEY {
             continue;
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -346,6 +346,16 @@
         live.any(|(_, report)| report.store_age_ms <= within)
     }
 
+    /// Last time at which the store answered a peer, also one that no longer reports.
+    #[must_use]
+    pub fn last_store_answer(&self) -> Option<Instant> {
+        let answers = self.peers.values().filter_map(|peer| {
+            let reported_at = peer.last_report_at?.as_millis();
+            reported_at.checked_sub(peer.report.store_age_ms)
+        });
+        answers.max().map(Instant::from_millis)
+    }
+
     /// Time at which the endpoint entries of the freshest live peer were current.
     #[must_use]
     pub fn freshest_entries(&self, now: Instant) -> Option<Instant> {
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -218,7 +218,7 @@
     report.store_age_ms = millis_since(host.store_answered.get());
     report.entries_age_ms = entries_age_ms(host);
     report.leaving = host.is_stopping();
-    report.is_able = host.directory_known.get();
+    report.is_able = host.is_able();
     report.uptime_ms = host.uptime(now()).as_millis() as u64;
     report.partial = !full;
     if full {
@@ -292,6 +292,8 @@
         view.expire(now);
         view.count_unreachable(now)
     };
+    // The load of peers that no longer report expires as well.
+    host.peers_changed.set(true);
     host.count_hosts(now);
     host.budgets
         .borrow_mut()
--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -18,6 +18,7 @@
 use crate::platform::{Dialect, Store};
 use crate::readers::{Change, Changes};
 use crate::state::{Host, now};
+use crate::versions::{self, Regimes};
 
 /// Path of these queries.
 pub(crate) const PATH: &str = "/v1/records";
@@ -36,6 +37,8 @@
     endpoints: bool,
     /// Position in the store from which on the changes of the entries are requested.
     changes_from: Option<Position>,
+    /// Whether the regimes of software versions are requested.
+    regimes: bool,
 }
 
 /// Newest records of a peer, as the answer to a query.
@@ -54,6 +57,8 @@
     changes: Option<(Vec<Change>, Position)>,
     /// Digest of the peer's directory.
     digest: u64,
+    /// The requested regimes; `None` if the peer does not know them either.
+    regimes: Option<Regimes>,
 }
 
 /// Answers a peer's query; `None` if it is malformed.
@@ -84,6 +89,7 @@
         },
         changes,
         digest: host.directory.borrow().digest(),
+        regimes: versions::regimes(host).filter(|_| query.regimes),
     };
     rmp_serde::to_vec(&answer).ok().map(Bytes::from)
 }
@@ -114,6 +120,7 @@
         configuration: version,
         endpoints: false,
         changes_from: None,
+        regimes: !host.published.is_restored(),
     };
     if let Err(error) = query_peer(host, source, &query, QUERY_TIMEOUT).await {
         tracing::info!(peer = %source, %error, "peer: query for newer records failed; retried at the next maintenance");
@@ -140,6 +147,7 @@
                 configuration: configuration_version(&host),
                 endpoints: true,
                 changes_from: None,
+                regimes: false,
             };
             if let Err(error) = query_peer(&host, source, &query, pause * 2).await {
                 tracing::info!(peer = %source, %error, "peer: query for endpoint entries failed; another peer is asked");
@@ -212,6 +220,7 @@
         configuration: configuration_version(host),
         endpoints: false,
         changes_from: Some(from),
+        regimes: false,
     };
     let queried_at = now();
     let step_timeout = host.refresh.get().query_pause() * 2;
@@ -261,6 +270,7 @@
         answer.configuration,
         answer.configuration_age_ms,
     );
+    versions::adopt_from_peer(host, answer.regimes);
     let as_of = time_before(queried_at, answer.entries_age_ms);
     if let Some(as_of) = as_of.filter(|_| query.endpoints) {
         // The list is complete as of that time, so endpoints that it lacks were removed.
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -26,6 +26,7 @@
     CrashesEndpoints,
     UnknownVersion,
     VersionGone,
+    StoreAway,
     EndpointsRefused,
     EndpointsLimited,
     EndpointLost,
@@ -51,6 +52,7 @@
             Self::CrashesEndpoints => "crashes_endpoints",
             Self::UnknownVersion => "unknown_version",
             Self::VersionGone => "version_gone",
+            Self::StoreAway => "store_away",
             Self::EndpointsRefused => "endpoints_refused",
             Self::EndpointsLimited => "endpoints_limited",
             Self::EndpointLost => "endpoint_lost",
@@ -76,6 +78,7 @@
             | Self::CrashesEndpoints
             | Self::UnknownVersion
             | Self::VersionGone
+            | Self::StoreAway
             | Self::EndpointsRefused
             | Self::EndpointsLimited => StatusCode::SERVICE_UNAVAILABLE,
             Self::EndpointLost => StatusCode::BAD_GATEWAY,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -217,6 +217,7 @@
         let mut refresh = self.refresh.get();
         refresh.confirm(as_of);
         self.refresh.set(refresh);
+        self.published.confirm(as_of, self.options.bounds.drain());
     }
 
     /// Whether the endpoint entries are too old for new work. A peer that has fresher ones is being
@@ -230,9 +231,14 @@
         now.since(self.started)
     }
 
+    /// Whether this host knows what it needs to place requests.
+    pub(crate) fn is_able(&self) -> bool {
+        self.directory_known.get() && self.published.is_restored()
+    }
+
     /// How far this host is able to act as leader.
     pub(crate) fn rank(&self, now: Instant) -> Rank {
-        let is_able = self.directory_known.get() && !self.is_stopping();
+        let is_able = self.is_able() && !self.is_stopping();
         Rank::new(is_able, self.uptime(now))
     }
 
--- a/crates/entry/src/versions.rs
+++ b/crates/entry/src/versions.rs
@@ -9,15 +9,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use berylknot_coordination::clock::Instant;
 use berylknot_coordination::history::{Era, Position};
-use berylknot_coordination::origin::{Origin, Origins, Regime};
+use berylknot_coordination::origin::{Currency, Listing, Log, Origin, Origins, Progress, Record};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Mutex, Notify};
 
 use crate::admission;
+use crate::contact::is_overdue;
 use crate::findings;
-use crate::platform::{Error, Log, Result, Store};
-use crate::state::{Host, now};
+use crate::follow;
+use crate::http::Error as ExchangeError;
+use crate::platform::{self, Error, Feed, Result, Store};
+use crate::state::{Host, jitter, now};
 
 /// Key of the record of the regimes, next to the announcements of the hosts.
 pub(crate) const KEY: &str = "software-versions";
@@ -25,8 +29,13 @@
 const BATCH_TIME: Duration = Duration::from_millis(50);
 /// Interval between attempts to write, and between checks whether this host has become the leader.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// Mean interval between reads of the regimes at a host that does not write them, while it observes
+/// others than it knows in the store.
+const REREAD_INTERVAL: Duration = Duration::from_secs(5);
 /// Time beyond the longest timeout of a service's routes in which callers take up a stream.
 const RETURN_MARGIN: Duration = Duration::from_secs(6);
+/// Largest number of looks for the origin of a stream, each after a read of the store.
+const MAX_LOOKS: usize = 3;
 
 /// Id of the request that began a stream, as a number of 64 bits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -57,23 +66,57 @@
 }
 
 /// Regime of each service, as kept in the store.
-type Regimes = HashMap<String, Regime<String>>;
-/// Streams of a service and the versions that began them, as a record of the log.
-type Listing = HashMap<String, Vec<(StreamId, String)>>;
+pub(crate) type Regimes = HashMap<String, Record<String>>;
+/// Streams of each service and the versions that began them.
+type Listings = HashMap<String, Vec<(StreamId, String)>>;
+
+/// Record of the log of streams.
+#[derive(Debug, Default)]
+#[derive(Serialize, Deserialize)]
+struct Entry {
+    streams: Listings,
+    /// Whether the writer stores regimes next.
+    announces_regimes: bool,
+}
+
+/// Part of the log of streams that has been read without a gap.
+#[derive(Clone, Copy, Debug)]
+struct Span {
+    start: Position,
+    next: Position,
+}
 
 /// What the hosts keep in the store beyond their announcements, as known to this host.
 #[derive(Debug, Default)]
 pub(crate) struct Published {
     pub(crate) findings: Cell<findings::Written>,
     services: RefCell<HashMap<String, Origins<StreamId, String>>>,
-    /// Whether the regimes in the store have been read.
+    /// Whether the regimes in the store are known, from the store or from a peer.
     is_restored: Cell<bool>,
+    currency: Cell<Currency>,
     /// Era of the store in which the origins were written.
     era: Cell<Era>,
-    /// Position up to which the log of streams has been read; locked during a read.
-    position: Mutex<Option<Position>>,
+    log: Cell<Log>,
+    /// What has been read of the log; locked during a read.
+    span: Mutex<Option<Span>>,
     /// Wakes the writer.
     changed: Notify,
+    /// Wakes those that wait for a listing.
+    appended: Notify,
+}
+
+impl Published {
+    /// Whether this host knows the regimes, without which it places no streams.
+    pub(crate) fn is_restored(&self) -> bool {
+        self.is_restored.get()
+    }
+
+    /// Records that the directory includes all changes up to `as_of`.
+    pub(crate) fn confirm(&self, as_of: Instant, max_age: Duration) {
+        let mut currency = self.currency.get();
+        currency.confirm(as_of, max_age);
+        self.currency.set(currency);
+    }
 }
 
 /// Longest time between the beginning of a stream of a service and its last resumption.
@@ -85,33 +128,83 @@
     longest.unwrap_or_default() + RETURN_MARGIN
 }
 
-/// Applies the record of the regimes that was read at the start; `None` if there is none.
-pub(crate) fn restore<D, S>(host: &Host<D, S>, record: Option<&[u8]>) {
-    if host.published.is_restored.replace(true) {
-        return;
-    }
-    let regimes = match record.map(rmp_serde::from_slice::<Regimes>).transpose() {
+/// Applies the record of the regimes among those of the hosts, as the store had them at `read_at`.
+pub(crate) fn restore<D, S: Store>(
+    host: &Host<D, S>,
+    read_at: Instant,
+    records: &[platform::Record],
+) {
+    let record = records.iter().find(|record| record.key == KEY);
+    let value = record.and_then(|record| record.value.as_deref());
+    let regimes = match value.map(rmp_serde::from_slice::<Regimes>).transpose() {
         Ok(regimes) => regimes.unwrap_or_default(),
         Err(error) => {
             tracing::warn!(%error, "versions: malformed record in the store ignored");
             Regimes::default()
         }
     };
-    let mut services = host.published.services.borrow_mut();
-    for (service, regime) in regimes {
-        tracing::info!(service, ?regime, "versions: regime read from the store");
-        services.entry(service).or_default().restore(now(), regime);
+    let mut currency = host.published.currency.get();
+    currency.close_gap();
+    host.published.currency.set(currency);
+    adopt(host, read_at, regimes);
+}
+
+/// Takes over the regimes that the store had at `read_at`, read by this host or by a peer.
+fn adopt<D, S: Store>(host: &Host<D, S>, read_at: Instant, mut regimes: Regimes) {
+    let is_first = !host.published.is_restored.replace(true);
+    let era = host.store.era();
+    {
+        let mut services = host.published.services.borrow_mut();
+        for (service, origins) in services.iter_mut() {
+            if !regimes.contains_key(service) {
+                origins.restore(read_at, None, false);
+            }
+        }
+        for (service, record) in regimes.drain() {
+            let is_dated = record.listed_from.era < era;
+            if is_first {
+                tracing::info!(service, ?record, is_dated, "versions: regime known");
+            }
+            let origins = services.entry(service).or_default();
+            origins.restore(read_at, Some(record), is_dated);
+        }
     }
-    drop(services);
     observe(host);
 }
 
+/// The regimes for a peer that starts while the store is away; `None` if they may be outdated.
+pub(crate) fn regimes<D, S: Store>(host: &Host<D, S>) -> Option<Regimes> {
+    if !host.published.is_restored() || !host.published.currency.get().is_gapless() {
+        return None;
+    }
+    let services = host.published.services.borrow();
+    let records = services
+        .iter()
+        .filter_map(|(service, origins)| Some((service.clone(), origins.stored_record()?.clone())));
+    Some(records.collect())
+}
+
+/// Takes over the regimes of a peer, unless this host knows them.
+pub(crate) fn adopt_from_peer<D, S: Store>(host: &Host<D, S>, regimes: Option<Regimes>) {
+    let is_needed = !host.published.is_restored() && host.directory_known.get();
+    if let Some(regimes) = regimes.filter(|_| is_needed) {
+        // So that the versions that serve count as known to the peer.
+        observe(host);
+        adopt(host, now(), regimes);
+    }
+}
+
+/// Reads the regimes again that the store has.
+async fn reread<D, S: Store>(host: &Host<D, S>) -> Result<()> {
+    let read_at = now();
+    let (records, _) = host.store.read_newest(Feed::Hosts).await?;
+    restore(host, read_at, &records);
+    Ok(())
+}
+
 /// Observes the versions of all services' engines, after a change of the directory or periodically.
 pub(crate) fn observe<D, S>(host: &Host<D, S>) {
     let published = &host.published;
-    if !published.is_restored.get() {
-        return;
-    }
     let mut serving: HashMap<String, BTreeSet<String>> = HashMap::new();
     for (_, endpoint) in host.directory.borrow().iter() {
         if endpoint.stage.is_some() {
@@ -119,11 +212,18 @@
             versions.insert(endpoint.version.clone());
         }
     }
+    // Without a configuration the lifetime of streams is not known.
+    let is_known = published.is_restored() && host.fleet.borrow().is_some();
     let now = now();
+    let hold = host.options.bounds.drain();
     let mut services = published.services.borrow_mut();
     for (service, versions) in &serving {
         let lifetime = lifetime(host, service);
         let origins = services.entry(service.clone()).or_default();
+        if !is_known {
+            origins.note_serving(now, versions);
+            continue;
+        }
         let before = origins.regime().cloned();
         origins.observe(now, versions, lifetime, host.options.first_start);
         origins.expire(now);
@@ -131,7 +231,7 @@
             let regime = origins.regime();
             tracing::info!(service, ?versions, ?regime, "versions: regime changed");
         }
-        if origins.due_regime().is_some() {
+        if origins.is_due(now, hold) || origins.needs_read() {
             published.changed.notify_one();
         }
     }
@@ -139,79 +239,163 @@
 
 /// Whether an engine's version may get new streams.
 pub(crate) fn is_usable<D, S>(host: &Host<D, S>, service: &str, version: &String) -> bool {
-    let services = host.published.services.borrow();
+    let published = &host.published;
+    if !published.is_restored() || !published.currency.get().is_gapless() {
+        return false;
+    }
+    let log = published.log.get();
+    let services = published.services.borrow();
     let origins = services.get(service);
-    origins.is_none_or(|origins| origins.is_usable(now(), version))
+    origins.is_none_or(|origins| origins.is_usable(now(), version, &log))
 }
 
-/// Records that a stream begins at a version.
-pub(crate) fn begin<D, S>(host: &Host<D, S>, service: &str, stream: &str, version: &String) {
+/// Records that a stream begins at a version; returns when the log has to list it.
+pub(crate) fn begin<D, S>(
+    host: &Host<D, S>,
+    service: &str,
+    stream: &str,
+    version: &String,
+) -> Listing {
     let lifetime = lifetime(host, service);
     let mut services = host.published.services.borrow_mut();
     let Some(origins) = services.get_mut(service) else {
-        return;
+        return Listing::None;
     };
-    if origins.begin(now(), stream.into(), version, lifetime) {
+    let listing = origins.begin(now(), stream.into(), version, lifetime);
+    if listing != Listing::None {
         host.published.changed.notify_one();
     }
+    listing
+}
+
+/// Waits until the log lists a stream, or certainly lacks it, or until `deadline`. A stream that it
+/// certainly lacks has not begun.
+pub(crate) async fn listed<D, S>(
+    host: &Host<D, S>,
+    service: &str,
+    stream: &str,
+    deadline: Instant,
+) -> Progress {
+    let stream = StreamId::from(stream);
+    loop {
+        let appended = host.published.appended.notified();
+        let progress = {
+            let mut services = host.published.services.borrow_mut();
+            let Some(origins) = services.get_mut(service) else {
+                return Progress::Listed;
+            };
+            let progress = origins.progress(stream);
+            origins.withdraw(stream);
+            progress
+        };
+        if progress != Progress::Pending {
+            return progress;
+        }
+        let left = deadline.since(now());
+        if tokio::time::timeout(left, appended).await.is_err() {
+            return Progress::Pending;
+        }
+    }
 }
 
 /// The version that began a stream; `None` if nobody knows it.
-pub(crate) async fn find<D, S: Store>(
+///
+/// # Errors
+/// Fails when the store would have to tell and cannot be read.
+pub(crate) async fn find<D: platform::Dialect, S: Store>(
     host: &Host<D, S>,
     service: &str,
     stream: Option<&str>,
-) -> Option<String> {
-    let stream = StreamId::from(stream.unwrap_or_default());
-    for is_last in [false, true] {
+) -> Result<Option<String>> {
+    let stream = stream.map(StreamId::from);
+    let max_age = host.options.bounds.drain();
+    let published = &host.published;
+    let currency = published.currency.get();
+    let is_known = currency.is_current(now(), max_age) || misses_nothing(host, currency);
+    if !is_known || !published.is_restored() {
+        catch_up(host).await?;
+    }
+    for _ in 0..MAX_LOOKS {
         let origin = {
             let lifetime = lifetime(host, service);
+            let log = host.published.log.get();
             let mut services = host.published.services.borrow_mut();
-            services.get_mut(service)?.find(now(), stream, lifetime)
+            let Some(origins) = services.get_mut(service) else {
+                return Ok(None);
+            };
+            origins.find(now(), stream, lifetime, &log)
         };
         match origin {
-            Origin::Known(version) => return Some(version),
-            Origin::Unknown => return None,
-            Origin::ReadLog if is_last => return None,
-            Origin::ReadLog => {
-                if let Err(error) = read_log(host).await {
-                    tracing::info!(%error, "versions: log of streams could not be read");
-                    return None;
-                }
-            }
+            Origin::Known(version) => return Ok(Some(version)),
+            Origin::Unknown => return Ok(None),
+            Origin::ReadLog => read_log(host).await?,
+            Origin::ReadRegime => reread(host).await?,
         }
     }
-    None
+    Ok(None)
+}
+
+/// Reads the endpoint entries and the regimes after a time in which this host did not follow them.
+async fn catch_up<D: platform::Dialect, S: Store>(host: &Host<D, S>) -> Result<()> {
+    tracing::info!(
+        "versions: this host is out of step; reading the endpoint entries and the regimes"
+    );
+    // The read of the entries shows the gap that the regimes close.
+    follow::read_entries(host, Duration::ZERO).await;
+    reread(host).await
+}
+
+/// Whether the store is away and has answered no host since this host knew the versions. Without a
+/// majority the store may be away for this host alone.
+fn misses_nothing<D, S>(host: &Host<D, S>, currency: Currency) -> bool {
+    let now = now();
+    let own_answer = host.store_answered.get();
+    let view = host.view.borrow();
+    let (unreachable, known) = view.count_unreachable(now);
+    let hears_majority = (known - unreachable + 1) * 2 > known + 1;
+    let last_answer = view.last_store_answer().max(own_answer);
+    hears_majority
+        && is_overdue(now, own_answer, host.refresh.get().period())
+        && last_answer.is_some_and(|at| currency.includes(at, host.options.bounds.drain()))
 }
 
 /// Reads what other hosts have listed since the last read. Concurrent readers wait for one read.
 async fn read_log<D, S: Store>(host: &Host<D, S>) -> Result<()> {
     let queried_at = now();
-    let mut position = host.published.position.lock().await;
-    let is_current = |origins: &Origins<StreamId, String>| origins.is_log_read_since(queried_at);
-    if host.published.services.borrow().values().any(is_current) {
+    let mut span = host.published.span.lock().await;
+    if host.published.log.get().is_read_since(queried_at) {
         return Ok(());
     }
     loop {
         let read_at = now();
-        let tail = match host.store.log_read(Log::Streams, *position).await {
+        let from = span.map(|span| span.next);
+        let tail = match host.store.log_read(platform::Log::Streams, from).await {
             Err(Error::Restored) => {
-                *position = None;
-                host.store.log_read(Log::Streams, None).await?
+                *span = None;
+                host.store.log_read(platform::Log::Streams, None).await?
             }
             tail => tail?,
         };
-        *position = Some(tail.next);
+        let is_joined = span.filter(|span| span.next == tail.start);
+        let start = is_joined.map_or(tail.start, |span| span.start);
+        *span = Some(Span {
+            start,
+            next: tail.next,
+        });
         let mut services = host.published.services.borrow_mut();
-        for record in &tail.records {
-            let listing: Listing = match rmp_serde::from_slice(record) {
-                Ok(listing) => listing,
+        let mut log = host.published.log.get();
+        for (index, record) in tail.records.iter().enumerate() {
+            let entry: Entry = match rmp_serde::from_slice(record) {
+                Ok(entry) => entry,
                 Err(error) => {
                     tracing::warn!(%error, "versions: malformed record in the log of streams ignored");
                     continue;
                 }
             };
-            for (service, streams) in listing {
+            if entry.announces_regimes {
+                log.announced(tail.start.after(index as u64 + 1));
+            }
+            for (service, streams) in entry.streams {
                 let lifetime = lifetime(host, &service);
                 let origins = services.entry(service).or_default();
                 for (stream, version) in streams {
@@ -219,10 +403,10 @@
                 }
             }
         }
+        host.published.log.set(log);
         if tail.records.is_empty() || tail.next == tail.end {
-            for origins in services.values_mut() {
-                origins.log_read(read_at);
-            }
+            log.read(read_at, start);
+            host.published.log.set(log);
             return Ok(());
         }
     }
@@ -231,63 +415,124 @@
 /// Writes regimes and streams to the store. Regimes are written by the leader for all hosts, streams by
 /// the host that places them.
 pub(crate) async fn write<D, S: Store>(host: Rc<Host<D, S>>) {
+    let mut reread_at = now();
     loop {
         let changed = host.published.changed.notified();
         drop(tokio::time::timeout(RETRY_INTERVAL, changed).await);
-        let era = host.store.era();
-        if host.published.era.replace(era) != era {
-            for origins in host.published.services.borrow_mut().values_mut() {
-                origins.rewrite();
-            }
-        }
-        if admission::leader(&host).is_none() {
-            write_regimes(&host).await;
+        rewrite_after_restore(&host);
+        let is_leader = admission::leader(&host).is_none();
+        let is_due = is_regime_due(&host) && is_leader || needs_read(&host);
+        if is_due || is_regime_due(&host) && now() >= reread_at {
+            reread_at = now() + REREAD_INTERVAL.mul_f64(0.5 + jitter(1.0));
+            update_regimes(&host, is_leader).await;
         }
         tokio::time::sleep(BATCH_TIME).await;
         if !write_streams(&host).await {
-            tokio::time::sleep(RETRY_INTERVAL).await;
+            host.store.pause(RETRY_INTERVAL).await;
         }
     }
 }
 
-async fn write_regimes<D, S: Store>(host: &Host<D, S>) {
+/// Marks everything as unwritten when the store was restored from an older copy.
+fn rewrite_after_restore<D, S: Store>(host: &Host<D, S>) {
+    let era = host.store.era();
+    if host.published.era.replace(era) != era {
+        for origins in host.published.services.borrow_mut().values_mut() {
+            origins.rewrite();
+        }
+    }
+}
+
+fn is_regime_due<D, S>(host: &Host<D, S>) -> bool {
+    let hold = host.options.bounds.drain();
+    let services = host.published.services.borrow();
+    services.values().any(|origins| origins.is_due(now(), hold))
+}
+
+/// Whether the regimes have to be read before this host may place streams.
+fn needs_read<D, S>(host: &Host<D, S>) -> bool {
+    let published = &host.published;
+    let services = published.services.borrow();
+    let has_gap = !published.currency.get().is_gapless();
+    published.is_restored() && (has_gap || services.values().any(Origins::needs_read))
+}
+
+/// Reads the regimes that the store has, which another host may have written, and as the leader writes
+/// those that differ.
+async fn update_regimes<D, S: Store>(host: &Host<D, S>, is_leader: bool) {
+    if let Err(error) = reread(host).await {
+        tracing::info!(%error, "versions: regimes not read; retried at the next change or interval");
+        return;
+    }
+    if !is_leader || !is_regime_due(host) {
+        return;
+    }
+    if let Err(error) = write_regimes(host).await {
+        tracing::info!(%error, "versions: regimes not written; retried at the next change or interval");
+    }
+}
+
+async fn write_regimes<D, S: Store>(host: &Host<D, S>) -> Result<()> {
+    let announcement = Entry {
+        announces_regimes: true,
+        ..Entry::default()
+    };
+    let announced = append(host, &announcement).await?;
     let regimes: Regimes = {
         let services = host.published.services.borrow();
-        if services
-            .values()
-            .all(|origins| origins.due_regime().is_none())
-        {
-            return;
-        }
-        let regimes = services.iter().filter_map(|(service, origins)| {
-            let regime = origins.regime()?.clone();
-            Some((service.clone(), regime))
+        let hold = host.options.bounds.drain();
+        let records = services.iter().filter_map(|(service, origins)| {
+            Some((service.clone(), origins.record(now(), announced, hold)?))
         });
-        regimes.collect()
+        records.collect()
     };
-    let value = match rmp_serde::to_vec(&regimes) {
-        Ok(value) => value,
-        Err(error) => {
-            tracing::error!(%error, "versions: regimes not encoded; a loss of all hosts would lose them");
-            return;
-        }
-    };
-    if let Err(error) = host.store.announce(KEY, &value).await {
-        tracing::info!(%error, "versions: regimes not written; retried at the next change or interval");
-        return;
+    let value = rmp_serde::to_vec(&regimes).map_err(|_| Error::Malformed("regimes"))?;
+    let era = host.store.announce(KEY, &value).await?;
+    if era != announced.era {
+        return Err(Error::Restored);
     }
     tracing::info!(?regimes, "versions: regimes written to the store");
+    let now = now();
     let mut services = host.published.services.borrow_mut();
-    for (service, regime) in regimes {
-        services.entry(service).or_default().stored(regime);
+    for (service, record) in regimes {
+        services.entry(service).or_default().stored(now, record);
     }
     // The new version takes the generations that wait.
     host.capacity_freed.notify_one();
+    Ok(())
+}
+
+/// Appends a record to the log of streams; returns the position after it.
+async fn append<D, S: Store>(host: &Host<D, S>, entry: &Entry) -> Result<Position> {
+    let value = rmp_serde::to_vec(entry).map_err(|_| Error::Malformed("log entry"))?;
+    let set = |change: &dyn Fn(&mut Log)| {
+        let mut log = host.published.log.get();
+        change(&mut log);
+        host.published.log.set(log);
+    };
+    set(&|log| log.begin_append(now()));
+    let result = host
+        .store
+        .log_append(platform::Log::Streams, None, &value)
+        .await;
+    set(&|log| log.end_append(result.is_ok()));
+    Ok(result?.after(1))
+}
+
+/// Whether a failed append may still be carried out.
+const fn is_in_doubt(error: &Error) -> bool {
+    !matches!(
+        error,
+        Error::Status(
+            ::http::StatusCode::SERVICE_UNAVAILABLE | ::http::StatusCode::TOO_MANY_REQUESTS
+        ) | Error::Exchange(ExchangeError::NotSent(_))
+            | Error::Malformed(_)
+    )
 }
 
 /// Appends the streams that the log lacks; returns whether it has all of them.
 async fn write_streams<D, S: Store>(host: &Host<D, S>) -> bool {
-    let listing: Listing = {
+    let streams: Listings = {
         let mut services = host.published.services.borrow_mut();
         let services = services.iter_mut();
         let unwritten =
@@ -296,30 +541,39 @@
             .filter(|(_, streams)| !streams.is_empty())
             .collect()
     };
-    if listing.is_empty() {
+    // After a failure an append without streams shows when the log takes them again.
+    if streams.is_empty() && !host.published.log.get().has_failed() {
         return true;
     }
-    let count: usize = listing.values().map(Vec::len).sum();
-    let value = match rmp_serde::to_vec(&listing) {
-        Ok(value) => value,
-        Err(error) => {
-            tracing::error!(%error, "versions: streams not encoded; a loss of all hosts would lose them");
-            return true;
-        }
+    let count: usize = streams.values().map(Vec::len).sum();
+    let entry = Entry {
+        streams,
+        announces_regimes: false,
     };
-    match host.store.log_append(Log::Streams, None, &value).await {
-        Ok(_) => {
-            tracing::debug!(count, "versions: streams listed");
-            true
-        }
-        Err(error) => {
-            tracing::info!(count, %error, "versions: streams not listed; retried");
-            let mut services = host.published.services.borrow_mut();
-            for (service, streams) in listing {
-                let origins = services.entry(service).or_default();
-                origins.return_unwritten(streams.into_iter().map(|(stream, _)| stream));
+    let result = append(host, &entry).await;
+    // A restore that the answer shows comes first: it marks all streams as unwritten.
+    rewrite_after_restore(host);
+    let is_written = result.is_ok();
+    {
+        let mut services = host.published.services.borrow_mut();
+        match result {
+            Ok(_) => {
+                tracing::debug!(count, "versions: streams listed");
+                for (service, streams) in entry.streams {
+                    services.entry(service).or_default().written(&streams);
+                }
+            }
+            Err(error) => {
+                tracing::info!(count, %error, "versions: streams not listed; retried");
+                let in_doubt = is_in_doubt(&error);
+                for (service, streams) in entry.streams {
+                    let streams = streams.into_iter().map(|(stream, _)| stream);
+                    let origins = services.entry(service).or_default();
+                    origins.return_unwritten(streams, in_doubt);
+                }
             }
-            false
         }
     }
+    host.published.appended.notify_waiters();
+    is_written
 }
