--- a/crates/entry/src/health.rs
+++ b/crates/entry/src/health.rs
@@ -161,7 +161,7 @@
         key: Key,
         (running, waiting, slots): (u32, u32, u32),
     ) {
-        let share = f64::from(running + waiting) / f64::from(slots.max(1));
+        let share = (f64::from(running) + f64::from(waiting)) / f64::from(slots.max(1));
         self.reported_loads.insert(key, (now, share));
     }
 
--- a/crates/entry/src/http/pool.rs
+++ b/crates/entry/src/http/pool.rs
@@ -293,7 +293,6 @@
         .split(',')
         .find_map(|part| part.trim().strip_prefix("timeout="))?;
     let seconds: f64 = seconds.trim().parse().ok()?;
-    Some(Duration::from_secs_f64(
-        (seconds * IDLE_TIMEOUT_SHARE).clamp(0.0, 60.0),
-    ))
+    // Fails for a value that is not a number.
+    Duration::try_from_secs_f64((seconds * IDLE_TIMEOUT_SHARE).clamp(0.0, 60.0)).ok()
 }
