Let reads that start after a question of origin answer it

Cause: a read of the log or of the regimes counted as current for 0.1 s, and a slow store answers after 0.25 s, so that a stream which its caller took up was refused as of unknown version although the log had been read for it.

Change: a read that started after the question is current for it.

--- a/crates/coordination/src/origin.rs
+++ b/crates/coordination/src/origin.rs
@@ -441,27 +441,27 @@
         }
     }
 
-    /// Where a stream began; `None` stands for a stream that its caller does not name. A stream that is
-    /// asked for stays listed, as its caller may return again.
+    /// Where a stream began that was asked for at `asked_at`; `None` stands for one that its caller does
+    /// not name. A stream that is asked for stays listed, as its caller may return again.
     pub fn find(
         &mut self,
-        now: Instant,
+        asked_at: Instant,
         stream: Option<K>,
         lifetime: Duration,
         log: &Log,
     ) -> Origin<V> {
         if let Some(begun) = stream.and_then(|stream| self.begun.get_mut(&stream)) {
-            begun.expires_at = now + lifetime;
+            begun.expires_at = asked_at + lifetime;
             return Origin::Known(begun.version.clone());
         }
         match &self.regime {
             Some(Regime::Single(version)) => Origin::Known(version.clone()),
             Some(Regime::Mixing(_) | Regime::Mixed) if stream.is_none() => Origin::Unknown,
-            Some(Regime::Mixing(_) | Regime::Mixed) if !log.is_fresh(now) => Origin::ReadLog,
+            Some(Regime::Mixing(_) | Regime::Mixed) if !log.is_fresh(asked_at) => Origin::ReadLog,
             Some(Regime::Mixing(version)) => match &self.stored {
                 Stored::Unknown => Origin::Unknown,
                 Stored::Known(record)
-                    if log.announced > record.written_at && !self.is_stored_fresh(now) =>
+                    if log.announced > record.written_at && !self.is_stored_fresh(asked_at) =>
                 {
                     Origin::ReadRegime
                 }
@@ -476,7 +476,7 @@
                     }
                 }
                 // No other version has got streams while the store has only the former regime.
-                Stored::Known(_) | Stored::Missing if self.is_stored_fresh(now) => {
+                Stored::Known(_) | Stored::Missing if self.is_stored_fresh(asked_at) => {
                     Origin::Known(version.clone())
                 }
                 Stored::Known(_) | Stored::Missing => Origin::ReadRegime,
--- a/crates/coordination/tests/origin.rs
+++ b/crates/coordination/tests/origin.rs
@@ -182,6 +182,19 @@
     assert_eq!(find(&mut origins, &log, Some(7)), Origin::Unknown);
 }
 
+/// Guards against a slow store whose answers are older than a current read may be.
+#[test]
+fn a_read_that_starts_after_the_question_answers_it() {
+    let mut origins: Origins<u32, u8> = Origins::default();
+    origins.restore(at(0), Some(record(Regime::Mixing(1), 3)), false);
+    let mut log = Log::default();
+    log.read(at(1_000), Position::new(Era(0), 3));
+    let mut find = |asked_at| origins.find(at(asked_at), Some(7), LIFETIME, &log);
+    assert_eq!(find(900), Origin::Known(1));
+    assert_eq!(find(1_100), Origin::Known(1));
+    assert_eq!(find(1_101), Origin::ReadLog);
+}
+
 #[test]
 fn a_host_that_was_out_of_step_reads_the_regimes_again() {
     let mut currency = Currency::default();
--- a/crates/entry/src/versions.rs
+++ b/crates/entry/src/versions.rs
@@ -307,11 +307,13 @@
     service: &str,
     stream: Option<&str>,
 ) -> Result<Option<String>> {
+    // Reads that start from now on answer the question, however long they take.
+    let asked_at = now();
     let stream = stream.map(StreamId::from);
     let max_age = host.options.bounds.drain();
     let published = &host.published;
     let currency = published.currency.get();
-    let is_known = currency.is_current(now(), max_age) || misses_nothing(host, currency);
+    let is_known = currency.is_current(asked_at, max_age) || misses_nothing(host, currency);
     if !is_known || !published.is_restored() {
         catch_up(host).await?;
     }
@@ -323,7 +325,7 @@
             let Some(origins) = services.get_mut(service) else {
                 return Ok(None);
             };
-            origins.find(now(), stream, lifetime, &log)
+            origins.find(asked_at, stream, lifetime, &log)
         };
         match origin {
             Origin::Known(version) => return Ok(Some(version)),
