Read the regimes at once after a gap, at the leader first

Cause: after an outage of the store no version gets streams until the regimes have been read, and the writer looked only every 0.5 s. All hosts read them at the same moment, a burden on the store with hundreds of hosts.

Change: the gap wakes the writer; hosts that do not lead read within seconds.

Evidence: by reading.

--- a/crates/entry/src/versions.rs
+++ b/crates/entry/src/versions.rs
@@ -29,8 +29,8 @@
 const BATCH_TIME: Duration = Duration::from_millis(50);
 /// Interval between attempts to write, and between checks whether this host has become the leader.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
-/// Mean interval between reads of the regimes at a host that does not write them, while it observes
-/// others than it knows in the store.
+/// Mean interval between reads of the regimes at a host that does not write them. Hundreds of hosts that
+/// read them at once would burden the store.
 const REREAD_INTERVAL: Duration = Duration::from_secs(5);
 /// Time beyond the longest timeout of a service's routes in which callers take up a stream.
 const RETURN_MARGIN: Duration = Duration::from_secs(6);
@@ -114,8 +114,13 @@
     /// Records that the directory includes all changes up to `as_of`.
     pub(crate) fn confirm(&self, as_of: Instant, max_age: Duration) {
         let mut currency = self.currency.get();
+        let was_gapless = currency.is_gapless();
         currency.confirm(as_of, max_age);
         self.currency.set(currency);
+        if was_gapless && !currency.is_gapless() {
+            // No version gets streams until the regimes have been read.
+            self.changed.notify_one();
+        }
     }
 }
 
@@ -423,8 +428,8 @@
         drop(tokio::time::timeout(RETRY_INTERVAL, changed).await);
         rewrite_after_restore(&host);
         let is_leader = admission::leader(&host).is_none();
-        let is_due = is_regime_due(&host) && is_leader || needs_read(&host);
-        if is_due || is_regime_due(&host) && now() >= reread_at {
+        let is_due = is_regime_due(&host) || needs_read(&host);
+        if is_due && (is_leader || now() >= reread_at) {
             reread_at = now() + REREAD_INTERVAL.mul_f64(0.5 + jitter(1.0));
             update_regimes(&host, is_leader).await;
         }
