Let listings count again some time after a restore of the store

Cause: after a restore, a host took the log of streams for incomplete for good, and would have refused streams that are taken up in each later release.

Change: the listings count again when the streams of before have ended.

--- a/crates/coordination/src/origin.rs
+++ b/crates/coordination/src/origin.rs
@@ -245,8 +245,10 @@
     alone: Option<(V, Instant)>,
     /// Versions that serve, and when they appeared.
     serving: BTreeMap<V, Instant>,
-    /// Whether listings from before a restore of the store may be lost.
+    /// Whether listings of streams that still run may be lost since a restore of the store, and since
+    /// when that is known.
     has_lost_listings: bool,
+    lost_since: Option<Instant>,
 }
 
 impl<K, V> Default for Origins<K, V> {
@@ -262,6 +264,7 @@
             alone: None,
             serving: BTreeMap::new(),
             has_lost_listings: false,
+            lost_since: None,
         }
     }
 }
@@ -327,6 +330,12 @@
             return;
         }
         self.note_serving(now, serving);
+        if self.has_lost_listings {
+            let since = *self.lost_since.get_or_insert(now);
+            if now.since(since) >= lifetime {
+                (self.has_lost_listings, self.lost_since) = (false, None);
+            }
+        }
         let only = self.alone.as_ref().map(|(version, _)| version.clone());
         let settled = self.alone.as_ref();
         let settled = settled.filter(|(_, since)| now.since(*since) >= lifetime);
--- a/crates/coordination/tests/origin.rs
+++ b/crates/coordination/tests/origin.rs
@@ -258,6 +258,25 @@
     );
 }
 
+/// Guards against streams that are refused for good after a restore of the store.
+#[test]
+fn listings_count_again_when_the_streams_before_a_restore_have_ended() {
+    let mut origins: Origins<u32, u8> = Origins::default();
+    origins.restore(at(0), Some(record(Regime::Single(1), 3)), false);
+    origins.rewrite();
+    let position = Position::new(Era(1), 5);
+    let listed_from = |origins: &Origins<u32, u8>, millis| {
+        let record = origins.record(at(millis), position, HOLD);
+        record.expect("a regime").listed_from
+    };
+    origins.observe(at(10), &serving(&[1]), LIFETIME, false);
+    assert_ne!(listed_from(&origins, 10), position);
+    origins.observe(at(14_009), &serving(&[1]), LIFETIME, false);
+    assert_ne!(listed_from(&origins, 14_009), position);
+    origins.observe(at(14_010), &serving(&[1, 2]), LIFETIME, false);
+    assert_eq!(listed_from(&origins, 14_010), position);
+}
+
 #[test]
 fn a_regime_of_a_restored_copy_says_nothing_about_other_versions() {
     let mut origins: Origins<u32, u8> = Origins::default();
