Log the connection of answers that are not passed on

Of a call that ran twice, the logs did not tell whether its refusals came on a new connection, on a kept one, or on the one that had carried the same call before.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -360,6 +360,18 @@
     let answer = D::answer(exchange.status, &exchange.headers);
     let classification = call.classify(&answer, exchange.status, &exchange.headers);
     host.note_answer(key, &answer, classification, started);
+    if classification != Classification::Valid {
+        tracing::info!(
+            id = call.head.id,
+            endpoint = endpoint.id,
+            status = exchange.status.as_u16(),
+            answered_id = answer.id,
+            connection = exchange.number,
+            requests = exchange.requests,
+            ?classification,
+            "call: answer not passed on"
+        );
+    }
     match classification {
         Classification::Valid => {}
         Classification::Mismatched => return Attempt::Mismatched,
--- a/crates/entry/src/http/pool.rs
+++ b/crates/entry/src/http/pool.rs
@@ -61,6 +61,10 @@
     _task: Task,
     last_used: Instant,
     idle_timeout: Duration,
+    /// Number of the connection since the start of this host.
+    number: u64,
+    /// Requests that the connection has carried.
+    requests: u64,
 }
 
 /// Pool of idle connections by address; clones share it.
@@ -68,6 +72,8 @@
 pub struct Pool {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<Connection>>>>,
     limit: Rc<Cell<usize>>,
+    /// Connections opened so far.
+    opened: Rc<Cell<u64>>,
 }
 
 impl Default for Pool {
@@ -75,6 +81,7 @@
         Self {
             idle: Rc::default(),
             limit: Rc::new(Cell::new(MAX_IDLE_CONNECTIONS)),
+            opened: Rc::default(),
         }
     }
 }
@@ -98,7 +105,7 @@
                 Err(unsent) => request = unsent,
             }
         }
-        let mut connection = timeout(timeouts.connect, connect(address))
+        let mut connection = timeout(timeouts.connect, self.connect(address))
             .await
             .map_err(|_| Error::NotSent(io::ErrorKind::TimedOut.into()))?
             .map_err(Error::NotSent)?;
@@ -108,6 +115,39 @@
         }
     }
 
+    async fn connect(&self, address: SocketAddr) -> io::Result<Connection> {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        socket.set_tcp_nodelay(true)?;
+        socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+        let probes = TcpKeepalive::new()
+            .with_time(KEEPALIVE_INTERVAL)
+            .with_interval(KEEPALIVE_INTERVAL)
+            .with_retries(KEEPALIVE_PROBES);
+        socket.set_tcp_keepalive(&probes)?;
+        let stream: std::net::TcpStream = socket.into();
+        let stream: TcpStream = tokio::net::TcpSocket::from_std_stream(stream)
+            .connect(address)
+            .await?;
+        let (sender, driver) = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        let task = actix_rt::spawn(async move {
+            // The exchange reports the same error.
+            drop(driver.await);
+        });
+        self.opened.set(self.opened.get() + 1);
+        Ok(Connection {
+            sender,
+            _task: Task(task),
+            last_used: Instant::now(),
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            number: self.opened.get(),
+            requests: 0,
+        })
+    }
+
     fn checkout(&self, address: SocketAddr, max_idle: Duration) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
@@ -172,42 +212,16 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> io::Result<Connection> {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_nonblocking(true)?;
-    socket.set_tcp_nodelay(true)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-    let probes = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&probes)?;
-    let stream: std::net::TcpStream = socket.into();
-    let stream: TcpStream = tokio::net::TcpSocket::from_std_stream(stream)
-        .connect(address)
-        .await?;
-    let (sender, driver) = http1::Builder::new()
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(io::Error::other)?;
-    let task = actix_rt::spawn(async move {
-        // The exchange reports the same error.
-        drop(driver.await);
-    });
-    Ok(Connection {
-        sender,
-        _task: Task(task),
-        last_used: Instant::now(),
-        idle_timeout: DEFAULT_IDLE_TIMEOUT,
-    })
-}
-
 /// An answer whose body is still to be read. Dropping it before the end closes the connection,
 /// which cancels the request at the endpoint.
 #[derive(Debug)]
 pub struct Exchange {
     pool: Pool,
     address: SocketAddr,
+    /// Number of the connection since the start of this host.
+    pub number: u64,
+    /// Requests that the connection has carried, this one included.
+    pub requests: u64,
     connection: Option<Connection>,
     /// Status of the answer.
     pub status: StatusCode,
@@ -224,11 +238,14 @@
         response: http::Response<Incoming>,
     ) -> Self {
         let (parts, body) = response.into_parts();
+        connection.requests += 1;
         connection.idle_timeout =
             stated_idle_timeout(&parts.headers).unwrap_or(DEFAULT_IDLE_TIMEOUT);
         Self {
             pool,
             address,
+            number: connection.number,
+            requests: connection.requests,
             connection: Some(connection),
             status: parts.status,
             headers: parts.headers,
