Do not send a request again on a connection that refused it

Cause: a faulty server writes a refusal once more, where the next answer is due. When the refused request is under way again on that connection, its id does not tell the copy from the answer. The guard against this compared directory entries: a server that had started again under another id has another entry and the same connections. Prefill and decode had no guard.

This replaces the guard in plain calls, which opened a connection for each second send to an entry.

Ruled out: refusals without an id, copies with the id of another request (the id tells), orders (each on a new connection).

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod replica;
 pub mod request;
 pub mod retry;
+pub mod reuse;
 pub mod slot;
 pub mod snapshot;
 pub mod stream;
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -107,7 +107,6 @@
         if sent > 0 && (host.is_crashing(call) || !host.may_retry(call)) {
             break;
         }
-        let is_repeated = tried.contains(&key);
         tried.push(key);
         let may_retry = idempotent && runs + 1 < call.route().max_attempts;
         let timeout = if may_retry {
@@ -116,7 +115,7 @@
         } else {
             left
         };
-        let attempt = attempt(host, call, key, &endpoint, timeout, is_repeated).await;
+        let attempt = attempt(host, call, key, &endpoint, timeout).await;
         tracing::info!(
             id = call.head.id,
             endpoint = endpoint.id,
@@ -305,16 +304,12 @@
     key: Key,
     endpoint: &Endpoint,
     timeout: Duration,
-    is_repeated: bool,
 ) -> Attempt {
     let started = now();
     let Ok(request) = call.outbound::<D>(&call.addressed(endpoint, started)) else {
         return Attempt::NotSent;
     };
     let max_idle = match call.route().kind {
-        // The endpoint may write its refusal once more on the connection of the first send, where it
-        // would count as the answer to this one.
-        _ if is_repeated => Duration::ZERO,
         Kind::Idempotent => Duration::MAX,
         Kind::NonIdempotent | Kind::Streaming => NON_IDEMPOTENT_MAX_IDLE,
     };
@@ -352,7 +347,9 @@
     timeouts: Timeouts,
     started: Instant,
 ) -> Attempt {
-    let mut exchange = match host.pool.send(endpoint.address, request, timeouts).await {
+    let id = Some(call.head.id.as_str());
+    let sent = host.pool.send(endpoint.address, id, request, timeouts);
+    let mut exchange = match sent.await {
         Ok(exchange) => exchange,
         Err(Error::NotSent(_)) => return Attempt::NotSent,
         Err(error) => return Attempt::Lost(error),
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -576,7 +576,9 @@
         head,
         max_idle,
     };
-    let mut exchange = match host.pool.send(endpoint.address, request, timeouts).await {
+    let id = Some(call.head.id.as_str());
+    let sent = host.pool.send(endpoint.address, id, request, timeouts);
+    let mut exchange = match sent.await {
         Ok(exchange) => exchange,
         Err(Error::NotSent(_)) => return Decoded::NotSent,
         Err(error) => {
--- a/crates/entry/src/http/pool.rs
+++ b/crates/entry/src/http/pool.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use berylknot_coordination::reuse::History;
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -65,6 +66,7 @@
     number: u64,
     /// Requests that the connection has carried.
     requests: u64,
+    history: History,
 }
 
 /// Pool of idle connections by address; clones share it.
@@ -87,20 +89,23 @@
 }
 
 impl Pool {
-    /// Sends a request on a pooled or new connection and waits for the head of the answer.
+    /// Sends a request on a pooled or new connection and waits for the head of the answer. A request with
+    /// an `id` is not sent on a connection on which that id was refused before.
     ///
     /// # Errors
     /// Fails as [`Error`] says; only [`Error::NotSent`] proves that nothing left the host.
     pub async fn send(
         &self,
         address: SocketAddr,
+        id: Option<&str>,
         mut request: Request<Full<Bytes>>,
         timeouts: Timeouts,
     ) -> Result<Exchange> {
-        while let Some(mut connection) = self.checkout(address, timeouts.max_idle) {
+        while let Some(mut connection) = self.checkout(address, id, timeouts.max_idle) {
             match try_send(&mut connection, request, timeouts.head).await? {
                 Ok(response) => {
-                    return Ok(Exchange::new(self.clone(), address, connection, response));
+                    let (pool, id) = (self.clone(), id.map(str::to_owned));
+                    return Ok(Exchange::new(pool, address, id, connection, response));
                 }
                 Err(unsent) => request = unsent,
             }
@@ -110,7 +115,10 @@
             .map_err(|_| Error::NotSent(io::ErrorKind::TimedOut.into()))?
             .map_err(Error::NotSent)?;
         match try_send(&mut connection, request, timeouts.head).await? {
-            Ok(response) => Ok(Exchange::new(self.clone(), address, connection, response)),
+            Ok(response) => {
+                let (pool, id) = (self.clone(), id.map(str::to_owned));
+                Ok(Exchange::new(pool, address, id, connection, response))
+            }
             Err(_) => Err(Error::NotSent(io::ErrorKind::ConnectionReset.into())),
         }
     }
@@ -145,10 +153,16 @@
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             number: self.opened.get(),
             requests: 0,
+            history: History::default(),
         })
     }
 
-    fn checkout(&self, address: SocketAddr, max_idle: Duration) -> Option<Connection> {
+    fn checkout(
+        &self,
+        address: SocketAddr,
+        id: Option<&str>,
+        max_idle: Duration,
+    ) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         connections.retain(|connection| {
@@ -156,7 +170,9 @@
                 && connection.last_used.elapsed() < connection.idle_timeout
         });
         let index = connections.iter().rposition(|connection| {
-            connection.sender.is_ready() && connection.last_used.elapsed() < max_idle
+            connection.sender.is_ready()
+                && connection.last_used.elapsed() < max_idle
+                && id.is_none_or(|id| connection.history.admits(id))
         })?;
         Some(connections.swap_remove(index))
     }
@@ -222,6 +238,8 @@
     pub number: u64,
     /// Requests that the connection has carried, this one included.
     pub requests: u64,
+    /// Id of the request, if that may be sent again after an error.
+    id: Option<String>,
     connection: Option<Connection>,
     /// Status of the answer.
     pub status: StatusCode,
@@ -234,6 +252,7 @@
     fn new(
         pool: Pool,
         address: SocketAddr,
+        id: Option<String>,
         mut connection: Connection,
         response: http::Response<Incoming>,
     ) -> Self {
@@ -246,6 +265,7 @@
             address,
             number: connection.number,
             requests: connection.requests,
+            id,
             connection: Some(connection),
             status: parts.status,
             headers: parts.headers,
@@ -271,9 +291,7 @@
     pub async fn next(&mut self) -> Result<Option<Bytes>> {
         loop {
             let Some(frame) = self.body.frame().await else {
-                if let Some(connection) = self.connection.take() {
-                    self.pool.checkin(self.address, connection);
-                }
+                self.checkin();
                 return Ok(None);
             };
             if let Ok(data) = frame.map_err(Error::Broken)?.into_data() {
@@ -282,6 +300,18 @@
         }
     }
 
+    fn checkin(&mut self) {
+        let Some(mut connection) = self.connection.take() else {
+            return;
+        };
+        if let Some(id) = self.id.as_deref().filter(|_| !self.status.is_success()) {
+            connection.history.refuse(id);
+        }
+        if !connection.history.is_full() {
+            self.pool.checkin(self.address, connection);
+        }
+    }
+
     /// Reads the whole body, of at most `limit` bytes, within `read_timeout`.
     ///
     /// # Errors
--- a/crates/entry/src/own.rs
+++ b/crates/entry/src/own.rs
@@ -44,7 +44,7 @@
         head: step_timeout,
         max_idle,
     };
-    let mut exchange = pool.send(address, request, timeouts).await?;
+    let mut exchange = pool.send(address, None, request, timeouts).await?;
     let body = exchange.read(max_body_bytes, timeouts.head).await?;
     Ok((exchange.status, body))
 }
@@ -68,7 +68,7 @@
     let request = http::Request::post(path)
         .header(http::header::HOST, "peer")
         .body(http_body_util::Full::new(body))?;
-    let mut exchange = pool.send(host, request, timeouts).await?;
+    let mut exchange = pool.send(host, None, request, timeouts).await?;
     let body = exchange.read(max_answer_bytes, read_timeout).await?;
     if !exchange.status.is_success() {
         eyre::bail!("the host answered with status {}", exchange.status);
--- a/crates/entry/src/prefill.rs
+++ b/crates/entry/src/prefill.rs
@@ -114,7 +114,9 @@
         max_idle: Duration::MAX,
     };
     let sent = async {
-        let mut exchange = host.pool.send(endpoint.address, request, timeouts).await?;
+        let id = Some(call.head.id.as_str());
+        let sent = host.pool.send(endpoint.address, id, request, timeouts);
+        let mut exchange = sent.await?;
         let body = exchange.read(MAX_ANSWER_BYTES, head).await?;
         Ok::<_, Error>((
             exchange.status,
