Keep a connection only after an answer that bears the id of its request

Prefill read an answer with another id to its end, and its connection went back to the pool with the true answer still to come. Commands without an id took answers that had one. The pool judged by the status what the caller judged by a header, so a refusal with a success status was forgotten. The answer of the prefill was not remembered, although the same id goes on to the decode.

Callers now accept an answer after they have compared the id, and say whether it is a refusal; only then the connection returns to the pool. Answers to commands that bear an id end the connection.

--- a/crates/coordination/tests/reuse.rs
+++ b/crates/coordination/tests/reuse.rs
@@ -33,3 +33,13 @@
     }
     assert!(!history.is_full());
 }
+
+#[test]
+fn a_connection_does_not_carry_the_next_stage_of_an_answered_request() {
+    let mut history = History::default();
+    for request in 0..1_024 {
+        history.answer(&format!("r{request}"));
+    }
+    assert!(!history.admits("r1023"));
+    assert!(!history.is_full(), "answers do not end a connection");
+}
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -370,9 +370,10 @@
         );
     }
     match classification {
-        Classification::Valid => {}
+        Classification::Valid => exchange.accept(exchange.status.is_server_error()),
         Classification::Mismatched => return Attempt::Mismatched,
         Classification::NotRun => {
+            exchange.accept(true);
             let left = timeouts.head.saturating_sub(now().since(started));
             // Drain the body so that the connection can be reused.
             drop(exchange.read(MAX_BODY_BYTES, left).await);
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -611,8 +611,12 @@
         waited_ms = started.since(call.arrived).as_millis() as u64,
         "decode: answered"
     );
+    let is_success = exchange.status.is_success();
+    if classification != Classification::Mismatched {
+        exchange.accept(classification == Classification::NotRun || !is_success);
+    }
     match classification {
-        Classification::Valid if exchange.status.is_success() => return Decoded::Started(exchange),
+        Classification::Valid if is_success => return Decoded::Started(exchange),
         Classification::Valid => {}
         Classification::Mismatched => return Decoded::Lost(Suspicion::Faulty),
         Classification::NotRun => {
--- a/crates/entry/src/http/pool.rs
+++ b/crates/entry/src/http/pool.rs
@@ -90,7 +90,7 @@
 
 impl Pool {
     /// Sends a request on a pooled or new connection and waits for the head of the answer. A request with
-    /// an `id` is not sent on a connection on which that id was refused before.
+    /// an `id` is not sent on a connection that has carried it before.
     ///
     /// # Errors
     /// Fails as [`Error`] says; only [`Error::NotSent`] proves that nothing left the host.
@@ -241,6 +241,10 @@
     /// Id of the request, if that may be sent again after an error.
     id: Option<String>,
     connection: Option<Connection>,
+    /// Whether the answer is known to be that to the request.
+    is_accepted: bool,
+    /// Whether the answer refuses the request, which may be sent again then.
+    is_refusal: bool,
     /// Status of the answer.
     pub status: StatusCode,
     /// Headers of the answer.
@@ -257,6 +261,7 @@
         response: http::Response<Incoming>,
     ) -> Self {
         let (parts, body) = response.into_parts();
+        let is_accepted = id.is_none();
         connection.requests += 1;
         connection.idle_timeout =
             stated_idle_timeout(&parts.headers).unwrap_or(DEFAULT_IDLE_TIMEOUT);
@@ -267,12 +272,22 @@
             requests: connection.requests,
             id,
             connection: Some(connection),
+            is_accepted,
+            is_refusal: false,
             status: parts.status,
             headers: parts.headers,
             body,
         }
     }
 
+    /// Records that the answer bears the id of the request. Otherwise it is a copy of an earlier one, the
+    /// answer itself is still to come, and the connection carries no further request.
+    /// `is_refusal` is whether the request may be sent again after this answer.
+    pub fn accept(&mut self, is_refusal: bool) {
+        self.is_accepted = true;
+        self.is_refusal = is_refusal;
+    }
+
     /// Whether the end of the body is that of the connection, for want of a length and of chunks.
     #[must_use]
     pub fn ends_with_connection(&self) -> bool {
@@ -283,8 +298,8 @@
         framing.iter().all(|name| !self.headers.contains_key(name))
     }
 
-    /// Reads the next chunk of the body; `None` at its end, where the connection returns to the
-    /// pool.
+    /// Reads the next chunk of the body; `None` at its end, where the connection of an accepted answer
+    /// returns to the pool.
     ///
     /// # Errors
     /// Fails when the body is cut off.
@@ -301,11 +316,14 @@
     }
 
     fn checkin(&mut self) {
-        let Some(mut connection) = self.connection.take() else {
+        let connection = self.connection.take().filter(|_| self.is_accepted);
+        let Some(mut connection) = connection else {
             return;
         };
-        if let Some(id) = self.id.as_deref().filter(|_| !self.status.is_success()) {
-            connection.history.refuse(id);
+        match self.id.as_deref() {
+            Some(id) if self.is_refusal => connection.history.refuse(id),
+            Some(id) => connection.history.answer(id),
+            None => {}
         }
         if !connection.history.is_full() {
             self.pool.checkin(self.address, connection);
--- a/crates/entry/src/own.rs
+++ b/crates/entry/src/own.rs
@@ -45,6 +45,10 @@
         max_idle,
     };
     let mut exchange = pool.send(address, None, request, timeouts).await?;
+    if D::answer(exchange.status, &exchange.headers).id.is_some() {
+        // Commands bear no id: this is a copy of the answer to an earlier request.
+        return Err(Error::Malformed("answer to a command"));
+    }
     let body = exchange.read(max_body_bytes, timeouts.head).await?;
     Ok((exchange.status, body))
 }
--- a/crates/entry/src/prefill.rs
+++ b/crates/entry/src/prefill.rs
@@ -117,16 +117,19 @@
         let id = Some(call.head.id.as_str());
         let sent = host.pool.send(endpoint.address, id, request, timeouts);
         let mut exchange = sent.await?;
+        let answer = D::answer(exchange.status, &exchange.headers);
+        let classification = if answer.id.as_ref() == Some(&call.head.id) {
+            exchange.accept(!exchange.status.is_success());
+            Classification::Valid
+        } else {
+            Classification::Mismatched
+        };
         let body = exchange.read(MAX_ANSWER_BYTES, head).await?;
-        Ok::<_, Error>((
-            exchange.status,
-            D::answer(exchange.status, &exchange.headers),
-            body,
-        ))
+        Ok::<_, Error>((exchange.status, answer, classification, body))
     };
     let result = sent.await;
     drop(reservation);
-    let (status, answer, body) = match result {
+    let (status, answer, classification, body) = match result {
         Ok(result) => result,
         Err(error) => {
             host.budgets.borrow_mut().charge(now(), &call.service);
@@ -135,14 +138,8 @@
             return None;
         }
     };
-    let is_mismatched = answer.id.as_ref() != Some(&call.head.id);
-    let classification = if is_mismatched {
-        Classification::Mismatched
-    } else {
-        Classification::Valid
-    };
     host.note_answer(key, &answer, classification, started);
-    if !status.is_success() || is_mismatched {
+    if !status.is_success() || classification != Classification::Valid {
         host.budgets.borrow_mut().charge(now(), &call.service);
         host.suspect(key, Suspicion::Faulty);
         tracing::info!(
