--- a/crates/entry/src/own.rs
+++ b/crates/entry/src/own.rs
@@ -45,7 +45,8 @@
         max_idle,
     };
     let mut exchange = pool.send(address, None, request, timeouts).await?;
-    if D::answer(exchange.status, &exchange.headers).id.is_some() {
+    let id = D::answer(exchange.status, &exchange.headers).id;
+    if id.is_some_and(|id| !id.is_empty()) {
         // Commands bear no id: this is a copy of the answer to an earlier request.
         return Err(Error::Malformed("answer to a command"));
     }
