--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -1,5 +1,6 @@
 //! Calls to plain services: endpoint selection, retries, and rejections of calls that did not run.
 
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -48,7 +49,7 @@
     /// The endpoint states that the request did not run.
     Refused,
     /// Nothing was sent to the endpoint.
-    NotSent,
+    NotSent(io::Error),
     /// The request was sent and may have run.
     Lost(Error),
     /// The answer belongs to another request or was altered on the way.
@@ -60,7 +61,7 @@
         match self {
             Self::Answered { .. } => "answered",
             Self::Refused => "refused",
-            Self::NotSent => "not_sent",
+            Self::NotSent(_) => "not_sent",
             Self::Lost(_) => "lost",
             Self::Mismatched => "foreign_answer",
         }
@@ -69,6 +70,7 @@
     fn error(&self) -> Option<String> {
         match self {
             Self::Lost(error) => Some(error.to_string()),
+            Self::NotSent(error) => Some(error.to_string()),
             _ => None,
         }
     }
@@ -150,7 +152,7 @@
                 host.metrics.retry("refused");
                 reason = Reason::EndpointsRefused;
             }
-            Attempt::NotSent => {
+            Attempt::NotSent(_) => {
                 host.metrics.retry("not_sent");
                 reason = Reason::EndpointsRefused;
             }
@@ -307,7 +309,7 @@
 ) -> Attempt {
     let started = now();
     let Ok(request) = call.outbound::<D>(&call.addressed(endpoint, started)) else {
-        return Attempt::NotSent;
+        return Attempt::NotSent(io::ErrorKind::InvalidInput.into());
     };
     let max_idle = match call.route().kind {
         Kind::Idempotent => Duration::MAX,
@@ -332,7 +334,7 @@
             }
             host.failed(key, Suspicion::from(error));
         }
-        Attempt::NotSent => host.failed(key, Suspicion::Silent),
+        Attempt::NotSent(_) => host.failed(key, Suspicion::Silent),
         Attempt::Mismatched => host.failed(key, Suspicion::Faulty),
     }
     attempt
@@ -351,7 +353,7 @@
     let sent = host.pool.send(endpoint.address, id, request, timeouts);
     let mut exchange = match sent.await {
         Ok(exchange) => exchange,
-        Err(Error::NotSent(_)) => return Attempt::NotSent,
+        Err(Error::NotSent(error)) => return Attempt::NotSent(error),
         Err(error) => return Attempt::Lost(error),
     };
     let answer = D::answer(exchange.status, &exchange.headers);
