Reach endpoints through other hosts while the own links are lost

Cause: a host had one path to an endpoint, and took the loss of its own links for the failure of each endpoint in turn.

What failed before the links were known to be lost or back is forgotten. Without a path requests are refused at once with links_lost.

Ruled out: readiness alone (open connections stay, and half a zone that is not ready gets all its hosts back); relaying to the address that the asking host names (its own proxy).

--- a/crates/coordination/src/eject.rs
+++ b/crates/coordination/src/eject.rs
@@ -103,6 +103,15 @@
         self.tracks.entry(endpoint).or_default();
     }
 
+    /// Forgets all outcomes and ejections, after failures that were not the endpoints'.
+    pub fn reset(&mut self) {
+        for track in self.tracks.values_mut() {
+            *track = Track::default();
+        }
+        self.ejected = 0;
+        self.median = None;
+    }
+
     /// Removes an endpoint. Returns the endpoints readmitted so that at most half of the remaining
     /// route is ejected.
     pub fn remove(&mut self, endpoint: E) -> Vec<E> {
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -350,7 +350,9 @@
     started: Instant,
 ) -> Attempt {
     let id = Some(call.head.id.as_str());
-    let sent = host.pool.send(endpoint.address, id, request, timeouts);
+    let sent = host
+        .pool
+        .send_to_endpoint(endpoint.destination(), id, request, timeouts);
     let mut exchange = match sent.await {
         Ok(exchange) => exchange,
         Err(Error::NotSent(error)) => return Attempt::NotSent(error),
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -214,7 +214,7 @@
                 let status = exchange.status;
                 let headers = answer_headers(&exchange.headers);
                 let run = Running {
-                    exchange,
+                    exchange: *exchange,
                     endpoint,
                     reservation,
                     sent_at,
@@ -519,7 +519,7 @@
 
 /// Outcome of a decode request up to the head of its answer.
 pub(crate) enum Decoded {
-    Started(Exchange),
+    Started(Box<Exchange>),
     Answered(Reply),
     Refused,
     NotSent,
@@ -577,7 +577,9 @@
         max_idle,
     };
     let id = Some(call.head.id.as_str());
-    let sent = host.pool.send(endpoint.address, id, request, timeouts);
+    let sent = host
+        .pool
+        .send_to_endpoint(endpoint.destination(), id, request, timeouts);
     let mut exchange = match sent.await {
         Ok(exchange) => exchange,
         Err(Error::NotSent(_)) => return Decoded::NotSent,
@@ -616,7 +618,7 @@
         exchange.accept(classification == Classification::NotRun || !is_success);
     }
     match classification {
-        Classification::Valid if is_success => return Decoded::Started(exchange),
+        Classification::Valid if is_success => return Decoded::Started(Box::new(exchange)),
         Classification::Valid => {}
         Classification::Mismatched => return Decoded::Lost(Suspicion::Faulty),
         Classification::NotRun => {
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -12,7 +12,7 @@
 use crate::directory::{Endpoint, Key, Stage};
 use crate::lease::{Lease, Step};
 use crate::orders::{self, State};
-use crate::own;
+use crate::own::{self, Terms};
 use crate::platform::{Dialect, Log, Order, Result, Store};
 use crate::stages::{self, Debounce};
 use crate::state::{Host, now};
@@ -271,17 +271,15 @@
     endpoint: &Endpoint,
     order: &Order,
 ) -> Result<StatusCode> {
-    // Opens a new connection: on a dead one the order would wait in the socket buffer.
-    let max_idle = Duration::ZERO;
-    let (status, _) = own::send::<D>(
-        &host.pool,
-        endpoint.address,
-        Some(&endpoint.id),
-        D::order(order),
-        ORDER_TIMEOUT,
-        max_idle,
-        MAX_ANSWER_BYTES,
-    )
-    .await?;
+    let terms = Terms {
+        step_timeout: ORDER_TIMEOUT,
+        // Opens a new connection: on a dead one the order would wait in the socket buffer.
+        max_idle: Duration::ZERO,
+        max_body_bytes: MAX_ANSWER_BYTES,
+        // Engines take the host that a connection comes from for the holder of an order.
+        directly: true,
+    };
+    let destination = endpoint.destination();
+    let (status, _) = own::send::<D>(&host.pool, destination, D::order(order), terms).await?;
     Ok(status)
 }
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -12,6 +12,8 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
+use crate::http::Destination;
+
 slotmap::new_key_type! {
     /// Local key of an endpoint; it survives restarts under the same id.
     pub struct Key;
@@ -67,6 +69,16 @@
     pub sequence: u64,
 }
 
+impl Endpoint {
+    /// Where requests to the endpoint go.
+    pub(crate) fn destination(&self) -> Destination<'_> {
+        Destination {
+            address: self.address,
+            id: &self.id,
+        }
+    }
+}
+
 /// Effect of an entry or a removal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -48,6 +48,8 @@
 pub struct Service {
     /// Maximum connections that an endpoint accepts from all hosts together.
     pub max_connections: u32,
+    /// Path of the endpoints' health checks, if they have any.
+    pub health_path: Option<String>,
     /// Engine properties; `None` for plain services.
     pub engine: Option<Engine>,
 }
--- a/crates/entry/src/health.rs
+++ b/crates/entry/src/health.rs
@@ -102,6 +102,15 @@
         self.notices.remove(key);
     }
 
+    /// Forgets all failures, since the links of this host caused them. What the endpoints have said stays.
+    pub fn reset(&mut self) {
+        for detector in self.detectors.values_mut() {
+            detector.reset();
+        }
+        self.suspects.clear();
+        self.tallies.clear();
+    }
+
     /// Removes all state of an endpoint.
     pub fn remove(&mut self, key: Key) {
         for detector in self.detectors.values_mut() {
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -6,9 +6,12 @@
 use std::error::Error as _;
 use std::io::ErrorKind;
 
+mod paths;
 mod pool;
 
-pub use pool::{Exchange, Pool, Timeouts};
+pub(crate) use paths::{ENDPOINT_HEADER, Place};
+pub use pool::{Destination, Exchange, Pool, Timeouts};
+pub(crate) use pool::{guard, open};
 
 /// Why an exchange failed.
 #[derive(Debug)]
@@ -33,6 +36,16 @@
 }
 
 impl Error {
+    /// Whether nothing came from the other end within a timeout.
+    #[must_use]
+    pub fn is_silence(&self) -> bool {
+        match self {
+            Self::TimedOut => true,
+            Self::NotSent(error) => error.kind() == ErrorKind::TimedOut,
+            Self::Lost(_) | Self::Broken(_) | Self::TooLarge => false,
+        }
+    }
+
     /// Whether the peer closed or reset the connection, as a process that ends does; a peer that became
     /// silent or sent malformed bytes does not count.
     #[must_use]
--- a/crates/entry/src/http/pool.rs
+++ b/crates/entry/src/http/pool.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use berylknot_coordination::clock;
 use berylknot_coordination::reuse::History;
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, StatusCode};
@@ -14,12 +15,14 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::{Domain, Protocol, Socket, TcpKeepalive, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use super::paths::Paths;
 use super::{Error, Result};
+use crate::state::now;
 
 /// `TCP_USER_TIMEOUT`: time without an acknowledgement of sent data after which a connection fails.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -29,6 +32,8 @@
 const KEEPALIVE_PROBES: u32 = 2;
 /// Idle timeout of a connection whose endpoint states none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time without an answer after which the links to the endpoints are in doubt.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Share of a stated idle timeout after which a connection is not reused.
 const IDLE_TIMEOUT_SHARE: f64 = 0.6;
 /// Maximum number of idle connections per address.
@@ -48,7 +53,16 @@
 
 /// Aborts the driver task of a connection when dropped, which closes the connection.
 #[derive(Debug)]
-struct Task(JoinHandle<()>);
+pub(super) struct Task(JoinHandle<()>);
+
+impl Task {
+    pub(super) fn spawn(driver: impl Future<Output = hyper::Result<()>> + 'static) -> Self {
+        Self(actix_rt::spawn(async move {
+            // The exchange reports the same error.
+            drop(driver.await);
+        }))
+    }
+}
 
 impl Drop for Task {
     fn drop(&mut self) {
@@ -62,11 +76,43 @@
     _task: Task,
     last_used: Instant,
     idle_timeout: Duration,
+    history: History,
+    opened_at: clock::Instant,
+    is_relayed: bool,
     /// Number of the connection since the start of this host.
     number: u64,
     /// Requests that the connection has carried.
     requests: u64,
-    history: History,
+}
+
+/// An endpoint, as the directory has it.
+#[derive(Clone, Copy, Debug)]
+pub struct Destination<'a> {
+    /// Address at which this host reaches it.
+    pub address: SocketAddr,
+    /// Id by which other hosts know it.
+    pub id: &'a str,
+}
+
+/// What a connection leads to.
+#[derive(Clone, Copy, Debug)]
+enum Peer<'a> {
+    /// An endpoint, which may be reached through another host.
+    Endpoint(Destination<'a>),
+    /// The store or another host; or an endpoint that is to hear from this host itself.
+    Direct(SocketAddr),
+}
+
+impl Peer<'_> {
+    const fn address(self) -> SocketAddr {
+        match self {
+            Self::Endpoint(Destination { address, .. }) | Self::Direct(address) => address,
+        }
+    }
+
+    const fn is_endpoint(self) -> bool {
+        matches!(self, Self::Endpoint(_))
+    }
 }
 
 /// Pool of idle connections by address; clones share it.
@@ -74,6 +120,7 @@
 pub struct Pool {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<Connection>>>>,
     limit: Rc<Cell<usize>>,
+    paths: Rc<Paths>,
     /// Connections opened so far.
     opened: Rc<Cell<u64>>,
 }
@@ -83,78 +130,143 @@
         Self {
             idle: Rc::default(),
             limit: Rc::new(Cell::new(MAX_IDLE_CONNECTIONS)),
+            paths: Rc::default(),
             opened: Rc::default(),
         }
     }
 }
 
 impl Pool {
-    /// Sends a request on a pooled or new connection and waits for the head of the answer. A request with
-    /// an `id` is not sent on a connection that has carried it before.
+    /// Paths to the endpoints.
+    pub(crate) fn paths(&self) -> &Rc<Paths> {
+        &self.paths
+    }
+
+    /// Sends a request on a pooled or new connection of this host and waits for the head of the answer.
     ///
     /// # Errors
     /// Fails as [`Error`] says; only [`Error::NotSent`] proves that nothing left the host.
     pub async fn send(
         &self,
         address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        timeouts: Timeouts,
+    ) -> Result<Exchange> {
+        self.exchange(Peer::Direct(address), None, request, timeouts)
+            .await
+    }
+
+    /// Sends a request to an endpoint, through another host while the links of this one are lost. A request
+    /// with an `id` is not sent on a connection that has carried it before.
+    ///
+    /// # Errors
+    /// Fails as [`Error`] says; only [`Error::NotSent`] proves that the endpoint got nothing.
+    pub async fn send_to_endpoint(
+        &self,
+        endpoint: Destination<'_>,
+        id: Option<&str>,
+        request: Request<Full<Bytes>>,
+        timeouts: Timeouts,
+    ) -> Result<Exchange> {
+        self.exchange(Peer::Endpoint(endpoint), id, request, timeouts)
+            .await
+    }
+
+    async fn exchange(
+        &self,
+        peer: Peer<'_>,
         id: Option<&str>,
         mut request: Request<Full<Bytes>>,
         timeouts: Timeouts,
     ) -> Result<Exchange> {
-        while let Some(mut connection) = self.checkout(address, id, timeouts.max_idle) {
-            match try_send(&mut connection, request, timeouts.head).await? {
+        let address = peer.address();
+        let reuses = !peer.is_endpoint() || self.paths.keeps_open();
+        while let Some(mut connection) = self
+            .checkout(address, id, timeouts.max_idle)
+            .filter(|_| reuses)
+        {
+            match self
+                .try_send(peer, &mut connection, request, timeouts)
+                .await?
+            {
                 Ok(response) => {
-                    let (pool, id) = (self.clone(), id.map(str::to_owned));
-                    return Ok(Exchange::new(pool, address, id, connection, response));
+                    return Ok(Exchange::new(self.clone(), peer, id, connection, response));
                 }
                 Err(unsent) => request = unsent,
             }
         }
-        let mut connection = timeout(timeouts.connect, self.connect(address))
+        let mut connection = timeout(timeouts.connect, self.connect(peer))
             .await
-            .map_err(|_| Error::NotSent(io::ErrorKind::TimedOut.into()))?
+            .unwrap_or_else(|_| {
+                self.unopened(peer);
+                Err(io::ErrorKind::TimedOut.into())
+            })
             .map_err(Error::NotSent)?;
-        match try_send(&mut connection, request, timeouts.head).await? {
-            Ok(response) => {
-                let (pool, id) = (self.clone(), id.map(str::to_owned));
-                Ok(Exchange::new(pool, address, id, connection, response))
+        match self
+            .try_send(peer, &mut connection, request, timeouts)
+            .await?
+        {
+            Ok(response) => Ok(Exchange::new(self.clone(), peer, id, connection, response)),
+            Err(_) => {
+                self.unopened(peer);
+                Err(Error::NotSent(io::ErrorKind::ConnectionReset.into()))
             }
-            Err(_) => Err(Error::NotSent(io::ErrorKind::ConnectionReset.into())),
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> io::Result<Connection> {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
-        socket.set_nonblocking(true)?;
-        socket.set_tcp_nodelay(true)?;
-        socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-        let probes = TcpKeepalive::new()
-            .with_time(KEEPALIVE_INTERVAL)
-            .with_interval(KEEPALIVE_INTERVAL)
-            .with_retries(KEEPALIVE_PROBES);
-        socket.set_tcp_keepalive(&probes)?;
-        let stream: std::net::TcpStream = socket.into();
-        let stream: TcpStream = tokio::net::TcpSocket::from_std_stream(stream)
-            .connect(address)
-            .await?;
-        let (sender, driver) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(io::Error::other)?;
-        let task = actix_rt::spawn(async move {
-            // The exchange reports the same error.
-            drop(driver.await);
-        });
-        self.opened.set(self.opened.get() + 1);
-        Ok(Connection {
-            sender,
-            _task: Task(task),
-            last_used: Instant::now(),
-            idle_timeout: DEFAULT_IDLE_TIMEOUT,
-            number: self.opened.get(),
-            requests: 0,
-            history: History::default(),
-        })
+    /// Sends a request on a connection; returns the request if the connection closed before sending.
+    async fn try_send(
+        &self,
+        peer: Peer<'_>,
+        connection: &mut Connection,
+        request: Request<Full<Bytes>>,
+        timeouts: Timeouts,
+    ) -> Result<Sent> {
+        let is_on_own_link = peer.is_endpoint() && !connection.is_relayed;
+        let opened_at = connection.opened_at;
+        let sent = try_send(connection, request, timeouts.head);
+        if !is_on_own_link {
+            return sent.await;
+        }
+        let mut sent = std::pin::pin!(sent);
+        let sent = tokio::select! {
+            sent = &mut sent => sent,
+            () = tokio::time::sleep(SILENCE_TIMEOUT) => {
+                self.paths.closed();
+                sent.await
+            }
+        };
+        match &sent {
+            Ok(Ok(_)) => self.paths.answered(opened_at),
+            Ok(Err(_)) => {}
+            Err(_) => self.paths.closed(),
+        }
+        sent
+    }
+
+    /// Opens a connection, to an endpoint through another host while the links of this one are lost.
+    async fn connect(&self, peer: Peer<'_>) -> io::Result<Connection> {
+        let number = self.opened.get() + 1;
+        self.opened.set(number);
+        if let Peer::Endpoint(endpoint) = peer
+            && self.paths.is_lost()
+        {
+            let relayed = self.paths.relay(endpoint).await?;
+            return Connection::new(relayed, number, true).await;
+        }
+        match open(peer.address()).await {
+            Ok(stream) => Connection::new(TokioIo::new(stream), number, false).await,
+            Err(error) => {
+                self.unopened(peer);
+                Err(error)
+            }
+        }
+    }
+
+    fn unopened(&self, peer: Peer<'_>) {
+        if peer.is_endpoint() {
+            self.paths.unopened();
+        }
     }
 
     fn checkout(
@@ -228,18 +340,65 @@
     }
 }
 
+/// Opens a connection.
+pub(crate) async fn open(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    guard(&socket)?;
+    let stream: std::net::TcpStream = socket.into();
+    tokio::net::TcpSocket::from_std_stream(stream)
+        .connect(address)
+        .await
+}
+
+/// Makes a connection fail when its other end is gone without having closed it.
+pub(crate) fn guard<'a>(socket: impl Into<SockRef<'a>>) -> io::Result<()> {
+    let socket = socket.into();
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    let probes = TcpKeepalive::new()
+        .with_time(KEEPALIVE_INTERVAL)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&probes)
+}
+
+impl Connection {
+    async fn new<T>(io: T, number: u64, is_relayed: bool) -> io::Result<Self>
+    where
+        T: hyper::rt::Read + hyper::rt::Write + Unpin + 'static,
+    {
+        let (sender, driver) = http1::Builder::new()
+            .handshake(io)
+            .await
+            .map_err(io::Error::other)?;
+        Ok(Self {
+            sender,
+            _task: Task::spawn(driver),
+            last_used: Instant::now(),
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            history: History::default(),
+            opened_at: now(),
+            is_relayed,
+            number,
+            requests: 0,
+        })
+    }
+}
+
 /// An answer whose body is still to be read. Dropping it before the end closes the connection,
 /// which cancels the request at the endpoint.
 #[derive(Debug)]
 pub struct Exchange {
     pool: Pool,
+    is_endpoint: bool,
     address: SocketAddr,
+    /// Id of the request, if that may be sent again after an error.
+    id: Option<String>,
     /// Number of the connection since the start of this host.
     pub number: u64,
     /// Requests that the connection has carried, this one included.
     pub requests: u64,
-    /// Id of the request, if that may be sent again after an error.
-    id: Option<String>,
     connection: Option<Connection>,
     /// Whether the answer is known to be that to the request.
     is_accepted: bool,
@@ -255,8 +414,8 @@
 impl Exchange {
     fn new(
         pool: Pool,
-        address: SocketAddr,
-        id: Option<String>,
+        peer: Peer<'_>,
+        id: Option<&str>,
         mut connection: Connection,
         response: http::Response<Incoming>,
     ) -> Self {
@@ -267,10 +426,11 @@
             stated_idle_timeout(&parts.headers).unwrap_or(DEFAULT_IDLE_TIMEOUT);
         Self {
             pool,
-            address,
+            is_endpoint: peer.is_endpoint(),
+            address: peer.address(),
+            id: id.map(str::to_owned),
             number: connection.number,
             requests: connection.requests,
-            id,
             connection: Some(connection),
             is_accepted,
             is_refusal: false,
@@ -309,12 +469,27 @@
                 self.checkin();
                 return Ok(None);
             };
-            if let Ok(data) = frame.map_err(Error::Broken)?.into_data() {
+            let frame = frame.map_err(Error::Broken).inspect_err(|_| {
+                if let Some(paths) = self.own_link() {
+                    paths.closed();
+                }
+            })?;
+            if let Ok(data) = frame.into_data() {
+                if let (Some(paths), Some(connection)) = (self.own_link(), &self.connection) {
+                    paths.answered(connection.opened_at);
+                }
                 return Ok(Some(data));
             }
         }
     }
 
+    /// State of the links, if this exchange with an endpoint uses those of this host.
+    fn own_link(&self) -> Option<&Paths> {
+        let connection = self.connection.as_ref()?;
+        let uses = self.is_endpoint && !connection.is_relayed;
+        uses.then_some(&*self.pool.paths)
+    }
+
     fn checkin(&mut self) {
         let connection = self.connection.take().filter(|_| self.is_accepted);
         let Some(mut connection) = connection else {
@@ -325,7 +500,8 @@
             Some(id) => connection.history.answer(id),
             None => {}
         }
-        if !connection.history.is_full() {
+        // The peer decides on each relayed connection, so that it honours what the endpoint tells it.
+        if !connection.history.is_full() && !connection.is_relayed {
             self.pool.checkin(self.address, connection);
         }
     }
--- a/crates/entry/src/locate.rs
+++ b/crates/entry/src/locate.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::directory::{Endpoint, Key, Stage};
-use crate::own;
+use crate::own::{self, Terms};
 use crate::parts::{CachedPart, MAX_ENGINES, Part};
 use crate::platform::{Dialect, Result, Store};
 use crate::state::{Host, now};
@@ -74,16 +74,13 @@
 }
 
 async fn list<D: Dialect, S>(host: &Host<D, S>, endpoint: &Endpoint) -> Result<Vec<CachedPart>> {
-    let max_idle = Duration::MAX;
-    let (_, body) = own::send::<D>(
-        &host.pool,
-        endpoint.address,
-        Some(&endpoint.id),
-        D::list_parts(),
-        LIST_TIMEOUT,
-        max_idle,
-        MAX_LIST_BYTES,
-    )
-    .await?;
+    let terms = Terms {
+        step_timeout: LIST_TIMEOUT,
+        max_idle: Duration::MAX,
+        max_body_bytes: MAX_LIST_BYTES,
+        directly: false,
+    };
+    let destination = endpoint.destination();
+    let (_, body) = own::send::<D>(&host.pool, destination, D::list_parts(), terms).await?;
     D::parts(&body)
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -35,6 +35,8 @@
     pub(crate) cuts: Family<Label, Counter>,
     pub(crate) latency: Family<Kind, Histogram>,
     pub(crate) crashes: Counter,
+    pub(crate) link_losses: Counter,
+    pub(crate) relayed: Counter,
     dropped_lines: Counter,
     dropped: Dropped,
 }
@@ -49,6 +51,8 @@
         let latency =
             Family::<Kind, Histogram>::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS_S));
         let crashes = Counter::default();
+        let link_losses = Counter::default();
+        let relayed = Counter::default();
         let dropped_lines = Counter::default();
         registry.register(
             "refusals",
@@ -72,6 +76,16 @@
             "Generations whose engine closed the connection before the first event",
             crashes.clone(),
         );
+        registry.register(
+            "link_losses",
+            "Losses of this host's links to all endpoints",
+            link_losses.clone(),
+        );
+        registry.register(
+            "relayed_connections",
+            "Connections to endpoints relayed for other hosts",
+            relayed.clone(),
+        );
         registry.register(
             "dropped_log_lines",
             "Log lines that were not written",
@@ -85,6 +99,8 @@
             cuts,
             latency,
             crashes,
+            link_losses,
+            relayed,
             dropped_lines,
             dropped,
         }
--- a/crates/entry/src/own.rs
+++ b/crates/entry/src/own.rs
@@ -9,48 +9,58 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::http::{Pool, Timeouts};
+use crate::http::{Destination, Pool, Timeouts};
 use crate::platform::{Command, Dialect, Error, Result};
 
-/// Sends a command and reads its answer. `step_timeout` limits each step, `max_body_bytes` the
-/// body.
-///
-/// `endpoint` is the id that the endpoint at the address must have, `max_idle` the longest idle
-/// time of a reused connection.
+/// How a command is sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Terms {
+    /// Timeout of each step.
+    pub(crate) step_timeout: Duration,
+    /// Longest idle time of a reused connection.
+    pub(crate) max_idle: Duration,
+    pub(crate) max_body_bytes: usize,
+    /// Whether the command goes over the links of this host only, even while these are lost.
+    pub(crate) directly: bool,
+}
+
+/// Sends a command to an endpoint and reads its answer.
 pub(crate) async fn send<D: Dialect>(
     pool: &Pool,
-    address: SocketAddr,
-    endpoint: Option<&str>,
+    endpoint: Destination<'_>,
     command: Command,
-    step_timeout: Duration,
-    max_idle: Duration,
-    max_body_bytes: usize,
+    terms: Terms,
 ) -> Result<(StatusCode, Bytes)> {
     let mut request = http::Request::builder()
         .method(command.method)
         .uri(command.target)
-        .header(http::header::HOST, address.to_string());
+        .header(http::header::HOST, endpoint.address.to_string());
     if !command.body.is_empty() {
         request = request.header(http::header::CONTENT_TYPE, "application/json");
     }
     let mut request = request
         .body(http_body_util::Full::new(command.body))
         .map_err(|_| Error::Malformed("command"))?;
-    if let Some(endpoint) = endpoint {
-        D::expect_endpoint(endpoint, request.headers_mut());
-    }
+    D::expect_endpoint(endpoint.id, request.headers_mut());
     let timeouts = Timeouts {
-        connect: step_timeout,
-        head: step_timeout,
-        max_idle,
+        connect: terms.step_timeout,
+        head: terms.step_timeout,
+        max_idle: terms.max_idle,
+    };
+    let mut exchange = if terms.directly {
+        pool.send(endpoint.address, request, timeouts).await?
+    } else {
+        let sent = pool.send_to_endpoint(endpoint, None, request, timeouts);
+        sent.await?
     };
-    let mut exchange = pool.send(address, None, request, timeouts).await?;
     let id = D::answer(exchange.status, &exchange.headers).id;
     if id.is_some_and(|id| !id.is_empty()) {
         // Commands bear no id: this is a copy of the answer to an earlier request.
         return Err(Error::Malformed("answer to a command"));
     }
-    let body = exchange.read(max_body_bytes, timeouts.head).await?;
+    let body = exchange
+        .read(terms.max_body_bytes, terms.step_timeout)
+        .await?;
     Ok((exchange.status, body))
 }
 
@@ -73,7 +83,7 @@
     let request = http::Request::post(path)
         .header(http::header::HOST, "peer")
         .body(http_body_util::Full::new(body))?;
-    let mut exchange = pool.send(host, None, request, timeouts).await?;
+    let mut exchange = pool.send(host, request, timeouts).await?;
     let body = exchange.read(max_answer_bytes, read_timeout).await?;
     if !exchange.status.is_success() {
         eyre::bail!("the host answered with status {}", exchange.status);
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -7,6 +7,7 @@
 
 use berylknot_coordination::clock::Instant;
 use rand::Rng;
+use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
 
 use crate::contact::is_overdue;
@@ -283,6 +284,18 @@
     }
 }
 
+/// Names the hosts that can relay connections to endpoints, each time in another order so that none gets all
+/// connections.
+fn replace_relays<D, S>(host: &Host<D, S>) {
+    let mut relays: Vec<SocketAddr> = {
+        let view = host.view.borrow();
+        let live = view.live(now()).filter(|(_, report)| !report.leaving);
+        live.map(|(address, _)| address).collect()
+    };
+    relays.shuffle(&mut rand::rng());
+    host.pool.paths().replace_relays(relays);
+}
+
 async fn maintain<D: Dialect, S: Store>(host: &Rc<Host<D, S>>) {
     findings::write_if_changed(host);
     versions::observe(host);
@@ -308,6 +321,7 @@
             .set_idle_limit(connection_limit as usize / (known + 1));
     }
     host.pool.evict_expired();
+    replace_relays(host);
     host.ledger.borrow_mut().expire(now);
     host.backlogs.borrow_mut().expire(now);
     host.orders.borrow_mut().expire(now);
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -85,6 +85,18 @@
     pub body: Bytes,
 }
 
+impl Command {
+    /// A command without a body that reads something.
+    #[must_use]
+    pub fn get(target: impl Into<String>) -> Self {
+        Self {
+            method: Method::GET,
+            target: target.into(),
+            body: Bytes::new(),
+        }
+    }
+}
+
 /// KV cache of a prompt, held by the endpoint that prefilled it.
 #[derive(Clone, Debug)]
 pub struct Cache {
@@ -157,6 +169,8 @@
     fn release(handle: &str) -> Command;
     /// Command that lists the prompt parts in the prefix cache of an engine.
     fn list_parts() -> Command;
+    /// Command that asks an engine for its load; it takes no slot.
+    fn load() -> Command;
     /// Decodes the answer to that list command.
     ///
     /// # Errors
--- a/crates/entry/src/prefill.rs
+++ b/crates/entry/src/prefill.rs
@@ -9,9 +9,9 @@
 use crate::call::CONNECT_TIMEOUT;
 use crate::directory::Key;
 use crate::health::Suspicion;
-use crate::http::{Error, Timeouts};
+use crate::http::{Destination, Error, Timeouts};
 use crate::ledger::Run;
-use crate::own;
+use crate::own::{self, Terms};
 use crate::platform::{Cache, Dialect, Outbound, Store, Tokens};
 use crate::request::{Call, Classification};
 use crate::state::{Host, NO_GRANT, Reservation, now};
@@ -29,6 +29,7 @@
     pub(crate) cache: Cache,
     /// The engine that holds the cache.
     pub(crate) key: Key,
+    engine: String,
     expires_at: Instant,
     /// Whether a decode engine may have consumed the cache already.
     pub(crate) offered: bool,
@@ -59,17 +60,15 @@
         }
         let release = D::release(&self.cache.handle);
         let (pool, address) = (self.host.pool.clone(), self.cache.address);
+        let id = self.engine.clone();
         actix_rt::spawn(async move {
-            let max_idle = Duration::MAX;
-            let released = own::send::<D>(
-                &pool,
-                address,
-                None,
-                release,
-                CONNECT_TIMEOUT,
-                max_idle,
-                MAX_ANSWER_BYTES,
-            );
+            let terms = Terms {
+                step_timeout: CONNECT_TIMEOUT,
+                max_idle: Duration::MAX,
+                max_body_bytes: MAX_ANSWER_BYTES,
+                directly: false,
+            };
+            let released = own::send::<D>(&pool, Destination { address, id: &id }, release, terms);
             if let Err(error) = released.await {
                 // The engine releases the cache when the handle expires.
                 tracing::debug!(%error, "prefill: KV handle could not be released; it expires at the engine");
@@ -115,7 +114,9 @@
     };
     let sent = async {
         let id = Some(call.head.id.as_str());
-        let sent = host.pool.send(endpoint.address, id, request, timeouts);
+        let sent = host
+            .pool
+            .send_to_endpoint(endpoint.destination(), id, request, timeouts);
         let mut exchange = sent.await?;
         let answer = D::answer(exchange.status, &exchange.headers);
         let classification = if answer.id.as_ref() == Some(&call.head.id) {
@@ -166,6 +167,7 @@
         host: Rc::clone(host),
         cache,
         key,
+        engine: endpoint.id,
         expires_at: now() + kv_retention,
         offered: false,
         consumed: false,
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -32,6 +32,7 @@
     StoreAway,
     EndpointsRefused,
     EndpointsLimited,
+    LinksLost,
     EndpointLost,
     TimedOut,
 }
@@ -58,6 +59,7 @@
             Self::StoreAway => "store_away",
             Self::EndpointsRefused => "endpoints_refused",
             Self::EndpointsLimited => "endpoints_limited",
+            Self::LinksLost => "links_lost",
             Self::EndpointLost => "endpoint_lost",
             Self::TimedOut => "timed_out",
         }
@@ -83,7 +85,8 @@
             | Self::VersionGone
             | Self::StoreAway
             | Self::EndpointsRefused
-            | Self::EndpointsLimited => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::EndpointsLimited
+            | Self::LinksLost => StatusCode::SERVICE_UNAVAILABLE,
             Self::EndpointLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -17,7 +17,7 @@
 use crate::platform::{Dialect, Store};
 use crate::server::{self, Audience};
 use crate::state::{Host, now};
-use crate::{control, follow, peer, records, versions};
+use crate::{control, follow, link, peer, records, versions};
 
 /// Time after SIGTERM within which the load balancer detects that the host is not ready: two
 /// checks, one second apart, and their answers.
@@ -89,6 +89,7 @@
     actix_rt::spawn(records::confirm_entries(Rc::clone(&host)));
     actix_rt::spawn(control::run(Rc::clone(&host)));
     actix_rt::spawn(versions::write(Rc::clone(&host)));
+    actix_rt::spawn(link::watch(Rc::clone(&host)));
     actix_rt::spawn(dispatcher(Rc::clone(&host)));
     actix_rt::spawn(reload(Rc::clone(&host), settings));
     stop(&host, accepting).await
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -3,11 +3,13 @@
 //! Uses `actix-http` directly instead of `actix-web`: a caller that closes its half of a connection
 //! must cancel its request, and all tasks share one thread.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
+use actix_http::error::DispatchError;
 use actix_http::{HttpMessage, HttpService, Request as Incoming, Response};
 use actix_service::{Service, ServiceFactory};
 use bytes::{Bytes, BytesMut};
@@ -23,7 +25,7 @@
 use crate::request::{Call, Reply, Request};
 use crate::state::{Host, now};
 use crate::strikes::Fingerprint;
-use crate::{admission, call, completion, permit, records};
+use crate::{admission, call, completion, permit, records, relay};
 
 /// Idle timeout of a caller's connection. Callers reuse connections for up to four fifths of the
 /// configured idle time (15 s in the platform's specification), so the listener must not close
@@ -65,14 +67,31 @@
     audience: Audience,
 ) {
     let shared = Rc::clone(&host);
-    let factory = HttpService::build()
+    let answer = move |request: Incoming| {
+        let host = Rc::clone(&shared);
+        async move { Ok::<_, Infallible>(handle(host, request, audience).await) }
+    };
+    let builder = HttpService::build()
         .keep_alive(IDLE_TIMEOUT)
         .client_request_timeout(HEAD_TIMEOUT)
-        .h1_allow_half_closed(false)
-        .h1(move |request: Incoming| {
-            let host = Rc::clone(&shared);
-            async move { Ok::<_, std::convert::Infallible>(handle(host, request, audience).await) }
-        });
+        .h1_allow_half_closed(false);
+    if audience == Audience::Peers {
+        let relay = move |request| relay::serve(Rc::clone(&host), request);
+        let factory = builder.upgrade(relay).h1(answer);
+        accept_for(factory, listener, audience).await;
+    } else {
+        accept_for(builder.h1(answer), listener, audience).await;
+    }
+}
+
+/// Connection and its remote address, as the HTTP library takes them.
+type Accepted = (TcpStream, Option<SocketAddr>);
+
+async fn accept_for<F>(factory: F, listener: TcpListener, audience: Audience)
+where
+    F: ServiceFactory<Accepted, Config = (), Error = DispatchError>,
+    F::Service: 'static,
+{
     let Ok(service) = factory.new_service(()).await else {
         tracing::error!(
             ?audience,
@@ -150,7 +169,14 @@
 }
 
 /// Counts a request as open until dropped.
-struct Open<D, S>(Rc<Host<D, S>>);
+pub(crate) struct Open<D, S>(Rc<Host<D, S>>);
+
+impl<D, S> Open<D, S> {
+    pub(crate) fn new(host: &Rc<Host<D, S>>) -> Self {
+        host.open_requests.set(host.open_requests.get() + 1);
+        Self(Rc::clone(host))
+    }
+}
 
 impl<D, S> Drop for Open<D, S> {
     fn drop(&mut self) {
@@ -162,8 +188,7 @@
     host: Rc<Host<D, S>>,
     incoming: Incoming,
 ) -> Response<BoxBody> {
-    host.open_requests.set(host.open_requests.get() + 1);
-    let open = Open(Rc::clone(&host));
+    let open = Open::new(&host);
     let limit = host
         .fleet
         .borrow()
@@ -229,6 +254,10 @@
 /// `Retry-After` of a host without a current configuration, which a starting host has by then.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Mean `Retry-After` of a host that reaches no endpoint; the caller returns on a new connection, which may
+/// lead to another host.
+const LINKS_LOST_RETRY_AFTER: Duration = Duration::from_millis(150);
+
 async fn serve<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, request: Request) -> Reply {
     let arrived = now();
     let accepted = accept_call(host, request, arrived);
@@ -320,6 +349,10 @@
     let Some(service) = route.service(crate::state::jitter(1.0)).map(str::to_owned) else {
         return Err(reject(Reason::NoEndpoint, None));
     };
+    if host.pool.paths().is_cut_off() {
+        let after = call::jittered(LINKS_LOST_RETRY_AFTER);
+        return Err(reject(Reason::LinksLost, Some(after)));
+    }
     let max_duration = completion::max_duration(&head, route, &host.mix(&service));
     if !host.shutdown.get().accepts(arrived, max_duration) {
         return Err(reject(
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -273,7 +273,7 @@
                     "stream: resumed"
                 );
                 return Some(Running {
-                    exchange,
+                    exchange: *exchange,
                     endpoint: next,
                     reservation,
                     sent_at,
