Take back the crashes that a host's lost links made up

Cause: a connection that is closed before the first event counted as a crash of the engine, against the parts of the prompt that other requests share; with one path and body, against the exact request too. A host whose links are reset loses all its connections.

A lost connection now counts at its own host at once and is reported only when an answer of another endpoint, or a probe, has shown after the loss that the links were sound; otherwise it is taken back.

Ruled out: counting only after the proof (the requests with a crashing part that follow at once would each reach an engine); not counting simultaneous losses (engines that crash together on a burst of such requests would never be found).

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 
+use crate::aborts;
 use crate::directory::{Endpoint, Key};
 use crate::fleet::Kind;
 use crate::health::{Group, Suspicion};
@@ -330,7 +331,7 @@
         Attempt::Refused => {}
         Attempt::Lost(error) => {
             if matches!(error, Error::Lost(_) | Error::Broken(_)) {
-                host.strike(call, endpoint);
+                aborts::strike(host, call, endpoint);
             }
             host.failed(key, Suspicion::from(error));
         }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -9,6 +9,7 @@
 use http::HeaderMap;
 use tokio::sync::mpsc;
 
+use crate::aborts;
 use crate::admission::{self, Query, Verdict, millis_until};
 use crate::call::{CONNECT_TIMEOUT, jittered_after, rejection};
 use crate::directory::{Endpoint, Key, State};
@@ -585,10 +586,10 @@
         Err(Error::NotSent(_)) => return Decoded::NotSent,
         Err(error) => {
             if matches!(error, Error::Lost(_)) {
-                host.strike(call, endpoint);
+                aborts::strike(host, call, endpoint);
             }
             if error.is_closed_by_peer() {
-                host.crashed(call, endpoint, started);
+                aborts::crash(host, call, endpoint, started);
             }
             tracing::info!(id = call.head.id, endpoint = endpoint.id, parts = call.parts(), %error, "decode: no answer from the engine; the request may have run");
             return Decoded::Lost(Suspicion::from(&error));
--- a/crates/entry/src/findings.rs
+++ b/crates/entry/src/findings.rs
@@ -10,7 +10,7 @@
 use crate::admission;
 use crate::platform::Store;
 use crate::state::{Host, now};
-use crate::suspects::Crash;
+use crate::suspects::{Crash, Source};
 
 /// Key of the record, next to the announcements of the hosts.
 pub(crate) const KEY: &str = "crashing-parts";
@@ -98,7 +98,7 @@
     let stored_ms = unix_millis().saturating_sub(findings.written_at);
     for mut crash in findings.crashes {
         crash.age_ms = crash.age_ms.saturating_add(stored_ms);
-        host.learn_crash(&crash, false);
+        host.learn_crash(&crash, Source::Peer);
     }
     host.published.findings.set(Written {
         revision: host.suspects.borrow().revision(),
--- a/crates/entry/src/http/paths.rs
+++ b/crates/entry/src/http/paths.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
-use berylknot_coordination::link::{Change, Link, Reach, Step};
+use berylknot_coordination::link::{Change, Fault, Link, Reach, Step};
 use berylknot_coordination::relay::Relays;
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
@@ -90,6 +90,11 @@
         self.is_lost() && self.relays.borrow().first(now()).is_none()
     }
 
+    /// Whose fault the loss of a connection at `closed_at` was; `None` until that is known.
+    pub(crate) fn fault(&self, closed_at: Instant) -> Option<Fault> {
+        self.link.borrow().fault(closed_at)
+    }
+
     /// Waits until a connection is lost.
     pub(crate) async fn doubted(&self) {
         self.doubted.notified().await;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod suspects;
 pub mod waiting;
 
+pub(crate) mod aborts;
 pub(crate) mod admission;
 pub(crate) mod archive;
 pub(crate) mod call;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -16,6 +16,7 @@
 use crate::platform::{Dialect, Store};
 use crate::state::{Host, now};
 use crate::strikes::Fingerprint;
+use crate::suspects::Source;
 use crate::{admission, findings, follow, records, versions};
 
 /// Maximum size of a report in bytes; a datagram on Ethernet carries about this much unfragmented.
@@ -102,7 +103,7 @@
             .strike(now, request, endpoint, false);
     }
     for crash in &report.crashes {
-        host.learn_crash(crash, false);
+        host.learn_crash(crash, Source::Peer);
     }
     for limit in &report.limits {
         if host.limits.borrow_mut().apply(now, limit) {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -38,7 +38,7 @@
 use crate::shutdown::Shutdown;
 use crate::stages::Demand;
 use crate::strikes::Strikes;
-use crate::suspects::{Crash, Suspects};
+use crate::suspects::{Crash, Source, Suspects};
 use crate::versions::Published;
 
 /// Cost of an endpoint in another data centre, as a share of its slots.
@@ -431,42 +431,14 @@
         is_crashing
     }
 
-    /// Records that an endpoint aborted a request.
-    pub(crate) fn strike(&self, call: &Call, endpoint: &Endpoint) {
-        self.strikes
-            .borrow_mut()
-            .strike(now(), call.fingerprint, &endpoint.id, true);
-    }
-
-    /// Records that an engine crashed during a run that was sent at `sent_at` and had no event yet.
-    pub(crate) fn crashed(&self, call: &Call, endpoint: &Endpoint, sent_at: Instant) {
-        let crash = Crash {
-            endpoint: endpoint.id.clone(),
-            parts: call.head.parts.clone(),
-            age_ms: 0,
-            run_ms: now().since(sent_at).as_millis() as u64,
-        };
-        tracing::info!(
-            id = call.head.id,
-            endpoint = endpoint.id,
-            parts = call.parts(),
-            "suspects: connection lost before the first event"
-        );
-        self.metrics.crashes.inc();
-        if self.learn_crash(&crash, true) {
-            self.report_findings();
-        }
-    }
-
-    /// Applies a crashed run that this host or a peer observed; returns whether it is new.
-    pub(crate) fn learn_crash(&self, crash: &Crash, own: bool) -> bool {
+    /// Applies a crashed run that this host or a peer observed.
+    pub(crate) fn learn_crash(&self, crash: &Crash, source: Source) {
         let mut suspects = self.suspects.borrow_mut();
         let was_refused = suspects.refused(&crash.parts).is_some();
-        let is_new = suspects.crashed(now(), crash, own);
+        suspects.record(now(), crash, source);
         if let Some(part) = suspects.refused(&crash.parts).filter(|_| !was_refused) {
-            tracing::warn!(%part, endpoint = crash.endpoint, own, "suspects: engines crash on a prompt part; its requests are refused");
+            tracing::warn!(%part, endpoint = crash.endpoint, ?source, "suspects: engines crash on a prompt part; its requests are refused");
         }
-        is_new
     }
 
     /// Records that an engine has begun an answer on the prompt of a request.
@@ -483,7 +455,7 @@
 
     /// Reports findings on endpoints to the leader at once, since it decides on admission. The others get
     /// them with the regular reports: reports to all at each finding would flood hundreds of hosts.
-    fn report_findings(&self) {
+    pub(crate) fn report_findings(&self) {
         self.load_changed.notify_one();
     }
 
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -7,6 +7,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use crate::aborts;
 use crate::admission::engine;
 use crate::completion::{
     Acquired, DEFAULT_TOKENS, Decoded, Demand, KvSource, MAX_SENDS, Tried, acquire, decode,
@@ -120,7 +121,7 @@
             },
             Ok(Ok(None)) if events.last().is_none() => {
                 if run.exchange.ends_with_connection() {
-                    host.crashed(call, &run.endpoint, run.sent_at);
+                    aborts::crash(host, call, &run.endpoint, run.sent_at);
                 }
                 "no event before the end"
             }
@@ -145,10 +146,10 @@
             Ok(Ok(None)) => "incomplete event",
             Ok(Err(error)) => {
                 if delivered <= MAX_EVENTS_OF_A_CRASH {
-                    host.strike(call, &run.endpoint);
+                    aborts::strike(host, call, &run.endpoint);
                 }
                 if delivered == 0 && error.is_closed_by_peer() {
-                    host.crashed(call, &run.endpoint, run.sent_at);
+                    aborts::crash(host, call, &run.endpoint, run.sent_at);
                 }
                 "connection lost"
             }
--- a/crates/entry/src/strikes.rs
+++ b/crates/entry/src/strikes.rs
@@ -10,6 +10,8 @@
 
 use berylknot_coordination::clock::Instant;
 
+use crate::suspects::Source;
+
 /// Endpoints at which a request must have been aborted to be refused (a requirement).
 const MAX_STRIKES: usize = 3;
 /// Retention of strikes (design page, section 5.10).
@@ -40,7 +42,7 @@
 struct Strike {
     endpoint: String,
     at: Instant,
-    own: bool,
+    source: Source,
 }
 
 /// Strikes of recent requests.
@@ -52,6 +54,39 @@
 impl Strikes {
     /// Records that a request was aborted at an endpoint; `own` is true if this host observed it.
     pub fn strike(&mut self, now: Instant, request: Fingerprint, endpoint: &str, own: bool) {
+        let source = if own { Source::Own } else { Source::Peer };
+        self.record(now, request, endpoint, source);
+    }
+
+    /// Records that a request was aborted at an endpoint, or that this host lost its links; peers are not
+    /// told before it is confirmed.
+    pub fn observe(&mut self, now: Instant, request: Fingerprint, endpoint: &str) {
+        self.record(now, request, endpoint, Source::Unconfirmed);
+    }
+
+    /// Confirms an observed strike.
+    pub fn confirm(&mut self, request: Fingerprint, endpoint: &str) {
+        let strikes = self.requests.get_mut(&request).into_iter().flatten();
+        for strike in strikes {
+            if strike.endpoint == endpoint && strike.source == Source::Unconfirmed {
+                strike.source = Source::Own;
+            }
+        }
+    }
+
+    /// Removes an observed strike.
+    pub fn retract(&mut self, request: Fingerprint, endpoint: &str) {
+        let Some(strikes) = self.requests.get_mut(&request) else {
+            return;
+        };
+        strikes
+            .retain(|strike| strike.endpoint != endpoint || strike.source != Source::Unconfirmed);
+        if strikes.is_empty() {
+            self.requests.remove(&request);
+        }
+    }
+
+    fn record(&mut self, now: Instant, request: Fingerprint, endpoint: &str, source: Source) {
         self.evict(now, request);
         let strikes = self.requests.entry(request).or_default();
         if strikes.len() >= MAX_STRIKES || strikes.iter().any(|known| known.endpoint == endpoint) {
@@ -60,7 +95,7 @@
         strikes.push(Strike {
             endpoint: endpoint.to_owned(),
             at: now,
-            own,
+            source,
         });
     }
 
@@ -99,8 +134,10 @@
             .requests
             .iter()
             .flat_map(|(request, strikes)| strikes.iter().map(move |strike| (*request, strike)));
-        own.filter(move |(_, strike)| strike.own && now.since(strike.at) < REPORT_DURATION)
-            .map(|(request, strike)| (request, strike.endpoint.as_str()))
-            .take(MAX_REPORTED)
+        own.filter(move |(_, strike)| {
+            strike.source == Source::Own && now.since(strike.at) < REPORT_DURATION
+        })
+        .map(|(request, strike)| (request, strike.endpoint.as_str()))
+        .take(MAX_REPORTED)
     }
 }
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -93,12 +93,23 @@
     at: Instant,
 }
 
+/// Who observed a loss, and how far it is known to be the endpoint's fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// Another host.
+    Peer,
+    /// This host.
+    Own,
+    /// This host, which may have lost its own links to the endpoints.
+    Unconfirmed,
+}
+
 /// A prompt whose answer had not begun when its engine crashed.
 #[derive(Clone, Debug)]
 struct Prompt {
     parts: Vec<Part>,
     sent_at: Instant,
-    own: bool,
+    source: Source,
 }
 
 /// A crash of an engine, as all hosts together saw it.
@@ -132,6 +143,12 @@
 impl Suspects {
     /// Records a crashed run; `own` is true if this host observed it. Returns whether it is new.
     pub fn crashed(&mut self, now: Instant, crash: &Crash, own: bool) -> bool {
+        let source = if own { Source::Own } else { Source::Peer };
+        self.record(now, crash, source)
+    }
+
+    /// Records a crashed run by its source. Returns whether it is new. An unconfirmed one is not reported.
+    pub fn record(&mut self, now: Instant, crash: &Crash, source: Source) -> bool {
         let at = before(now, crash.age_ms);
         let parts = shared(&crash.parts);
         let Some(prompt) = crash.parts.last().copied() else {
@@ -178,11 +195,68 @@
         self.crashes[key].prompts.push(Prompt {
             parts: parts.iter().copied().chain([prompt]).collect(),
             sent_at,
-            own,
+            source,
         });
         true
     }
 
+    /// Confirms an unconfirmed crashed run.
+    pub fn confirm(&mut self, crash: &Crash) {
+        let Some((key, index)) = self.find_unconfirmed(crash) else {
+            return;
+        };
+        self.crashes[key].prompts[index].source = Source::Own;
+        // What is reported and stored has changed as well.
+        let parts = shared(&crash.parts);
+        self.revision += u64::from(parts.iter().any(|part| self.is_implicated(*part)));
+    }
+
+    /// Removes an unconfirmed crashed run, and what it counts against.
+    pub fn retract(&mut self, crash: &Crash) {
+        let Some((key, index)) = self.find_unconfirmed(crash) else {
+            return;
+        };
+        let record = &mut self.crashes[key];
+        let retracted = record.prompts.remove(index);
+        let was_implicated = shared(&retracted.parts)
+            .iter()
+            .any(|part| self.is_implicated(*part));
+        for part in shared(&retracted.parts) {
+            let record = &self.crashes[key];
+            let mut prompts = record.prompts.iter();
+            let other = prompts.find(|prompt| shared(&prompt.parts).contains(part));
+            let Some(strikes) = self.strikes.get_mut(part) else {
+                continue;
+            };
+            match other {
+                None => strikes.retain(|strike| strike.crash != key),
+                Some(other) => {
+                    let mut known = strikes.iter_mut();
+                    let known = known.find(|strike| strike.crash == key);
+                    if let (Some(strike), Some(prompt)) = (known, other.parts.last()) {
+                        strike.prompt = *prompt;
+                        strike.sent_at = other.sent_at;
+                    }
+                }
+            }
+        }
+        if self.crashes[key].prompts.is_empty() {
+            self.crashes.remove(key);
+        }
+        self.prune();
+        self.revision += u64::from(was_implicated);
+    }
+
+    fn find_unconfirmed(&self, crash: &Crash) -> Option<(CrashKey, usize)> {
+        let is_same = |prompt: &Prompt| {
+            prompt.source == Source::Unconfirmed && prompt.parts.last() == crash.parts.last()
+        };
+        self.crashes.iter().find_map(|(key, record)| {
+            let index = record.prompts.iter().position(is_same)?;
+            (record.endpoint == crash.endpoint).then_some((key, index))
+        })
+    }
+
     fn drop_oldest(&mut self) {
         if self.crashes.len() < MAX_CRASHES {
             return;
@@ -315,7 +389,11 @@
         let mut runs: Vec<(Instant, Crash)> = Vec::new();
         for record in self.crashes.values() {
             for prompt in &record.prompts {
-                let is_recent = prompt.own && now.since(record.at) < REPORT_DURATION;
+                if prompt.source == Source::Unconfirmed {
+                    continue;
+                }
+                let is_own = prompt.source == Source::Own;
+                let is_recent = is_own && now.since(record.at) < REPORT_DURATION;
                 let is_due = is_recent || with_implicating && self.implicates(prompt);
                 if !is_due {
                     continue;
--- a/crates/entry/tests/strikes.rs
+++ b/crates/entry/tests/strikes.rs
@@ -58,3 +58,23 @@
     );
     assert!(strikes.report(at(1)).count() <= 16);
 }
+
+#[test]
+fn strikes_that_lost_links_made_up_are_taken_back_and_were_never_reported() {
+    let mut strikes = Strikes::default();
+    for endpoint in ["a", "b", "c"] {
+        strikes.observe(at(0), request("sound"), endpoint);
+    }
+    assert!(
+        strikes.is_refused(at(1), request("sound")),
+        "counted here at once"
+    );
+    assert_eq!(strikes.report(at(1)).count(), 0);
+    strikes.confirm(request("sound"), "a");
+    assert_eq!(strikes.report(at(1)).count(), 1);
+    for endpoint in ["a", "b", "c"] {
+        strikes.retract(request("sound"), endpoint);
+    }
+    assert!(!strikes.is_refused(at(1), request("sound")));
+    assert_eq!(strikes.report(at(1)).count(), 1, "the confirmed one stays");
+}
--- a/crates/entry/tests/suspects.rs
+++ b/crates/entry/tests/suspects.rs
@@ -6,7 +6,7 @@
 use berylknot_coordination::clock::Instant;
 use berylknot_entry::parts::Part;
 use berylknot_entry::strikes::{Fingerprint, Strikes};
-use berylknot_entry::suspects::{Clearance, Crash, Suspects};
+use berylknot_entry::suspects::{Clearance, Crash, Source, Suspects};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use yare::parameterized;
@@ -389,3 +389,53 @@
             .is_empty()
     );
 }
+
+#[test]
+fn crashes_that_lost_links_made_up_are_taken_back_and_were_never_reported() {
+    let mut suspects = Suspects::default();
+    let lost: Vec<Crash> = (0..4)
+        .map(|index| crash(&format!("e{index}"), &[1, 10 + index], START_MS))
+        .collect();
+    for (index, crash) in lost.iter().enumerate() {
+        let now = at(index as u64 * 500);
+        assert!(suspects.record(now, crash, Source::Unconfirmed));
+    }
+    let now = at(2_000);
+    let sound = parts(&[1, 99]);
+    assert!(suspects.refused(&sound).is_some(), "counted here at once");
+    assert!(suspects.report(now, true).is_empty());
+    for crash in &lost {
+        suspects.retract(crash);
+    }
+    assert!(suspects.refused(&sound).is_none());
+    assert!(suspects.report(now, true).is_empty());
+}
+
+#[test]
+fn retracting_one_run_keeps_what_others_showed_of_the_same_crash() {
+    let mut suspects = Suspects::default();
+    let mut doubtful = Vec::new();
+    for index in 0..3 {
+        let now = at(index * 500);
+        let endpoint = format!("e{index}");
+        let unconfirmed = crash(&endpoint, &[1, 2, 20 + index], START_MS);
+        suspects.record(now, &unconfirmed, Source::Unconfirmed);
+        suspects.crashed(now, &crash(&endpoint, &[1, 30 + index], START_MS), false);
+        doubtful.push(unconfirmed);
+    }
+    for crash in &doubtful {
+        suspects.retract(crash);
+    }
+    assert_eq!(suspects.refused(&parts(&[1, 99])), Some(Part(1)));
+    assert_eq!(suspects.refused(&parts(&[2, 99])), None);
+}
+
+#[test]
+fn a_confirmed_crash_is_reported_and_no_longer_taken_back() {
+    let mut suspects = Suspects::default();
+    let lost = crash("e0", &[1, 10], START_MS);
+    suspects.record(at(0), &lost, Source::Unconfirmed);
+    suspects.confirm(&lost);
+    suspects.retract(&lost);
+    assert_eq!(suspects.report(at(100), false).len(), 1);
+}
