Send each request of the gateway to an endpoint on a connection of its own

Cause: the HTTP clients of engines and plain services kept their connections, and took the next answer on a connection for the answer to the request under way.

Both now use endpoint::Client, which sends "connection: close" with each request and keeps no connection. It follows no redirects, as the connection of a followed one would be kept; the client of engines followed them before. The price is one round trip for each request to an endpoint.

Ruled out: comparing the request id. Plain services of operators need not repeat it, the answers to prefills and cancels have no field for it, and the id stays the same when a request is sent again, so a second send on the connection would not tell the copy apart.

All five tests of acceptance/tests/copies.rs failed before and pass (x86_64): a_copied_answer_does_not_reach_the_next_call, a_copied_answer_is_not_stored_as_the_outcome_of_the_next_key, a_copied_refusal_does_not_answer_a_call_that_ran, a_copied_refusal_of_a_prefill_does_not_count_for_the_next, a_copied_prefill_answer_does_not_give_its_kv_cache_to_the_next.

--- a/crates/gateway/src/engine/http.rs
+++ b/crates/gateway/src/engine/http.rs
@@ -5,6 +5,7 @@
 
 use actix_web::dev::Payload;
 use awc::error::{ConnectError, SendRequestError};
+use awc::http::Method;
 use berylknot_border::engine::{
     CancelRequest, CancelResponse, DecodeRequest, EngineError, PrefillRequest, PrefillResponse,
 };
@@ -15,6 +16,7 @@
 use serde::Serialize;
 
 use super::{Cancel, Decode, Error, Events, Prefill, Result};
+use crate::endpoint::Client;
 
 /// Timeout of a cancel call.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -25,7 +27,7 @@
 /// Client of engines, one per thread.
 #[derive(Clone)]
 pub(crate) struct Http {
-    client: awc::Client,
+    client: Client,
     prefill_timeout: Duration,
     event_timeout: Duration,
 }
@@ -39,9 +41,8 @@
 impl Http {
     /// Creates a client with timeouts for prefills and for the gap between events.
     pub(crate) fn new(prefill_timeout: Duration, event_timeout: Duration) -> Self {
-        let client = awc::Client::builder().disable_timeout().finish();
         Self {
-            client,
+            client: Client::new(),
             prefill_timeout,
             event_timeout,
         }
@@ -56,7 +57,7 @@
     ) -> Result<awc::ClientResponse<LocalBoxStream<'static, PayloadResult>>> {
         let request = self
             .client
-            .post(format!("http://{address}{path}"))
+            .request(Method::POST, &format!("http://{address}{path}"))
             .send_json(body);
         let sent = actix_rt::time::timeout(timeout, request)
             .await
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub(crate) mod configuration;
 pub(crate) mod connection;
 pub(crate) mod control;
+pub(crate) mod endpoint;
 pub(crate) mod engine;
 pub(crate) mod fingerprint;
 pub(crate) mod flow;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -8,9 +8,9 @@
 
 use crate::connection::Connection;
 use crate::control::Control;
+use crate::endpoint::Client;
 use crate::engine::http::Http;
 use crate::refusal::Refusal;
-use crate::service::Client;
 use crate::shutdown::count::count;
 use crate::state::{Shared, State};
 use crate::{completion, service, tls};
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -36,28 +36,6 @@
     "content-length",
 ];
 
-/// HTTP client of plain services, one per thread.
-#[derive(Clone)]
-pub(crate) struct Client(awc::Client);
-
-impl std::fmt::Debug for Client {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter.write_str("Client(..)")
-    }
-}
-
-impl Client {
-    /// Creates a client without timeouts, which are set per call, and without redirects.
-    pub(crate) fn new() -> Self {
-        Self(
-            awc::Client::builder()
-                .disable_timeout()
-                .disable_redirects()
-                .finish(),
-        )
-    }
-}
-
 /// Handles /services/{route}/{path}.
 pub(crate) async fn handle(
     state: web::Data<State>,
@@ -301,7 +279,7 @@
     call: &Call,
 ) -> Result<HttpResponse, Failure> {
     let url = format!("http://{}{}", endpoint.address, call.target);
-    let mut request = state.client.0.request(call.method.clone(), url);
+    let mut request = state.client.request(call.method.clone(), &url);
     for (name, value) in &call.headers {
         request = request.append_header((name.clone(), value.clone()));
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -63,5 +63,5 @@
     pub(crate) shared: Shared,
     pub(crate) control: Control,
     pub(crate) engine: Http,
-    pub(crate) client: crate::service::Client,
+    pub(crate) client: crate::endpoint::Client,
 }
