Write an answer to the end before a stopping host exits

A request counted as open until its response was handed to the HTTP library, which copies the body to a buffer of its own. Ruled out: the buffer of the socket, which the kernel goes on sending; the endpoint, which had answered.

The listener now serves `connection::Connection`, and the body of an answer passes the open request on to it when the library drops the body. The library flushes the socket when its own buffer is empty; the request is closed then, or when the connection ends.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -38,6 +38,7 @@
 pub(crate) mod archive;
 pub(crate) mod call;
 pub(crate) mod completion;
+pub(crate) mod connection;
 pub(crate) mod control;
 pub(crate) mod findings;
 pub(crate) mod follow;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -8,13 +8,14 @@
 use std::time::Duration;
 
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
-use actix_http::{HttpMessage, HttpService, Request as Incoming, Response};
+use actix_http::{Extensions, HttpMessage, HttpService, Request as Incoming, Response};
 use actix_service::{Service, ServiceFactory};
 use bytes::{Bytes, BytesMut};
 use futures_util::{StreamExt, stream};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::connection::{Body, Connection, Progress};
 use crate::fleet::Kind;
 use crate::metrics::Kind as KindLabel;
 use crate::platform::{Dialect, Store};
@@ -69,6 +70,11 @@
         .keep_alive(IDLE_TIMEOUT)
         .client_request_timeout(HEAD_TIMEOUT)
         .h1_allow_half_closed(false)
+        .on_connect_ext(
+            |connection: &Connection<Open<D, S>>, extensions: &mut Extensions| {
+                extensions.insert(connection.progress());
+            },
+        )
         .h1(move |request: Incoming| {
             let host = Rc::clone(&shared);
             async move { Ok::<_, std::convert::Infallible>(handle(host, request, audience).await) }
@@ -94,7 +100,7 @@
             tracing::debug!(%error, "server: TCP_NODELAY could not be set; the connection is served without it");
         }
         let peer = stream.peer_addr().ok();
-        let serving = service.call((stream, peer));
+        let serving = service.call((Connection::new(stream), peer));
         actix_rt::spawn(async move {
             if let Err(error) = serving.await {
                 tracing::debug!(%error, "server: connection ended with an error");
@@ -152,6 +158,13 @@
 /// Counts a request as open until dropped.
 struct Open<D, S>(Rc<Host<D, S>>);
 
+impl<D, S> Open<D, S> {
+    fn new(host: &Rc<Host<D, S>>) -> Self {
+        host.open_requests.set(host.open_requests.get() + 1);
+        Self(Rc::clone(host))
+    }
+}
+
 impl<D, S> Drop for Open<D, S> {
     fn drop(&mut self) {
         self.0.open_requests.set(self.0.open_requests.get() - 1);
@@ -162,8 +175,8 @@
     host: Rc<Host<D, S>>,
     incoming: Incoming,
 ) -> Response<BoxBody> {
-    host.open_requests.set(host.open_requests.get() + 1);
-    let open = Open(Rc::clone(&host));
+    let open = Open::new(&host);
+    let progress = incoming.conn_data::<Rc<Progress<Open<D, S>>>>().cloned();
     let limit = host
         .fleet
         .borrow()
@@ -184,7 +197,8 @@
         Ok(Err(BodyError(true))) => call::rejection(&host, Reason::TooLarge, None),
         Ok(Err(BodyError(false))) | Err(_) => call::rejection(&host, Reason::Unreadable, None),
     };
-    respond(reply, host.is_stopping(), open)
+    respond(reply, host.is_stopping())
+        .map_body(|_, body| Body::new(body, open, progress.unwrap_or_default()).boxed())
 }
 
 fn head(incoming: &Incoming) -> (Method, String, String, HeaderMap) {
@@ -377,11 +391,7 @@
     Ok(call)
 }
 
-fn respond<D: 'static, S: 'static>(
-    reply: Reply,
-    closing: bool,
-    open: Open<D, S>,
-) -> Response<BoxBody> {
+fn respond(reply: Reply, closing: bool) -> Response<BoxBody> {
     let (status, headers, body) = match reply {
         Reply::Whole {
             status,
@@ -393,9 +403,9 @@
             headers,
             events,
         } => {
-            let events = stream::unfold((events, open), |(mut events, open)| async move {
+            let events = stream::unfold(events, |mut events| async move {
                 let event = events.recv().await?;
-                Some((event, (events, open)))
+                Some((event, events))
             });
             (status, headers, BodyStream::new(Box::pin(events)).boxed())
         }
