Do not pass on requests behind the last answer of a connection

A caller that had sent two requests on one connection lost the second one at a planned stop: the host answered the first with `Connection: close` and then passed the second on to its endpoint, also one that may not be repeated. A caller that heeds the close does not read the second answer.

Cause: the HTTP library reads requests ahead and goes on with them behind an answer that closes the connection. Ruled out: leaving out the close while requests wait, which the handler of a request cannot see.

The connection remembers that an answer has announced its end; what follows is refused as not run (503 with Retry-After).

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -1,7 +1,7 @@
 //! Connections of callers. An answer counts as open until its last byte is in the socket's buffer: the HTTP
 //! library drops the body when it has copied it to its own buffer, which an exit of the process loses.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::error::Error;
 use std::io;
 use std::pin::Pin;
@@ -17,17 +17,30 @@
 pub(crate) struct Progress<G> {
     /// Answers that are in the library's buffer.
     unwritten: RefCell<Vec<G>>,
+    is_closing: Cell<bool>,
 }
 
 impl<G> Default for Progress<G> {
     fn default() -> Self {
         Self {
             unwritten: RefCell::default(),
+            is_closing: Cell::new(false),
         }
     }
 }
 
 impl<G> Progress<G> {
+    /// Records that an answer announces the end of the connection.
+    pub(crate) fn close(&self) {
+        self.is_closing.set(true);
+    }
+
+    /// Whether an answer has announced the end of the connection. The library goes on with the requests
+    /// that were read before.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.is_closing.get()
+    }
+
     fn written(&self) {
         self.unwritten.take().clear();
     }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -176,14 +176,37 @@
     incoming: Incoming,
 ) -> Response<BoxBody> {
     let open = Open::new(&host);
-    let progress = incoming.conn_data::<Rc<Progress<Open<D, S>>>>().cloned();
+    let progress = incoming
+        .conn_data::<Rc<Progress<Open<D, S>>>>()
+        .cloned()
+        .unwrap_or_default();
+    let reply = if progress.is_closing() {
+        refuse_stopping(&host)
+    } else {
+        answer(&host, incoming).await
+    };
+    let is_closing = host.is_stopping();
+    if is_closing {
+        progress.close();
+    }
+    respond(reply, is_closing).map_body(|_, body| Body::new(body, open, progress).boxed())
+}
+
+/// The refusal of a request that has not run and that another host serves.
+fn refuse_stopping<D, S>(host: &Host<D, S>) -> Reply {
+    let after = call::jittered(STOPPING_RETRY_AFTER);
+    call::rejection(host, Reason::Stopping, Some(after))
+}
+
+/// Reads the body of a request and serves it.
+async fn answer<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, incoming: Incoming) -> Reply {
     let limit = host
         .fleet
         .borrow()
         .as_ref()
         .map_or(DEFAULT_MAX_BODY_BYTES, |fleet| fleet.body_bytes);
     let (method, target, host_name, headers) = head(&incoming);
-    let reply = match tokio::time::timeout(BODY_TIMEOUT, read_body(incoming, limit)).await {
+    match tokio::time::timeout(BODY_TIMEOUT, read_body(incoming, limit)).await {
         Ok(Ok(body)) => {
             let request = Request {
                 method,
@@ -192,13 +215,11 @@
                 headers,
                 body,
             };
-            serve(&host, request).await
+            serve(host, request).await
         }
-        Ok(Err(BodyError(true))) => call::rejection(&host, Reason::TooLarge, None),
-        Ok(Err(BodyError(false))) | Err(_) => call::rejection(&host, Reason::Unreadable, None),
-    };
-    respond(reply, host.is_stopping())
-        .map_body(|_, body| Body::new(body, open, progress.unwrap_or_default()).boxed())
+        Ok(Err(BodyError(true))) => call::rejection(host, Reason::TooLarge, None),
+        Ok(Err(BodyError(false))) | Err(_) => call::rejection(host, Reason::Unreadable, None),
+    }
 }
 
 fn head(incoming: &Incoming) -> (Method, String, String, HeaderMap) {
