Answer what is open shortly before a stopping host exits

A call whose endpoint was still at work at the end of the grace, and a call whose body had not come by then, lost their connection without an answer.

Cause: the exit only counted open requests and ended the process when its time was over; calls taken before SIGTERM have a route's timeout of their own, and a call taken at the last admissible moment timed out in the millisecond of the exit, later still by the time to connect or the wait for a permit. Ruled out: calls taken after SIGTERM with time to spare, whose timeout ends before the exit.

0.2 s before the exit each open request is answered: 504 `interrupted` when an endpoint may have run it, else 503 with Retry-After. `Call::outbound` notes that a request goes to an endpoint, so no path can leave it out. Admission counts to that time.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -54,4 +54,5 @@
 pub(crate) mod server;
 pub(crate) mod state;
 pub(crate) mod stream;
+pub(crate) mod termination;
 pub(crate) mod versions;
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -34,6 +34,7 @@
     EndpointsLimited,
     EndpointLost,
     TimedOut,
+    Interrupted,
 }
 
 impl Reason {
@@ -60,6 +61,7 @@
             Self::EndpointsLimited => "endpoints_limited",
             Self::EndpointLost => "endpoint_lost",
             Self::TimedOut => "timed_out",
+            Self::Interrupted => "interrupted",
         }
     }
 
@@ -85,7 +87,7 @@
             | Self::EndpointsRefused
             | Self::EndpointsLimited => StatusCode::SERVICE_UNAVAILABLE,
             Self::EndpointLost => StatusCode::BAD_GATEWAY,
-            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::TimedOut | Self::Interrupted => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,5 +1,6 @@
 //! Requests of callers and their replies, independent of the HTTP server library.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use berylknot_coordination::clock::Instant;
@@ -74,6 +75,8 @@
     pub(crate) caller_deadline: Instant,
     /// Deadline for the end of the answer, by the route's timeout.
     pub(crate) route_deadline: Instant,
+    /// Whether an endpoint may have run the request.
+    pub(crate) may_have_run: Cell<bool>,
 }
 
 impl Call {
@@ -138,7 +141,8 @@
         }
     }
 
-    /// Builds the request to an endpoint, without hop-by-hop and reserved headers of the caller.
+    /// Builds the request to an endpoint, without hop-by-hop and reserved headers of the caller. From here
+    /// on the endpoint may have run it, unless it is asked to read the prompt only.
     pub(crate) fn outbound<D: Dialect>(
         &self,
         outbound: &Outbound<'_>,
@@ -156,6 +160,9 @@
             headers.append(name.clone(), value.clone());
         }
         D::outbound(outbound, headers);
+        if !outbound.prefill {
+            self.may_have_run.set(true);
+        }
         Ok(request)
     }
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -186,16 +186,13 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    let started = now();
-    let mut shutdown = host.shutdown.get();
-    shutdown.start(started);
-    host.shutdown.set(shutdown);
+    let shutdown = host.shutdown.start();
     tracing::info!(open = host.open_requests.get(), "daemon: stopping");
     tokio::time::sleep(UNREADY_DETECTION).await;
     for task in accepting {
         task.abort();
     }
-    let exit_at = shutdown.exit_at().unwrap_or(started);
+    let exit_at = shutdown.exit_at().unwrap_or_else(now);
     while host.open_requests.get() > 0 && now() < exit_at {
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -3,6 +3,7 @@
 //! Uses `actix-http` directly instead of `actix-web`: a caller that closes its half of a connection
 //! must cancel its request, and all tasks share one thread.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -206,7 +207,12 @@
         .as_ref()
         .map_or(DEFAULT_MAX_BODY_BYTES, |fleet| fleet.body_bytes);
     let (method, target, host_name, headers) = head(&incoming);
-    match tokio::time::timeout(BODY_TIMEOUT, read_body(incoming, limit)).await {
+    let body = tokio::select! {
+        biased;
+        body = tokio::time::timeout(BODY_TIMEOUT, read_body(incoming, limit)) => body,
+        () = host.shutdown.answers_due() => return refuse_stopping(host),
+    };
+    match body {
         Ok(Ok(body)) => {
             let request = Request {
                 method,
@@ -276,9 +282,20 @@
     };
     let kind = call.route().kind;
     let call = Rc::new(call);
-    let reply = match kind {
-        Kind::Streaming => completion::serve(host, Rc::clone(&call)).await,
-        Kind::Idempotent | Kind::NonIdempotent => call::serve(host, &call).await,
+    let served = async {
+        match kind {
+            Kind::Streaming => completion::serve(host, Rc::clone(&call)).await,
+            Kind::Idempotent | Kind::NonIdempotent => call::serve(host, &call).await,
+        }
+    };
+    let reply = tokio::select! {
+        biased;
+        reply = served => reply,
+        () = host.shutdown.answers_due() => if call.may_have_run.get() {
+            call::rejection(host, Reason::Interrupted, None)
+        } else {
+            refuse_stopping(host)
+        },
     };
     let status = match &reply {
         Reply::Whole { status, .. } | Reply::Stream { status, .. } => *status,
@@ -408,6 +425,7 @@
         arrived,
         caller_deadline: arrived + wait,
         route_deadline: arrived + timeout,
+        may_have_run: Cell::new(false),
     };
     Ok(call)
 }
--- a/crates/entry/src/shutdown.rs
+++ b/crates/entry/src/shutdown.rs
@@ -2,7 +2,8 @@
 //!
 //! Callers go on using open connections until the process exits. A request that the exit could cut
 //! off is rejected as not run, so that its caller can retry at another host. What it waits for before it
-//! runs counts as well, so the time is checked again until the request is passed on.
+//! runs counts as well, so the time is checked again until the request is passed on. What is open shortly
+//! before the exit is answered then.
 
 use std::time::Duration;
 
@@ -10,6 +11,9 @@
 
 /// Time between the exit of the process and the SIGKILL of the platform.
 const EXIT_MARGIN: Duration = Duration::from_millis(600);
+/// Time between the last answers and the exit of the process: a wake-up of a busy process and the write of
+/// a small answer.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 
 /// Progress of a graceful shutdown.
 #[derive(Clone, Copy, Debug)]
@@ -45,11 +49,17 @@
         Some(self.started? + self.grace.saturating_sub(EXIT_MARGIN))
     }
 
-    /// Latest start of a run that takes at most `max_duration` and ends before the exit; `None` before the
-    /// signal.
+    /// Time by which each request has its answer; `None` before the signal.
+    #[must_use]
+    pub fn answer_by(&self) -> Option<Instant> {
+        Some(self.exit_at()? - ANSWER_MARGIN)
+    }
+
+    /// Latest start of a run that takes at most `max_duration` and is answered before the exit; `None` before
+    /// the signal.
     #[must_use]
     pub fn latest_start(&self, max_duration: Duration) -> Option<Instant> {
-        Some(self.exit_at()? - max_duration)
+        Some(self.answer_by()? - max_duration)
     }
 
     /// Whether a run that takes at most `max_duration` and starts now ends before the exit.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -35,10 +35,10 @@
 use crate::refresh::Refresh;
 use crate::request::{Call, Classification};
 use crate::saturation::Saturation;
-use crate::shutdown::Shutdown;
 use crate::stages::Demand;
 use crate::strikes::Strikes;
 use crate::suspects::{Crash, Suspects};
+use crate::termination::Termination;
 use crate::versions::Published;
 
 /// Cost of an endpoint in another data centre, as a share of its slots.
@@ -96,7 +96,7 @@
     pub(crate) outage: Cell<Outage>,
     /// Whether the announcements of the other hosts have been read from the store.
     pub(crate) hosts_known: Cell<bool>,
-    pub(crate) shutdown: Cell<Shutdown>,
+    pub(crate) shutdown: Termination,
     pub(crate) open_requests: Cell<usize>,
     /// Stage changes under way.
     pub(crate) orders: RefCell<Orders>,
@@ -151,7 +151,7 @@
         ledger.number_grants_from(incarnation);
         Self {
             quotas: RefCell::new(Quotas::new(options.first_start, bounds.quota_window_ms())),
-            shutdown: Cell::new(Shutdown::new(bounds.grace())),
+            shutdown: Termination::new(bounds.grace()),
             options,
             store: Archive::new(store),
             pool,
