Do not send a call again that the exit of its host could cut off

A call that was taken before SIGTERM and refused by its endpoint late in the grace was sent to an endpoint once more, also one that may not be repeated; its run could outlast the exit, and its caller could not tell whether it ran.

Cause: whether a call ends before the exit was decided at its arrival only. Ruled out: generations, which are looked at before each send.

Before each send, a call that has not run is refused as not run (503 with Retry-After) if its deadline is later than the last answers. The look comes after the wait for a permit.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -16,7 +16,7 @@
 use crate::peer;
 use crate::permit;
 use crate::platform::{Dialect, Store};
-use crate::refusal::Reason;
+use crate::refusal::{Reason, STOPPING_RETRY_AFTER};
 use crate::request::{Call, Classification, Reply, answer_headers};
 use crate::state::{Host, LAST_RESORT_COST, NO_GRANT, Reservation, jitter, now};
 
@@ -104,6 +104,12 @@
                 break;
             }
         };
+        // A call that was taken before the signal, or that an endpoint refused since.
+        if runs == 0 && !host.shutdown.get().ends_in_time(call.deadline()) {
+            reason = Reason::Stopping;
+            retry_after = STOPPING_RETRY_AFTER;
+            break;
+        }
         if sent > 0 && (host.is_crashing(call) || !host.may_retry(call)) {
             break;
         }
--- a/crates/entry/src/shutdown.rs
+++ b/crates/entry/src/shutdown.rs
@@ -62,6 +62,12 @@
         Some(self.answer_by()? - max_duration)
     }
 
+    /// Whether a run that ends at `deadline` at the latest is answered before the exit.
+    #[must_use]
+    pub fn ends_in_time(&self, deadline: Instant) -> bool {
+        self.answer_by().is_none_or(|latest| deadline <= latest)
+    }
+
     /// Whether a run that takes at most `max_duration` and starts now ends before the exit.
     #[must_use]
     pub fn accepts(&self, now: Instant, max_duration: Duration) -> bool {
--- a/crates/entry/tests/shutdown.rs
+++ b/crates/entry/tests/shutdown.rs
@@ -46,4 +46,6 @@
     assert!(shutdown.answer_by() < shutdown.exit_at());
     assert!(shutdown.accepts(latest, run));
     assert!(!shutdown.accepts(latest + Duration::from_millis(1), run));
+    assert!(shutdown.ends_in_time(latest + run));
+    assert!(!shutdown.ends_in_time(latest + run + Duration::from_millis(1)));
 }
