--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -35,6 +35,7 @@
     LinksLost,
     EndpointLost,
     TimedOut,
+    Interrupted,
 }
 
 impl Reason {
@@ -62,6 +63,7 @@
             Self::LinksLost => "links_lost",
             Self::EndpointLost => "endpoint_lost",
             Self::TimedOut => "timed_out",
+            Self::Interrupted => "interrupted",
         }
     }
 
@@ -88,7 +90,7 @@
             | Self::EndpointsLimited
             | Self::LinksLost => StatusCode::SERVICE_UNAVAILABLE,
             Self::EndpointLost => StatusCode::BAD_GATEWAY,
-            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::TimedOut | Self::Interrupted => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout;
 
 use crate::completion::is_ready;
+use crate::connection::Connection;
 use crate::http::{ENDPOINT_HEADER, Place, guard, open};
 use crate::platform::{Dialect, Store};
 use crate::server::Open;
@@ -29,7 +30,7 @@
 /// Serves a peer's request for a connection to an endpoint.
 pub(crate) async fn serve<D: Dialect, S: Store>(
     host: Rc<Host<D, S>>,
-    (request, framed): (Request, Framed<TcpStream, Codec>),
+    (request, framed): (Request, Framed<Connection<Open<D, S>>, Codec>),
 ) -> Result<(), Infallible> {
     let parts = framed.into_parts();
     let mut peer = parts.io;
@@ -94,7 +95,7 @@
 
 /// Answers the peer, and passes on all bytes in both directions until one end closes.
 async fn pass<D, S>(
-    peer: &mut TcpStream,
+    peer: &mut Connection<Open<D, S>>,
     status: StatusCode,
     relayed: Option<Relayed<D, S>>,
     received: &[u8],
@@ -107,11 +108,11 @@
         );
         return peer.write_all(head.as_bytes()).await;
     };
-    guard(&*peer)?;
+    guard(peer.stream())?;
     let head = format!("HTTP/1.1 {} {reason}\r\n\r\n", status.as_u16());
     peer.write_all(head.as_bytes()).await?;
     relayed.endpoint.write_all(received).await?;
-    let (mut from_peer, mut to_peer) = peer.split();
+    let (mut from_peer, mut to_peer) = tokio::io::split(peer);
     let (mut from_endpoint, mut to_endpoint) = relayed.endpoint.split();
     tokio::select! {
         copied = tokio::io::copy(&mut from_peer, &mut to_endpoint) => copied?,
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -3,6 +3,7 @@
 //! Uses `actix-http` directly instead of `actix-web`: a caller that closes its half of a connection
 //! must cancel its request, and all tasks share one thread.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,13 +11,14 @@
 
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
 use actix_http::error::DispatchError;
-use actix_http::{HttpMessage, HttpService, Request as Incoming, Response};
+use actix_http::{Extensions, HttpMessage, HttpService, Request as Incoming, Response};
 use actix_service::{Service, ServiceFactory};
 use bytes::{Bytes, BytesMut};
 use futures_util::{StreamExt, stream};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::connection::{Body, Connection, Progress};
 use crate::fleet::Kind;
 use crate::metrics::Kind as KindLabel;
 use crate::platform::{Dialect, Store};
@@ -74,7 +76,12 @@
     let builder = HttpService::build()
         .keep_alive(IDLE_TIMEOUT)
         .client_request_timeout(HEAD_TIMEOUT)
-        .h1_allow_half_closed(false);
+        .h1_allow_half_closed(false)
+        .on_connect_ext(
+            |connection: &Connection<Open<D, S>>, extensions: &mut Extensions| {
+                extensions.insert(connection.progress());
+            },
+        );
     if audience == Audience::Peers {
         let relay = move |request| relay::serve(Rc::clone(&host), request);
         let factory = builder.upgrade(relay).h1(answer);
@@ -85,11 +92,13 @@
 }
 
 /// Connection and its remote address, as the HTTP library takes them.
-type Accepted = (TcpStream, Option<SocketAddr>);
+type Accepted<D, S> = (Connection<Open<D, S>>, Option<SocketAddr>);
 
-async fn accept_for<F>(factory: F, listener: TcpListener, audience: Audience)
+async fn accept_for<D, S, F>(factory: F, listener: TcpListener, audience: Audience)
 where
-    F: ServiceFactory<Accepted, Config = (), Error = DispatchError>,
+    D: 'static,
+    S: 'static,
+    F: ServiceFactory<Accepted<D, S>, Config = (), Error = DispatchError>,
     F::Service: 'static,
 {
     let Ok(service) = factory.new_service(()).await else {
@@ -113,7 +122,7 @@
             tracing::debug!(%error, "server: TCP_NODELAY could not be set; the connection is served without it");
         }
         let peer = stream.peer_addr().ok();
-        let serving = service.call((stream, peer));
+        let serving = service.call((Connection::new(stream), peer));
         actix_rt::spawn(async move {
             if let Err(error) = serving.await {
                 tracing::debug!(%error, "server: connection ended with an error");
@@ -189,13 +198,42 @@
     incoming: Incoming,
 ) -> Response<BoxBody> {
     let open = Open::new(&host);
+    let progress = incoming
+        .conn_data::<Rc<Progress<Open<D, S>>>>()
+        .cloned()
+        .unwrap_or_default();
+    let reply = if progress.is_closing() {
+        refuse_stopping(&host)
+    } else {
+        answer(&host, incoming).await
+    };
+    let is_closing = host.is_stopping();
+    if is_closing {
+        progress.close();
+    }
+    respond(reply, is_closing).map_body(|_, body| Body::new(body, open, progress).boxed())
+}
+
+/// The refusal of a request that has not run and that another host serves.
+fn refuse_stopping<D, S>(host: &Host<D, S>) -> Reply {
+    let after = call::jittered(STOPPING_RETRY_AFTER);
+    call::rejection(host, Reason::Stopping, Some(after))
+}
+
+/// Reads the body of a request and serves it.
+async fn answer<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, incoming: Incoming) -> Reply {
     let limit = host
         .fleet
         .borrow()
         .as_ref()
         .map_or(DEFAULT_MAX_BODY_BYTES, |fleet| fleet.body_bytes);
     let (method, target, host_name, headers) = head(&incoming);
-    let reply = match tokio::time::timeout(BODY_TIMEOUT, read_body(incoming, limit)).await {
+    let body = tokio::select! {
+        biased;
+        body = tokio::time::timeout(BODY_TIMEOUT, read_body(incoming, limit)) => body,
+        () = host.shutdown.answers_due() => return refuse_stopping(host),
+    };
+    match body {
         Ok(Ok(body)) => {
             let request = Request {
                 method,
@@ -204,12 +242,11 @@
                 headers,
                 body,
             };
-            serve(&host, request).await
+            serve(host, request).await
         }
-        Ok(Err(BodyError(true))) => call::rejection(&host, Reason::TooLarge, None),
-        Ok(Err(BodyError(false))) | Err(_) => call::rejection(&host, Reason::Unreadable, None),
-    };
-    respond(reply, host.is_stopping(), open)
+        Ok(Err(BodyError(true))) => call::rejection(host, Reason::TooLarge, None),
+        Ok(Err(BodyError(false))) | Err(_) => call::rejection(host, Reason::Unreadable, None),
+    }
 }
 
 fn head(incoming: &Incoming) -> (Method, String, String, HeaderMap) {
@@ -270,9 +307,20 @@
     };
     let kind = call.route().kind;
     let call = Rc::new(call);
-    let reply = match kind {
-        Kind::Streaming => completion::serve(host, Rc::clone(&call)).await,
-        Kind::Idempotent | Kind::NonIdempotent => call::serve(host, &call).await,
+    let served = async {
+        match kind {
+            Kind::Streaming => completion::serve(host, Rc::clone(&call)).await,
+            Kind::Idempotent | Kind::NonIdempotent => call::serve(host, &call).await,
+        }
+    };
+    let reply = tokio::select! {
+        biased;
+        reply = served => reply,
+        () = host.shutdown.answers_due() => if call.may_have_run.get() {
+            call::rejection(host, Reason::Interrupted, None)
+        } else {
+            refuse_stopping(host)
+        },
     };
     let status = match &reply {
         Reply::Whole { status, .. } | Reply::Stream { status, .. } => *status,
@@ -406,15 +454,12 @@
         arrived,
         caller_deadline: arrived + wait,
         route_deadline: arrived + timeout,
+        may_have_run: Cell::new(false),
     };
     Ok(call)
 }
 
-fn respond<D: 'static, S: 'static>(
-    reply: Reply,
-    closing: bool,
-    open: Open<D, S>,
-) -> Response<BoxBody> {
+fn respond(reply: Reply, closing: bool) -> Response<BoxBody> {
     let (status, headers, body) = match reply {
         Reply::Whole {
             status,
@@ -426,9 +471,9 @@
             headers,
             events,
         } => {
-            let events = stream::unfold((events, open), |(mut events, open)| async move {
+            let events = stream::unfold(events, |mut events| async move {
                 let event = events.recv().await?;
-                Some((event, (events, open)))
+                Some((event, events))
             });
             (status, headers, BodyStream::new(Box::pin(events)).boxed())
         }
