Add a mechanism that shares out memory between sources

Callers see nothing yet. Answers that are buffered had a bound each and none together, so that one faulty server could take the memory of a host. A claim names all the bytes that it needs and is granted in its turn; a source has a share at most, and claims that wait for their source do not delay others. Ruled out: growth in steps (granted claims would wait for each other in a circle), cutting the largest (a sound answer that began early is the largest).

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod history;
 pub mod lease;
 pub mod member;
+pub mod memory;
 pub mod notice;
 pub mod order;
 pub mod origin;
