Bound the memory that unfinished answers take together

Callers saw their requests end with the process of a host: a server whose answers do not end filled 8 MiB for each call (twice while it grows, and again in the server's buffer), 418 kB for each head, 256 KiB for each event and 16 reads for each slow caller. Each buffer had a bound, their sum had none. Ruled out: a missing timeout, endless chunk extensions and trailers of plain answers, and answers of the store, which stayed below the bound before.

Above 16 KiB an answer claims memory, and nothing is read until it is granted; one endpoint gets half at most, the store has its own. A stated length beyond the limit is refused unread. Large answers go to callers in pieces, until their deadline. Connections read 16 KiB at a time, which is also the longest head. Answers of peers are limited to 8 MiB instead of 16.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -10,6 +10,7 @@
 use crate::directory::{Endpoint, Key};
 use crate::fleet::Kind;
 use crate::health::{Group, Suspicion};
+use crate::http::memory::LARGE_BYTES;
 use crate::http::{Error, Timeouts};
 use crate::ledger::Run;
 use crate::metrics::Label;
@@ -24,7 +25,7 @@
 /// second, and another endpoint is tried before that.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size of a plain answer in bytes.
-const MAX_BODY_BYTES: usize = 8 * 1_024 * 1_024;
+const MAX_BODY_BYTES: usize = LARGE_BYTES;
 /// Longest idle time of a connection that is reused for a non-idempotent request.
 const NON_IDEMPOTENT_MAX_IDLE: Duration = Duration::from_millis(1_500);
 /// Timeout of an attempt that can be retried, as a multiple of the latency objective.
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -6,7 +6,10 @@
 use bytes::{Bytes, BytesMut};
 
 /// Maximum size of a buffered event in bytes; a longer one indicates a faulty endpoint.
-const MAX_EVENT_BYTES: usize = 256 * 1_024;
+pub(crate) const MAX_EVENT_BYTES: usize = 256 * 1_024;
+/// Size of completed events above which the buffer is replaced, so that a large event does not keep its
+/// memory while small ones follow. Events have some hundred bytes.
+pub(crate) const SMALL_BYTES: usize = 4 * 1_024;
 const ID_FIELD: &[u8] = b"id:";
 
 /// Splitter of one event stream.
@@ -55,9 +58,21 @@
         self.tail.is_empty()
     }
 
+    /// Bytes of the event that is not complete.
+    #[must_use]
+    pub fn buffered(&self) -> usize {
+        self.tail.len()
+    }
+
+    /// Allocates memory for the largest event at once; growth in steps would take up to twice as much.
+    pub(crate) fn reserve(&mut self) {
+        let missing = MAX_EVENT_BYTES.saturating_sub(self.tail.len());
+        self.tail.reserve(missing);
+    }
+
     /// Discards the buffered part of an event, after the stream of its endpoint broke.
     pub fn discard_tail(&mut self) {
-        self.tail.clear();
+        self.tail = BytesMut::new();
     }
 
     /// Adds received bytes; returns the events that they complete.
@@ -75,6 +90,9 @@
             };
         };
         let complete = self.tail.split_to(searched + end).freeze();
+        if complete.len() > SMALL_BYTES {
+            self.tail = BytesMut::from(&self.tail[..]);
+        }
         for line in complete.split(|byte| *byte == b'\n') {
             let Some(id) = line.strip_prefix(ID_FIELD) else {
                 continue;
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -6,6 +6,7 @@
 use std::error::Error as _;
 use std::io::ErrorKind;
 
+pub(crate) mod memory;
 mod pool;
 
 pub use pool::{Exchange, Pool, Timeouts};
--- a/crates/entry/src/http/pool.rs
+++ b/crates/entry/src/http/pool.rs
@@ -7,10 +7,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{Domain, Protocol, Socket, TcpKeepalive, Type};
@@ -18,6 +18,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use super::memory::{Body, Charge, Memory};
 use super::{Error, Result};
 
 /// `TCP_USER_TIMEOUT`: time without an acknowledgement of sent data after which a connection fails.
@@ -32,6 +33,9 @@
 const IDLE_TIMEOUT_SHARE: f64 = 0.6;
 /// Maximum number of idle connections per address.
 const MAX_IDLE_CONNECTIONS: usize = 16;
+/// Largest head of an answer, and most bytes read from a connection at once. The default of 417,792 bytes
+/// for each of 200 connections exceeds the memory of the smallest host (88 MB).
+const MAX_BUFFER_BYTES: usize = 16 * 1_024;
 const KEEP_ALIVE: &str = "keep-alive";
 
 /// Timeouts of an exchange.
@@ -68,6 +72,7 @@
 pub struct Pool {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<Connection>>>>,
     limit: Rc<Cell<usize>>,
+    memory: Memory,
 }
 
 impl Default for Pool {
@@ -75,11 +80,21 @@
         Self {
             idle: Rc::default(),
             limit: Rc::new(Cell::new(MAX_IDLE_CONNECTIONS)),
+            memory: Memory::default(),
         }
     }
 }
 
 impl Pool {
+    /// The same connections with memory of its own for the answers, which those of others cannot use up.
+    #[must_use]
+    pub(crate) fn with_own_memory(&self) -> Self {
+        Self {
+            memory: Memory::default(),
+            ..self.clone()
+        }
+    }
+
     /// Sends a request on a pooled or new connection and waits for the head of the answer.
     ///
     /// # Errors
@@ -187,6 +202,7 @@
         .connect(address)
         .await?;
     let (sender, driver) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
@@ -265,20 +281,27 @@
         }
     }
 
-    /// Reads the whole body, of at most `limit` bytes, within `read_timeout`.
+    /// Waits until the address may have `bytes` more of this host's memory.
+    ///
+    /// # Errors
+    /// Fails when it can never have as many.
+    pub(crate) async fn claim(&self, bytes: usize) -> Result<Charge> {
+        self.pool.memory.claim(self.address, bytes).await
+    }
+
+    /// Reads the whole body, of at most `limit` bytes, within `read_timeout`, the wait for memory included.
     ///
     /// # Errors
     /// Fails when the body is cut off, exceeds the limit or takes too long.
     pub async fn read(&mut self, limit: usize, read_timeout: Duration) -> Result<Bytes> {
         let read = async {
-            let mut whole = BytesMut::new();
+            let length = self.body.size_hint().exact();
+            let memory = self.pool.memory.clone();
+            let mut whole = Body::new(memory, self.address, length, limit)?;
             while let Some(data) = self.next().await? {
-                if whole.len() + data.len() > limit {
-                    return Err(Error::TooLarge);
-                }
-                whole.extend_from_slice(&data);
+                whole.push(&data).await?;
             }
-            Ok(whole.freeze())
+            Ok(whole.finish())
         };
         timeout(read_timeout, read)
             .await
--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -13,6 +13,7 @@
 
 use crate::follow;
 use crate::http::Timeouts;
+use crate::http::memory::LARGE_BYTES;
 use crate::own;
 use crate::peer::{entries_age_ms, millis_since};
 use crate::platform::{Dialect, Store};
@@ -25,7 +26,7 @@
 /// Timeout of each step of a query to a peer.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum size of an answer in bytes.
-const MAX_ANSWER_BYTES: usize = 16 * 1_024 * 1_024;
+const MAX_ANSWER_BYTES: usize = LARGE_BYTES;
 
 /// Query for newer records.
 #[derive(Debug)]
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -47,7 +47,7 @@
     dropped_lines: Dropped,
 ) -> eyre::Result<()> {
     let pool = Pool::default();
-    let store = store(pool.clone(), options.store.address);
+    let store = store(pool.with_own_memory(), options.store.address);
     let host = Rc::new(Host::<D, S>::new(
         options,
         store,
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -7,21 +7,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::body::{BodyStream, BoxBody, MessageBody};
+use actix_http::body::{BodyStream, BoxBody, MessageBody, SizedStream};
 use actix_http::{HttpMessage, HttpService, Request as Incoming, Response};
 use actix_service::{Service, ServiceFactory};
 use bytes::{Bytes, BytesMut};
 use futures_util::{StreamExt, stream};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
 
 use crate::fleet::Kind;
 use crate::metrics::Kind as KindLabel;
 use crate::platform::{Dialect, Store};
 use crate::quota::Class;
 use crate::refusal::{Reason, STOPPING_RETRY_AFTER};
-use crate::request::{Call, Reply, Request};
+use crate::request::{Call, Cut, Events, Reply, Request};
 use crate::state::{Host, now};
+use crate::stream::{PIECE_BYTES, forward};
 use crate::strikes::Fingerprint;
 use crate::{admission, call, completion, permit, records};
 
@@ -35,6 +37,9 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum size of a request body while no configuration is known, and of a query from a peer.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1_024 * 1_024;
+/// Longest time to write a large answer, whatever deadline its caller states: until then it takes memory
+/// that other large answers wait for.
+const MAX_WRITE_TIME: Duration = Duration::from_secs(30);
 /// Connections that may wait in the accept queue of a listener.
 const LISTEN_BACKLOG: u32 = 512;
 
@@ -69,6 +74,7 @@
         .keep_alive(IDLE_TIMEOUT)
         .client_request_timeout(HEAD_TIMEOUT)
         .h1_allow_half_closed(false)
+        .h1_write_buffer_size(PIECE_BYTES)
         .h1(move |request: Incoming| {
             let host = Rc::clone(&shared);
             async move { Ok::<_, std::convert::Infallible>(handle(host, request, audience).await) }
@@ -170,7 +176,8 @@
         .as_ref()
         .map_or(DEFAULT_MAX_BODY_BYTES, |fleet| fleet.body_bytes);
     let (method, target, host_name, headers) = head(&incoming);
-    let reply = match tokio::time::timeout(BODY_TIMEOUT, read_body(incoming, limit)).await {
+    let received = tokio::time::timeout(BODY_TIMEOUT, read_body(incoming, limit)).await;
+    let (reply, deadline) = match received {
         Ok(Ok(body)) => {
             let request = Request {
                 method,
@@ -181,10 +188,13 @@
             };
             serve(&host, request).await
         }
-        Ok(Err(BodyError(true))) => call::rejection(&host, Reason::TooLarge, None),
-        Ok(Err(BodyError(false))) | Err(_) => call::rejection(&host, Reason::Unreadable, None),
+        Ok(Err(BodyError(true))) => (call::rejection(&host, Reason::TooLarge, None), now()),
+        Ok(Err(BodyError(false))) | Err(_) => {
+            (call::rejection(&host, Reason::Unreadable, None), now())
+        }
     };
-    respond(reply, host.is_stopping(), open)
+    let left = deadline.since(now()).min(MAX_WRITE_TIME);
+    respond(reply, left, host.is_stopping(), open)
 }
 
 fn head(incoming: &Incoming) -> (Method, String, String, HeaderMap) {
@@ -229,14 +239,18 @@
 /// `Retry-After` of a host without a current configuration, which a starting host has by then.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-async fn serve<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, request: Request) -> Reply {
+/// Serves a request; returns the reply and the time until which its caller waits.
+async fn serve<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    request: Request,
+) -> (Reply, berylknot_coordination::clock::Instant) {
     let arrived = now();
     let accepted = accept_call(host, request, arrived);
     let call = match accepted {
         Ok(call) => call,
         Err((id, reason, after)) => {
             tracing::info!(id, reason = reason.code(), "request: refused");
-            return call::rejection(host, reason, after);
+            return (call::rejection(host, reason, after), arrived);
         }
     };
     let kind = call.route().kind;
@@ -278,7 +292,7 @@
         took_ms = took.as_millis() as u64,
         "request: answered"
     );
-    reply
+    (reply, call.caller_deadline)
 }
 
 /// Id of the request, reason and time until a retry may succeed.
@@ -377,12 +391,48 @@
     Ok(call)
 }
 
+/// The bytes that a task passes on; the request is open until the last ones.
+fn body_stream<D: 'static, S: 'static>(
+    events: Events,
+    open: Open<D, S>,
+) -> impl futures_util::Stream<Item = Result<Bytes, Cut>> {
+    stream::unfold((events, open), |(mut events, open)| async move {
+        let event = events.recv().await?;
+        Some((event, (events, open)))
+    })
+}
+
+/// Passes a large answer on in pieces for as long as its caller waits. The HTTP server would copy it whole
+/// into the buffer of the connection, and keep it there for a caller that does not read.
+fn pieces(body: Bytes, left: Duration) -> Events {
+    let (sender, pieces) = mpsc::channel(1);
+    actix_rt::spawn(async move {
+        if tokio::time::timeout(left, forward(&sender, body))
+            .await
+            .is_err()
+        {
+            tracing::info!("server: caller did not read a large answer in time; cut");
+        }
+    });
+    pieces
+}
+
 fn respond<D: 'static, S: 'static>(
     reply: Reply,
+    left: Duration,
     closing: bool,
     open: Open<D, S>,
 ) -> Response<BoxBody> {
     let (status, headers, body) = match reply {
+        Reply::Whole {
+            status,
+            headers,
+            body,
+        } if body.len() > PIECE_BYTES => {
+            let length = body.len() as u64;
+            let pieces = Box::pin(body_stream(pieces(body, left), open));
+            (status, headers, SizedStream::new(length, pieces).boxed())
+        }
         Reply::Whole {
             status,
             headers,
@@ -393,11 +443,8 @@
             headers,
             events,
         } => {
-            let events = stream::unfold((events, open), |(mut events, open)| async move {
-                let event = events.recv().await?;
-                Some((event, (events, open)))
-            });
-            (status, headers, BodyStream::new(Box::pin(events)).boxed())
+            let events = Box::pin(body_stream(events, open));
+            (status, headers, BodyStream::new(events).boxed())
         }
     };
     let status = actix_http::StatusCode::from_u16(status.as_u16())
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -13,9 +13,10 @@
     expected_tokens, hopeless_at, is_ready,
 };
 use crate::directory::Endpoint;
-use crate::events::Splitter;
+use crate::events::{MAX_EVENT_BYTES, SMALL_BYTES, Splitter};
 use crate::health::Suspicion;
 use crate::http::Exchange;
+use crate::http::memory::Charge;
 use crate::ledger::remaining;
 use crate::metrics::Label;
 use crate::mix::Pace;
@@ -23,8 +24,11 @@
 use crate::request::{Call, Cut};
 use crate::state::{Host, Reservation, now};
 
-/// Chunks of events that are buffered for a slow caller.
-pub(crate) const BUFFERED_EVENTS: usize = 16;
+/// Pieces of events that are buffered for a slow caller. With 16, streams of 200 callers that did not read
+/// took 594 MB.
+pub(crate) const BUFFERED_EVENTS: usize = 2;
+/// Largest piece in which bytes are passed to a caller.
+pub(crate) const PIECE_BYTES: usize = 16 * 1_024;
 
 /// A generation that runs at a decode engine.
 pub(crate) struct Running<D, S> {
@@ -67,6 +71,35 @@
     }
 }
 
+/// Passes bytes to a caller, large ones in copies of pieces: a piece that waits for a slow caller does not
+/// keep the memory of the whole. Returns whether the caller is still there.
+pub(crate) async fn forward(sender: &Sender, mut bytes: bytes::Bytes) -> bool {
+    if bytes.len() <= SMALL_BYTES {
+        return sender.send(Ok(bytes)).await.is_ok();
+    }
+    while !bytes.is_empty() {
+        let piece = bytes.split_to(PIECE_BYTES.min(bytes.len()));
+        let piece = bytes::Bytes::copy_from_slice(&piece);
+        if sender.send(Ok(piece)).await.is_err() {
+            return false;
+        }
+    }
+    true
+}
+
+/// Reads the next bytes of a stream. An event that becomes large first gets memory for its largest size.
+async fn next(
+    exchange: &mut Exchange,
+    events: &mut Splitter,
+    charge: &mut Option<Charge>,
+) -> crate::http::Result<Option<bytes::Bytes>> {
+    if charge.is_none() && events.buffered() > SMALL_BYTES {
+        *charge = Some(exchange.claim(MAX_EVENT_BYTES).await?);
+        events.reserve();
+    }
+    exchange.next().await
+}
+
 async fn relay_events<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     call: &Call,
@@ -81,6 +114,7 @@
     let mut pace = Some(Pace::default());
     let mut last_event = now();
     let mut gap_start = last_event;
+    let mut charge = None;
     loop {
         let left = call.deadline().since(now());
         if left.is_zero() {
@@ -92,7 +126,8 @@
         } else {
             left
         };
-        let cause = match timeout(max_gap, run.exchange.next()).await {
+        let cause = match timeout(max_gap, next(&mut run.exchange, &mut events, &mut charge)).await
+        {
             Ok(Ok(Some(data))) => match events.push(&data) {
                 Ok(complete) if complete.is_empty() => continue,
                 Ok(complete) => {
@@ -111,8 +146,13 @@
                         produced * tokens_per_event,
                         max_output.saturating_sub(delivered * tokens_per_event),
                     );
-                    if sender.send(Ok(complete)).await.is_err() {
-                        return Ok(());
+                    match timeout(left, forward(sender, complete)).await {
+                        Ok(true) => {}
+                        Ok(false) => return Ok(()),
+                        Err(_) => return Err(Cut("route timeout")),
+                    }
+                    if events.buffered() <= SMALL_BYTES {
+                        charge = None;
                     }
                     continue;
                 }
@@ -172,6 +212,7 @@
         };
         host.failed(run.reservation.key, suspicion);
         events.discard_tail();
+        charge = None;
         pace = None;
         let produced = delivered * tokens_per_event;
         let resume_point = ResumePoint {
