Do not let a refusal without end keep its call

A caller got 503 at its deadline although another server would have taken the call: the body of a refusal was drained for all the time left and up to 8 MiB, only to use the connection again. Likewise the bodies of prefill answers and of engines' errors had a timeout of their own after that of the head, so that an answer could come after the deadline; they share it now. Ruled out: the retry budget and the limit of attempts, which a refusal does not use up. a_refusal_without_end_does_not_keep_its_call_from_another_server failed before (503 at the first or second call) and passes, on x86_64. The two shared timeouts have no test of their own.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -17,6 +17,7 @@
 use crate::peer;
 use crate::permit;
 use crate::platform::{Dialect, Store};
+use crate::prefill;
 use crate::refusal::Reason;
 use crate::request::{Call, Classification, Reply, answer_headers};
 use crate::state::{Host, LAST_RESORT_COST, NO_GRANT, Reservation, jitter, now};
@@ -366,8 +367,10 @@
         Classification::Mismatched => return Attempt::Mismatched,
         Classification::NotRun => {
             let left = timeouts.head.saturating_sub(now().since(started));
-            // Drain the body so that the connection can be reused.
-            drop(exchange.read(MAX_BODY_BYTES, left).await);
+            // Drain the body so that the connection can be reused; one without end must not delay the
+            // next attempt.
+            let left = left.min(CONNECT_TIMEOUT);
+            drop(exchange.read(prefill::MAX_ANSWER_BYTES, left).await);
             return Attempt::Refused;
         }
     }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -621,6 +621,7 @@
     }
     let status = exchange.status;
     let headers = answer_headers(&exchange.headers);
+    let left = head.saturating_sub(now().since(started));
     match exchange.read(prefill::MAX_ANSWER_BYTES, left).await {
         Ok(body) => Decoded::Answered(Reply::Whole {
             status,
--- a/crates/entry/src/prefill.rs
+++ b/crates/entry/src/prefill.rs
@@ -115,7 +115,8 @@
     };
     let sent = async {
         let mut exchange = host.pool.send(endpoint.address, request, timeouts).await?;
-        let body = exchange.read(MAX_ANSWER_BYTES, head).await?;
+        let left = head.saturating_sub(now().since(started));
+        let body = exchange.read(MAX_ANSWER_BYTES, left).await?;
         Ok::<_, Error>((
             exchange.status,
             D::answer(exchange.status, &exchange.headers),
