Count the gap of a stream from events, not from comments

A caller of a resumable stream got comments until the route's timeout: any complete block restarted the timer of the gap, so the stream was never resumed at another engine. Only events with an id restart it now, and only they count for the pace. Ruled out: the splitter, which counts comments as no event, and single bytes, which a test covers already. a_stream_of_nothing_but_comments_is_resumed_elsewhere failed before and passes, on x86_64.

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -120,7 +120,8 @@
         if left.is_zero() {
             return Err(Cut("route timeout"));
         }
-        // The gap counts from the last whole event: a stalled engine may go on sending single bytes.
+        // The gap counts from the last whole event with an id: a stalled engine may go on sending single
+        // bytes or comments.
         let max_gap = if call.route().resumable {
             left.min((gap_start + call.route().resume_gap()).since(now()))
         } else {
@@ -137,10 +138,12 @@
                         host.began(call);
                     }
                     delivered += produced;
-                    last_event = now();
-                    gap_start = last_event;
-                    if let Some(pace) = &mut pace {
-                        pace.record(last_event, delivered);
+                    if produced > 0 {
+                        last_event = now();
+                        gap_start = last_event;
+                        if let Some(pace) = &mut pace {
+                            pace.record(last_event, delivered);
+                        }
                     }
                     run.reservation.progress(
                         produced * tokens_per_event,
