--- a/crates/entry/src/http/memory.rs
+++ b/crates/entry/src/http/memory.rs
@@ -10,8 +10,7 @@
 
 use super::{Error, Result};
 
-/// Answers of up to this many bytes need no claim: with the buffers of its connection, each of 200 requests
-/// takes 130 KB at most.
+/// Answers of up to this many bytes need no claim: as much as a connection reads at once.
 pub(crate) const SMALL_BYTES: usize = 16 * 1_024;
 /// First claim of an answer that states no length; enough for nearly all of them.
 pub(crate) const MEDIUM_BYTES: usize = 256 * 1_024;
