--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod lease;
 pub mod link;
 pub mod member;
+pub mod memory;
 pub mod notice;
 pub mod order;
 pub mod origin;
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -12,12 +12,14 @@
 use crate::directory::{Endpoint, Key};
 use crate::fleet::Kind;
 use crate::health::{Group, Suspicion};
+use crate::http::memory::LARGE_BYTES;
 use crate::http::{Error, Timeouts};
 use crate::ledger::Run;
 use crate::metrics::Label;
 use crate::peer;
 use crate::permit;
 use crate::platform::{Dialect, Store};
+use crate::prefill;
 use crate::refusal::{Reason, STOPPING_RETRY_AFTER};
 use crate::request::{Call, Classification, Reply, answer_headers};
 use crate::state::{Host, LAST_RESORT_COST, NO_GRANT, Reservation, jitter, now};
@@ -26,7 +28,7 @@
 /// second, and another endpoint is tried before that.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size of a plain answer in bytes.
-const MAX_BODY_BYTES: usize = 8 * 1_024 * 1_024;
+const MAX_BODY_BYTES: usize = LARGE_BYTES;
 /// Longest idle time of a connection that is reused for a non-idempotent request.
 const NON_IDEMPOTENT_MAX_IDLE: Duration = Duration::from_millis(1_500);
 /// Timeout of an attempt that can be retried, as a multiple of the latency objective.
@@ -386,8 +388,10 @@
         Classification::NotRun => {
             exchange.accept(true);
             let left = timeouts.head.saturating_sub(now().since(started));
-            // Drain the body so that the connection can be reused.
-            drop(exchange.read(MAX_BODY_BYTES, left).await);
+            // Drain the body so that the connection can be reused; one without end must not delay the
+            // next attempt.
+            let left = left.min(CONNECT_TIMEOUT);
+            drop(exchange.read(prefill::MAX_ANSWER_BYTES, left).await);
             return Attempt::Refused;
         }
     }
--- a/crates/entry/src/prefill.rs
+++ b/crates/entry/src/prefill.rs
@@ -125,7 +125,8 @@
         } else {
             Classification::Mismatched
         };
-        let body = exchange.read(MAX_ANSWER_BYTES, head).await?;
+        let left = head.saturating_sub(now().since(started));
+        let body = exchange.read(MAX_ANSWER_BYTES, left).await?;
         Ok::<_, Error>((exchange.status, answer, classification, body))
     };
     let result = sent.await;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -9,14 +9,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::body::{BodyStream, BoxBody, MessageBody};
+use actix_http::body::{BodyStream, BoxBody, MessageBody, SizedStream};
 use actix_http::error::DispatchError;
 use actix_http::{Extensions, HttpMessage, HttpService, Request as Incoming, Response};
 use actix_service::{Service, ServiceFactory};
+use berylknot_coordination::clock::Instant;
 use bytes::{Bytes, BytesMut};
 use futures_util::{StreamExt, stream};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
 
 use crate::connection::{Body, Connection, Progress};
 use crate::fleet::Kind;
@@ -24,8 +26,9 @@
 use crate::platform::{Dialect, Store};
 use crate::quota::Class;
 use crate::refusal::{Reason, STOPPING_RETRY_AFTER};
-use crate::request::{Call, Reply, Request};
+use crate::request::{Call, Cut, Events, Reply, Request};
 use crate::state::{Host, now};
+use crate::stream::{PIECE_BYTES, forward};
 use crate::strikes::Fingerprint;
 use crate::{admission, call, completion, permit, records, relay};
 
@@ -39,6 +42,9 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum size of a request body while no configuration is known, and of a query from a peer.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1_024 * 1_024;
+/// Longest time to write a large answer, whatever deadline its caller states: until then it takes memory
+/// that other large answers wait for.
+const MAX_WRITE_TIME: Duration = Duration::from_secs(30);
 /// Connections that may wait in the accept queue of a listener.
 const LISTEN_BACKLOG: u32 = 512;
 
@@ -77,6 +83,7 @@
         .keep_alive(IDLE_TIMEOUT)
         .client_request_timeout(HEAD_TIMEOUT)
         .h1_allow_half_closed(false)
+        .h1_write_buffer_size(PIECE_BYTES)
         .on_connect_ext(
             |connection: &Connection<Open<D, S>>, extensions: &mut Extensions| {
                 extensions.insert(connection.progress());
@@ -202,8 +209,8 @@
         .conn_data::<Rc<Progress<Open<D, S>>>>()
         .cloned()
         .unwrap_or_default();
-    let reply = if progress.is_closing() {
-        refuse_stopping(&host)
+    let (reply, deadline) = if progress.is_closing() {
+        (refuse_stopping(&host), now())
     } else {
         answer(&host, incoming).await
     };
@@ -211,7 +218,8 @@
     if is_closing {
         progress.close();
     }
-    respond(reply, is_closing).map_body(|_, body| Body::new(body, open, progress).boxed())
+    let left = deadline.since(now()).min(MAX_WRITE_TIME);
+    respond(reply, left, is_closing).map_body(|_, body| Body::new(body, open, progress).boxed())
 }
 
 /// The refusal of a request that has not run and that another host serves.
@@ -220,8 +228,11 @@
     call::rejection(host, Reason::Stopping, Some(after))
 }
 
-/// Reads the body of a request and serves it.
-async fn answer<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, incoming: Incoming) -> Reply {
+/// Reads the body of a request and serves it; returns the reply and the time until which its caller waits.
+async fn answer<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    incoming: Incoming,
+) -> (Reply, Instant) {
     let limit = host
         .fleet
         .borrow()
@@ -231,7 +242,7 @@
     let body = tokio::select! {
         biased;
         body = tokio::time::timeout(BODY_TIMEOUT, read_body(incoming, limit)) => body,
-        () = host.shutdown.answers_due() => return refuse_stopping(host),
+        () = host.shutdown.answers_due() => return (refuse_stopping(host), now()),
     };
     match body {
         Ok(Ok(body)) => {
@@ -244,8 +255,10 @@
             };
             serve(host, request).await
         }
-        Ok(Err(BodyError(true))) => call::rejection(host, Reason::TooLarge, None),
-        Ok(Err(BodyError(false))) | Err(_) => call::rejection(host, Reason::Unreadable, None),
+        Ok(Err(BodyError(true))) => (call::rejection(host, Reason::TooLarge, None), now()),
+        Ok(Err(BodyError(false))) | Err(_) => {
+            (call::rejection(host, Reason::Unreadable, None), now())
+        }
     }
 }
 
@@ -295,14 +308,15 @@
 /// lead to another host.
 const LINKS_LOST_RETRY_AFTER: Duration = Duration::from_millis(150);
 
-async fn serve<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, request: Request) -> Reply {
+/// Serves a request; returns the reply and the time until which its caller waits.
+async fn serve<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, request: Request) -> (Reply, Instant) {
     let arrived = now();
     let accepted = accept_call(host, request, arrived);
     let call = match accepted {
         Ok(call) => call,
         Err((id, reason, after)) => {
             tracing::info!(id, reason = reason.code(), "request: refused");
-            return call::rejection(host, reason, after);
+            return (call::rejection(host, reason, after), arrived);
         }
     };
     let kind = call.route().kind;
@@ -355,7 +369,7 @@
         took_ms = took.as_millis() as u64,
         "request: answered"
     );
-    reply
+    (reply, call.caller_deadline)
 }
 
 /// Id of the request, reason and time until a retry may succeed.
@@ -365,7 +379,7 @@
 fn accept_call<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     request: Request,
-    arrived: berylknot_coordination::clock::Instant,
+    arrived: Instant,
 ) -> Result<Call, Rejection> {
     let head = D::head(&request.headers).map_err(|_| (String::new(), Reason::Unreadable, None))?;
     let reject = |reason, after| (head.id.clone(), reason, after);
@@ -459,8 +473,40 @@
     Ok(call)
 }
 
-fn respond(reply: Reply, closing: bool) -> Response<BoxBody> {
+/// The bytes that a task passes on.
+fn body_stream(events: Events) -> impl futures_util::Stream<Item = Result<Bytes, Cut>> {
+    stream::unfold(events, |mut events| async move {
+        let event = events.recv().await?;
+        Some((event, events))
+    })
+}
+
+/// Passes a large answer on in pieces for as long as its caller waits. The HTTP server would copy it whole
+/// into the buffer of the connection, and keep it there for a caller that does not read.
+fn pieces(body: Bytes, left: Duration) -> Events {
+    let (sender, pieces) = mpsc::channel(1);
+    actix_rt::spawn(async move {
+        if tokio::time::timeout(left, forward(&sender, body))
+            .await
+            .is_err()
+        {
+            tracing::info!("server: caller did not read a large answer in time; cut");
+        }
+    });
+    pieces
+}
+
+fn respond(reply: Reply, left: Duration, closing: bool) -> Response<BoxBody> {
     let (status, headers, body) = match reply {
+        Reply::Whole {
+            status,
+            headers,
+            body,
+        } if body.len() > PIECE_BYTES => {
+            let length = body.len() as u64;
+            let pieces = Box::pin(body_stream(pieces(body, left)));
+            (status, headers, SizedStream::new(length, pieces).boxed())
+        }
         Reply::Whole {
             status,
             headers,
@@ -471,11 +517,8 @@
             headers,
             events,
         } => {
-            let events = stream::unfold(events, |mut events| async move {
-                let event = events.recv().await?;
-                Some((event, events))
-            });
-            (status, headers, BodyStream::new(Box::pin(events)).boxed())
+            let events = Box::pin(body_stream(events));
+            (status, headers, BodyStream::new(events).boxed())
         }
     };
     let status = actix_http::StatusCode::from_u16(status.as_u16())
