Refuse generations late in the grace that may not be resumed

Cause: a stopping host takes a generation by an estimate of its duration, which an engine may exceed. A stream that may be resumed goes on elsewhere; another one is lost.

From the time at which the load balancer knows of the stop, such generations are taken only if the route's timeout ends before the exit, which sends their callers to another host. Weighed: from the signal on, which refuses callers whom the balancer still sends.

--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -49,7 +49,7 @@
 /// Upper bound on the duration of a request from its start at an endpoint: the route's timeout for a
 /// plain call; for a generation the decode time of its largest output at the slowest recent pace plus the
 /// latency objective, within that timeout.
-pub(crate) fn max_duration(head: &Head, route: &Route, mix: &Mix) -> Duration {
+fn max_duration(head: &Head, route: &Route, mix: &Mix) -> Duration {
     if route.kind != Kind::Streaming {
         return route.timeout;
     }
@@ -310,7 +310,21 @@
 }
 
 fn longest_run<D, S>(host: &Host<D, S>, call: &Call) -> Duration {
-    max_duration(&call.head, call.route(), &host.mix(&call.service))
+    longest_run_of(host, &call.head, call.route(), &call.service)
+}
+
+/// Longest time that a request may take at a host that may be stopping. An engine may exceed the estimate,
+/// and a stream that may not be resumed is lost at the exit; callers that come late go elsewhere.
+pub(crate) fn longest_run_of<D, S>(
+    host: &Host<D, S>,
+    head: &Head,
+    route: &Route,
+    service: &str,
+) -> Duration {
+    if !route.resumable && host.shutdown.get().is_late(now()) {
+        return route.timeout;
+    }
+    max_duration(head, route, &host.mix(service))
 }
 
 /// Whether the engine at an address runs the software version of another one: what two versions write
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -16,12 +16,10 @@
 use crate::options::Options;
 use crate::platform::{Dialect, Store};
 use crate::server::{self, Audience};
+use crate::shutdown::UNREADY_DETECTION;
 use crate::state::{Host, now};
 use crate::{control, follow, link, peer, records, versions};
 
-/// Time after SIGTERM within which the load balancer detects that the host is not ready: two
-/// checks, one second apart, and their answers.
-const UNREADY_DETECTION: Duration = Duration::from_millis(2_500);
 /// Interval between checks for open requests during shutdown.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between passes over the queues when no released reservation wakes the dispatcher.
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -415,8 +415,8 @@
         let after = call::jittered(LINKS_LOST_RETRY_AFTER);
         return Err(reject(Reason::LinksLost, Some(after)));
     }
-    let max_duration = completion::max_duration(&head, route, &host.mix(&service));
-    if !host.shutdown.get().accepts(arrived, max_duration) {
+    let longest_run = completion::longest_run_of(host, &head, route, &service);
+    if !host.shutdown.get().accepts(arrived, longest_run) {
         return Err(reject(
             Reason::Stopping,
             Some(call::jittered(STOPPING_RETRY_AFTER)),
--- a/crates/entry/src/shutdown.rs
+++ b/crates/entry/src/shutdown.rs
@@ -15,6 +15,11 @@
 /// a small answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 
+/// Time after the signal within which the load balancer still sends new connections: two checks of the
+/// readiness, one second apart, and their answers. Callers that come later use open connections and can go
+/// elsewhere.
+pub const UNREADY_DETECTION: Duration = Duration::from_millis(2_500);
+
 /// Progress of a graceful shutdown.
 #[derive(Clone, Copy, Debug)]
 pub struct Shutdown {
@@ -62,6 +67,13 @@
         Some(self.answer_by()? - max_duration)
     }
 
+    /// Whether only callers with open connections still come.
+    #[must_use]
+    pub fn is_late(&self, now: Instant) -> bool {
+        self.started
+            .is_some_and(|started| now.since(started) >= UNREADY_DETECTION)
+    }
+
     /// Whether a run that ends at `deadline` at the latest is answered before the exit.
     #[must_use]
     pub fn ends_in_time(&self, deadline: Instant) -> bool {
--- a/crates/entry/tests/shutdown.rs
+++ b/crates/entry/tests/shutdown.rs
@@ -49,3 +49,12 @@
     assert!(shutdown.ends_in_time(latest + run));
     assert!(!shutdown.ends_in_time(latest + run + Duration::from_millis(1)));
 }
+
+#[test]
+fn callers_are_late_when_the_load_balancer_knows_that_the_host_stops() {
+    let mut shutdown = Shutdown::new(GRACE);
+    assert!(!shutdown.is_late(at(1_000)));
+    shutdown.start(at(1_000));
+    assert!(!shutdown.is_late(at(3_499)));
+    assert!(shutdown.is_late(at(3_500)));
+}
