Know the single software version of a service before the first stream is taken up

What callers saw: a stream that was taken up at a host within its first 0.5 s was refused with unknown_version although all its engines had one version.

Cause, from the log of the failing run: the versions are observed after a change of the directory, which comes before the configuration at a start, and then every 0.5 s; the stream came after 0.09 s. The search for the origin of a stream now observes them first.

--- a/crates/entry/src/versions.rs
+++ b/crates/entry/src/versions.rs
@@ -322,6 +322,8 @@
     if !is_known || !published.is_restored() {
         catch_up(host).await?;
     }
+    // A host that has just started has not run its periodic observation yet.
+    observe(host);
     for _ in 0..MAX_LOOKS {
         let origin = {
             let lifetime = lifetime(host, service);
