Let peers take turns in relaying connections

What callers would see: a peer that has lost its links too, and has not found out yet, answers that an endpoint cannot be reached. The host asked the same peer for half a second, so all its requests failed in that time.

Each connection now goes to the next peer that has not failed recently.

--- a/crates/coordination/src/relay.rs
+++ b/crates/coordination/src/relay.rs
@@ -7,7 +7,7 @@
 /// Time for which a peer that cannot relay is not asked again.
 const COOLDOWN: Duration = Duration::from_secs(1);
 
-/// Peers that may relay connections, in the order of preference.
+/// Peers that may relay connections, in the order of their turns.
 #[derive(Clone, Debug)]
 pub struct Relays<A> {
     peers: Vec<A>,
@@ -38,13 +38,26 @@
         self.cooling.push((peer, now + COOLDOWN));
     }
 
-    /// The preferred peer that has not failed recently.
+    /// The next peer that has not failed recently; the peers take turns, so that none gets all connections and
+    /// one that reaches fewer endpoints than it knows does not fail all of them.
+    pub fn next(&mut self, now: Instant) -> Option<A> {
+        let index = self
+            .peers
+            .iter()
+            .position(|peer| !self.is_cooling(now, peer))?;
+        let peer = self.peers.remove(index);
+        self.peers.push(peer);
+        Some(peer)
+    }
+
+    /// Whether all peers have failed recently.
     #[must_use]
-    pub fn first(&self, now: Instant) -> Option<A> {
-        let is_cooling = |peer: &A| {
-            let mut cooling = self.cooling.iter();
-            cooling.any(|(known, until)| known == peer && *until > now)
-        };
-        self.peers.iter().copied().find(|peer| !is_cooling(peer))
+    pub fn is_exhausted(&self, now: Instant) -> bool {
+        self.peers.iter().all(|peer| self.is_cooling(now, peer))
+    }
+
+    fn is_cooling(&self, now: Instant, peer: &A) -> bool {
+        let mut cooling = self.cooling.iter();
+        cooling.any(|(known, until)| known == peer && *until > now)
     }
 }
--- a/crates/entry/src/http/paths.rs
+++ b/crates/entry/src/http/paths.rs
@@ -87,7 +87,7 @@
 
     /// Whether this host reaches no endpoint, neither over its own links nor through a peer.
     pub(crate) fn is_cut_off(&self) -> bool {
-        self.is_lost() && self.relays.borrow().first(now()).is_none()
+        self.is_lost() && self.relays.borrow().is_exhausted(now())
     }
 
     /// Whose fault the loss of a connection at `closed_at` was; `None` until that is known.
@@ -120,7 +120,7 @@
         Some(Place(Rc::clone(self)))
     }
 
-    /// Replaces the peers that may relay connections, in the order of preference.
+    /// Replaces the peers that may relay connections, in the order of their turns.
     pub(crate) fn replace_relays(&self, peers: Vec<SocketAddr>) {
         self.relays.borrow_mut().replace(now(), peers);
     }
@@ -128,7 +128,8 @@
     /// Opens a connection to an endpoint through a peer.
     pub(super) async fn relay(&self, endpoint: Destination<'_>) -> io::Result<Upgraded> {
         for _ in 0..MAX_RELAYS {
-            let Some(relay) = self.relays.borrow().first(now()) else {
+            let relay = self.relays.borrow_mut().next(now());
+            let Some(relay) = relay else {
                 break;
             };
             match ask(relay, endpoint).await {
