Keep the events that came in one read with a copied answer

A faulty engine writes a second copy of its answer behind a stream without a length.

Cause: the splitter dropped all whole events of a read in which one repeats an earlier id, but counted them as delivered. It now passes on the events before the first one that does not belong to the stream (a repeated id, or the head of another answer) and reports the rest at the next read or as an incomplete event at the end, so that a stream that may be resumed goes on after its last event.

--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -11,6 +11,8 @@
 /// memory while small ones follow. Events have some hundred bytes.
 pub(crate) const SMALL_BYTES: usize = 4 * 1_024;
 const ID_FIELD: &[u8] = b"id:";
+/// Begin of the head of an answer. A copied answer stands behind a stream that has no length.
+const STATUS_LINE: &[u8] = b"HTTP/1.";
 
 /// Splitter of one event stream.
 #[derive(Debug, Default)]
@@ -89,27 +91,49 @@
                 Ok(Bytes::new())
             };
         };
-        let complete = self.tail.split_to(searched + end).freeze();
-        if complete.len() > SMALL_BYTES {
-            self.tail = BytesMut::from(&self.tail[..]);
+        let mut complete = self.tail.split_to(searched + end);
+        match self.count_events(&complete) {
+            Some(0) => return Err(Error::Repeated),
+            Some(valid) => {
+                // The next call, or the end of the stream, reports the rest; the events before are whole.
+                let mut rest = complete.split_off(valid);
+                rest.extend_from_slice(&self.tail);
+                self.tail = rest;
+            }
+            None => {
+                if complete.len() > SMALL_BYTES {
+                    self.tail = BytesMut::from(&self.tail[..]);
+                }
+            }
         }
-        for line in complete.split(|byte| *byte == b'\n') {
-            let Some(id) = line.strip_prefix(ID_FIELD) else {
+        Ok(complete.freeze())
+    }
+
+    /// Counts whole events; returns the position of the first one that does not belong to the stream: it
+    /// repeats an earlier one, or is the head of another answer.
+    fn count_events(&mut self, events: &[u8]) -> Option<usize> {
+        let (mut at, mut event_start) = (0, 0);
+        for line in events.split_inclusive(|byte| *byte == b'\n') {
+            at += line.len();
+            if line == b"\n" || line == b"\r\n" {
+                event_start = at;
                 continue;
-            };
-            let Some(id) = std::str::from_utf8(id)
-                .ok()
-                .and_then(|id| id.trim().parse().ok())
-            else {
+            }
+            if line.starts_with(STATUS_LINE) {
+                return Some(event_start);
+            }
+            let id = line.strip_prefix(ID_FIELD);
+            let id = id.and_then(|id| std::str::from_utf8(id).ok());
+            let Some(id) = id.and_then(|id| id.trim().parse().ok()) else {
                 continue;
             };
             if self.last.is_some_and(|last| id <= last) {
-                return Err(Error::Repeated);
+                return Some(event_start);
             }
             self.last = Some(id);
             self.count += 1;
         }
-        Ok(complete)
+        None
     }
 }
 
--- a/crates/entry/tests/events.rs
+++ b/crates/entry/tests/events.rs
@@ -67,3 +67,24 @@
         .find(Result::is_err);
     assert_eq!(result, Some(Err(Error::TooLong)));
 }
+
+#[test]
+fn events_before_a_copied_answer_in_the_same_read_are_kept() {
+    let mut events = Splitter::after(None);
+    let head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    let copied = [STREAM, head, STREAM].concat();
+    let complete = events.push(&copied).expect("whole events");
+    assert_eq!(complete, STREAM);
+    assert_eq!((events.last(), events.count()), (Some(3), 3));
+    assert!(!events.is_at_boundary(), "the stream has not ended well");
+    assert_eq!(events.push(b"\n\n"), Err(Error::Repeated));
+}
+
+#[test]
+fn events_before_a_repeated_one_in_the_same_read_are_kept() {
+    let mut events = Splitter::after(Some(1));
+    let complete = events.push(b"id: 2\ndata: b\n\nid: 2\ndata: b\n\nid: 3\n");
+    assert_eq!(complete.expect("whole events"), &b"id: 2\ndata: b\n\n"[..]);
+    assert!(!events.is_at_boundary());
+    assert_eq!(events.last(), Some(2));
+}
