--- a/crates/entry/src/http/pool.rs
+++ b/crates/entry/src/http/pool.rs
@@ -100,14 +100,14 @@
 
 /// What a connection leads to.
 #[derive(Clone, Copy, Debug)]
-enum Peer<'a> {
+enum Target<'a> {
     /// An endpoint, which may be reached through another host.
     Endpoint(Destination<'a>),
     /// The store or another host; or an endpoint that is to hear from this host itself.
     Direct(SocketAddr),
 }
 
-impl Peer<'_> {
+impl Target<'_> {
     const fn address(self) -> SocketAddr {
         match self {
             Self::Endpoint(Destination { address, .. }) | Self::Direct(address) => address,
@@ -167,7 +167,7 @@
         request: Request<Full<Bytes>>,
         timeouts: Timeouts,
     ) -> Result<Exchange> {
-        self.exchange(Peer::Direct(address), None, request, timeouts)
+        self.exchange(Target::Direct(address), None, request, timeouts)
             .await
     }
 
@@ -183,47 +183,59 @@
         request: Request<Full<Bytes>>,
         timeouts: Timeouts,
     ) -> Result<Exchange> {
-        self.exchange(Peer::Endpoint(endpoint), id, request, timeouts)
+        self.exchange(Target::Endpoint(endpoint), id, request, timeouts)
             .await
     }
 
     async fn exchange(
         &self,
-        peer: Peer<'_>,
+        target: Target<'_>,
         id: Option<&str>,
         mut request: Request<Full<Bytes>>,
         timeouts: Timeouts,
     ) -> Result<Exchange> {
-        let address = peer.address();
-        let reuses = !peer.is_endpoint() || self.paths.keeps_open();
+        let address = target.address();
+        let reuses = !target.is_endpoint() || self.paths.keeps_open();
         while let Some(mut connection) = self
             .checkout(address, id, timeouts.max_idle)
             .filter(|_| reuses)
         {
             match self
-                .try_send(peer, &mut connection, request, timeouts)
+                .try_send(target, &mut connection, request, timeouts)
                 .await?
             {
                 Ok(response) => {
-                    return Ok(Exchange::new(self.clone(), peer, id, connection, response));
+                    return Ok(Exchange::new(
+                        self.clone(),
+                        target,
+                        id,
+                        connection,
+                        response,
+                    ));
                 }
                 Err(unsent) => request = unsent,
             }
         }
-        let mut connection = timeout(timeouts.connect, self.connect(peer))
+        let mut connection = timeout(timeouts.connect, self.connect(target))
             .await
             .unwrap_or_else(|_| {
-                self.unopened(peer);
+                self.unopened(target);
                 Err(io::ErrorKind::TimedOut.into())
             })
             .map_err(Error::NotSent)?;
         match self
-            .try_send(peer, &mut connection, request, timeouts)
+            .try_send(target, &mut connection, request, timeouts)
             .await?
         {
-            Ok(response) => Ok(Exchange::new(self.clone(), peer, id, connection, response)),
+            Ok(response) => Ok(Exchange::new(
+                self.clone(),
+                target,
+                id,
+                connection,
+                response,
+            )),
             Err(_) => {
-                self.unopened(peer);
+                self.unopened(target);
                 Err(Error::NotSent(io::ErrorKind::ConnectionReset.into()))
             }
         }
@@ -232,12 +244,12 @@
     /// Sends a request on a connection; returns the request if the connection closed before sending.
     async fn try_send(
         &self,
-        peer: Peer<'_>,
+        target: Target<'_>,
         connection: &mut Connection,
         request: Request<Full<Bytes>>,
         timeouts: Timeouts,
     ) -> Result<Sent> {
-        let is_on_own_link = peer.is_endpoint() && !connection.is_relayed;
+        let is_on_own_link = target.is_endpoint() && !connection.is_relayed;
         let opened_at = connection.opened_at;
         let sent = try_send(connection, request, timeouts.head);
         if !is_on_own_link {
@@ -260,26 +272,26 @@
     }
 
     /// Opens a connection, to an endpoint through another host while the links of this one are lost.
-    async fn connect(&self, peer: Peer<'_>) -> io::Result<Connection> {
+    async fn connect(&self, target: Target<'_>) -> io::Result<Connection> {
         let number = self.opened.get() + 1;
         self.opened.set(number);
-        if let Peer::Endpoint(endpoint) = peer
+        if let Target::Endpoint(endpoint) = target
             && self.paths.is_lost()
         {
             let relayed = self.paths.relay(endpoint).await?;
             return Connection::new(relayed, number, true).await;
         }
-        match open(peer.address()).await {
+        match open(target.address()).await {
             Ok(stream) => Connection::new(TokioIo::new(stream), number, false).await,
             Err(error) => {
-                self.unopened(peer);
+                self.unopened(target);
                 Err(error)
             }
         }
     }
 
-    fn unopened(&self, peer: Peer<'_>) {
-        if peer.is_endpoint() {
+    fn unopened(&self, target: Target<'_>) {
+        if target.is_endpoint() {
             self.paths.unopened();
         }
     }
@@ -430,7 +442,7 @@
 impl Exchange {
     fn new(
         pool: Pool,
-        peer: Peer<'_>,
+        target: Target<'_>,
         id: Option<&str>,
         mut connection: Connection,
         response: http::Response<Incoming>,
@@ -442,8 +454,8 @@
             stated_idle_timeout(&parts.headers).unwrap_or(DEFAULT_IDLE_TIMEOUT);
         Self {
             pool,
-            is_endpoint: peer.is_endpoint(),
-            address: peer.address(),
+            is_endpoint: target.is_endpoint(),
+            address: target.address(),
             id: id.map(str::to_owned),
             number: connection.number,
             requests: connection.requests,
