Log the request of a large answer that its caller did not read

Read as a newcomer: an operator could not tell whose answer was cut; the line now has the request's id, the size and the time that was left. The reply, the caller's deadline and the id are one type in place of a pair.

--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -285,8 +285,8 @@
     }
 }
 
-/// Names the hosts that can relay connections to endpoints, each time in another order so that none gets all
-/// connections.
+/// Names the hosts that can relay connections to endpoints. The order is random, so that hosts without links
+/// do not all begin with the same peer.
 fn replace_relays<D, S>(host: &Host<D, S>) {
     let mut relays: Vec<SocketAddr> = {
         let view = host.view.borrow();
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -209,8 +209,8 @@
         .conn_data::<Rc<Progress<Open<D, S>>>>()
         .cloned()
         .unwrap_or_default();
-    let (reply, deadline) = if progress.is_closing() {
-        (refuse_stopping(&host), now())
+    let answered = if progress.is_closing() {
+        Answered::unread(refuse_stopping(&host))
     } else {
         answer(&host, incoming).await
     };
@@ -218,8 +218,7 @@
     if is_closing {
         progress.close();
     }
-    let left = deadline.since(now()).min(MAX_WRITE_TIME);
-    respond(reply, left, is_closing).map_body(|_, body| Body::new(body, open, progress).boxed())
+    respond(answered, is_closing).map_body(|_, body| Body::new(body, open, progress).boxed())
 }
 
 /// The refusal of a request that has not run and that another host serves.
@@ -228,11 +227,28 @@
     call::rejection(host, Reason::Stopping, Some(after))
 }
 
-/// Reads the body of a request and serves it; returns the reply and the time until which its caller waits.
-async fn answer<D: Dialect, S: Store>(
-    host: &Rc<Host<D, S>>,
-    incoming: Incoming,
-) -> (Reply, Instant) {
+/// The reply to a request.
+struct Answered {
+    reply: Reply,
+    /// Time until which the caller waits.
+    deadline: Instant,
+    /// Id of the request; empty if it was not read.
+    id: String,
+}
+
+impl Answered {
+    /// The reply to a request that was not read.
+    fn unread(reply: Reply) -> Self {
+        Self {
+            reply,
+            deadline: now(),
+            id: String::new(),
+        }
+    }
+}
+
+/// Reads the body of a request and serves it.
+async fn answer<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, incoming: Incoming) -> Answered {
     let limit = host
         .fleet
         .borrow()
@@ -242,7 +258,7 @@
     let body = tokio::select! {
         biased;
         body = tokio::time::timeout(BODY_TIMEOUT, read_body(incoming, limit)) => body,
-        () = host.shutdown.answers_due() => return (refuse_stopping(host), now()),
+        () = host.shutdown.answers_due() => return Answered::unread(refuse_stopping(host)),
     };
     match body {
         Ok(Ok(body)) => {
@@ -255,9 +271,9 @@
             };
             serve(host, request).await
         }
-        Ok(Err(BodyError(true))) => (call::rejection(host, Reason::TooLarge, None), now()),
+        Ok(Err(BodyError(true))) => Answered::unread(call::rejection(host, Reason::TooLarge, None)),
         Ok(Err(BodyError(false))) | Err(_) => {
-            (call::rejection(host, Reason::Unreadable, None), now())
+            Answered::unread(call::rejection(host, Reason::Unreadable, None))
         }
     }
 }
@@ -308,15 +324,18 @@
 /// lead to another host.
 const LINKS_LOST_RETRY_AFTER: Duration = Duration::from_millis(150);
 
-/// Serves a request; returns the reply and the time until which its caller waits.
-async fn serve<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, request: Request) -> (Reply, Instant) {
+async fn serve<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, request: Request) -> Answered {
     let arrived = now();
     let accepted = accept_call(host, request, arrived);
     let call = match accepted {
         Ok(call) => call,
         Err((id, reason, after)) => {
             tracing::info!(id, reason = reason.code(), "request: refused");
-            return (call::rejection(host, reason, after), arrived);
+            return Answered {
+                reply: call::rejection(host, reason, after),
+                deadline: arrived,
+                id,
+            };
         }
     };
     let kind = call.route().kind;
@@ -369,7 +388,11 @@
         took_ms = took.as_millis() as u64,
         "request: answered"
     );
-    (reply, call.caller_deadline)
+    Answered {
+        reply,
+        deadline: call.caller_deadline,
+        id: call.head.id.clone(),
+    }
 }
 
 /// Id of the request, reason and time until a retry may succeed.
@@ -483,28 +506,35 @@
 
 /// Passes a large answer on in pieces for as long as its caller waits. The HTTP server would copy it whole
 /// into the buffer of the connection, and keep it there for a caller that does not read.
-fn pieces(body: Bytes, left: Duration) -> Events {
+fn pieces(id: String, body: Bytes, left: Duration) -> Events {
     let (sender, pieces) = mpsc::channel(1);
+    let bytes = body.len();
     actix_rt::spawn(async move {
         if tokio::time::timeout(left, forward(&sender, body))
             .await
             .is_err()
         {
-            tracing::info!("server: caller did not read a large answer in time; cut");
+            tracing::info!(
+                id,
+                bytes,
+                left_ms = left.as_millis() as u64,
+                "server: caller did not read a large answer in time; cut"
+            );
         }
     });
     pieces
 }
 
-fn respond(reply: Reply, left: Duration, closing: bool) -> Response<BoxBody> {
-    let (status, headers, body) = match reply {
+fn respond(answered: Answered, closing: bool) -> Response<BoxBody> {
+    let left = answered.deadline.since(now()).min(MAX_WRITE_TIME);
+    let (status, headers, body) = match answered.reply {
         Reply::Whole {
             status,
             headers,
             body,
         } if body.len() > PIECE_BYTES => {
             let length = body.len() as u64;
-            let pieces = Box::pin(body_stream(pieces(body, left)));
+            let pieces = Box::pin(body_stream(pieces(answered.id, body, left)));
             (status, headers, SizedStream::new(length, pieces).boxed())
         }
         Reply::Whole {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -25,8 +25,8 @@
 use crate::request::{Call, Cut};
 use crate::state::{Host, Reservation, now};
 
-/// Pieces of events that are buffered for a slow caller. With 16, streams of 200 callers that did not read
-/// took 594 MB.
+/// Pieces of events that are buffered for a caller. They bound what a caller that does not read keeps of
+/// the host's memory: 32 KiB.
 pub(crate) const BUFFERED_EVENTS: usize = 2;
 /// Largest piece in which bytes are passed to a caller.
 pub(crate) const PIECE_BYTES: usize = 16 * 1_024;
