--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod deadline;
 pub mod drain;
 pub mod eject;
+pub mod ending;
 pub mod freshness;
 pub mod history;
 pub mod lease;
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
+use berylknot_coordination::ending::Framing;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 
@@ -48,6 +49,7 @@
         status: StatusCode,
         headers: HeaderMap,
         body: Bytes,
+        framing: Framing,
     },
     /// The endpoint states that the request did not run.
     Refused,
@@ -70,6 +72,13 @@
         }
     }
 
+    const fn framing(&self) -> Option<Framing> {
+        match self {
+            Self::Answered { framing, .. } => Some(*framing),
+            _ => None,
+        }
+    }
+
     fn error(&self) -> Option<String> {
         match self {
             Self::Lost(error) => Some(error.to_string()),
@@ -134,6 +143,7 @@
             left_ms = left.as_millis() as u64,
             outcome = attempt.name(),
             error = attempt.error(),
+            framing = attempt.framing().map(tracing::field::debug),
             "call: attempt"
         );
         match attempt {
@@ -141,6 +151,7 @@
                 status,
                 headers,
                 body,
+                ..
             } => {
                 runs += 1;
                 sent += 1;
@@ -370,6 +381,7 @@
     let answer = D::answer(exchange.status, &exchange.headers);
     let classification = call.classify(&answer, exchange.status, &exchange.headers);
     host.note_answer(key, &answer, classification, started);
+    host.note_framing(call, exchange.framing());
     if classification != Classification::Valid {
         tracing::info!(
             id = call.head.id,
@@ -401,6 +413,7 @@
             status: exchange.status,
             headers: answer_headers(&exchange.headers),
             body,
+            framing: exchange.framing(),
         },
         Err(error) => Attempt::Lost(error),
     }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -620,6 +620,7 @@
         answered_id = answer.id,
         connection = exchange.number,
         requests = exchange.requests,
+        framing = ?exchange.framing(),
         ?classification,
         cached = cache.is_some(),
         parts_at = parts_at.map(tracing::field::display),
@@ -628,6 +629,7 @@
         waited_ms = started.since(call.arrived).as_millis() as u64,
         "decode: answered"
     );
+    host.note_framing(call, exchange.framing());
     let is_success = exchange.status.is_success();
     if classification != Classification::Mismatched {
         exchange.accept(classification == Classification::NotRun || !is_success);
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -14,6 +14,17 @@
     Streaming,
 }
 
+impl Kind {
+    /// Name in metrics.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Streaming => "streaming",
+            Self::Idempotent => "idempotent",
+            Self::NonIdempotent => "non_idempotent",
+        }
+    }
+}
+
 /// A route from callers to a service.
 #[derive(Clone, Debug)]
 pub struct Route {
--- a/crates/entry/src/http/pool.rs
+++ b/crates/entry/src/http/pool.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use berylknot_coordination::clock;
+use berylknot_coordination::ending::Framing;
 use berylknot_coordination::reuse::History;
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
@@ -476,14 +477,18 @@
         self.is_refusal = is_refusal;
     }
 
-    /// Whether the end of the body is that of the connection, for want of a length and of chunks.
+    /// What marks the end of the body.
     #[must_use]
-    pub fn ends_with_connection(&self) -> bool {
+    pub fn framing(&self) -> Framing {
         let framing = [
             http::header::CONTENT_LENGTH,
             http::header::TRANSFER_ENCODING,
         ];
-        framing.iter().all(|name| !self.headers.contains_key(name))
+        if framing.iter().any(|name| self.headers.contains_key(name)) {
+            Framing::Stated
+        } else {
+            Framing::Connection
+        }
     }
 
     /// Reads the next chunk of the body; `None` at its end, where the connection of an accepted answer
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -32,6 +32,7 @@
     pub(crate) refusals: Family<Label, Counter>,
     pub(crate) retries: Family<Label, Counter>,
     pub(crate) answers: Family<Kind, Counter>,
+    pub(crate) unframed_answers: Family<Kind, Counter>,
     pub(crate) cuts: Family<Label, Counter>,
     pub(crate) latency: Family<Kind, Histogram>,
     pub(crate) crashes: Counter,
@@ -47,6 +48,7 @@
         let refusals = Family::default();
         let retries = Family::default();
         let answers = Family::default();
+        let unframed_answers = Family::default();
         let cuts = Family::default();
         let latency =
             Family::<Kind, Histogram>::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS_S));
@@ -65,6 +67,11 @@
             "Answers of endpoints by kind of route",
             answers.clone(),
         );
+        registry.register(
+            "unframed_answers",
+            "Answers of endpoints without a length and chunks, which end with their connection, by kind of route",
+            unframed_answers.clone(),
+        );
         registry.register("cuts", "Streams that ended early by reason", cuts.clone());
         registry.register(
             "latency_seconds",
@@ -96,6 +103,7 @@
             refusals,
             retries,
             answers,
+            unframed_answers,
             cuts,
             latency,
             crashes,
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -366,11 +366,7 @@
             .borrow_mut()
             .refund(now(), customer, call.tokens);
     }
-    let label = match kind {
-        Kind::Streaming => "streaming",
-        Kind::Idempotent => "idempotent",
-        Kind::NonIdempotent => "non_idempotent",
-    };
+    let label = kind.name();
     let took = now().since(arrived);
     host.metrics
         .answers
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -9,6 +9,7 @@
 
 use berylknot_coordination::clock::Instant;
 use berylknot_coordination::eject::Change;
+use berylknot_coordination::ending::Framing;
 use rand::Rng;
 use tokio::sync::{Mutex, Notify};
 
@@ -24,7 +25,7 @@
 use crate::http::Pool;
 use crate::ledger::{Grant, Ledger, Run, Ticket};
 use crate::limits::Limits;
-use crate::metrics::Metrics;
+use crate::metrics::{self, Metrics};
 use crate::mix::Mix;
 use crate::options::Options;
 use crate::orders::{self, Orders};
@@ -557,6 +558,15 @@
         });
     }
 
+    /// Counts an answer that ends with its connection.
+    pub(crate) fn note_framing(&self, call: &Call, framing: Framing) {
+        if framing == Framing::Connection {
+            let kind = call.route().kind.name();
+            let label = metrics::Kind { kind };
+            self.metrics.unframed_answers.get_or_create(&label).inc();
+        }
+    }
+
     /// Records a request that failed at an endpoint, and suspects the endpoint.
     pub(crate) fn failed(&self, key: Key, suspicion: Suspicion) {
         self.record_outcome(key, |health, group| {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use berylknot_coordination::clock::Instant;
+use berylknot_coordination::ending::Framing;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -163,7 +164,7 @@
                 Err(_) => "malformed events",
             },
             Ok(Ok(None)) if events.last().is_none() => {
-                if run.exchange.ends_with_connection() {
+                if run.exchange.framing() == Framing::Connection {
                     aborts::crash(host, call, &run.endpoint, run.sent_at);
                 }
                 "no event before the end"
@@ -179,7 +180,10 @@
                 tracing::info!(
                     id = call.head.id,
                     endpoint = run.endpoint.id,
+                    version = run.endpoint.version,
+                    framing = ?run.exchange.framing(),
                     events = delivered,
+                    last_event = events.last(),
                     hint = call.head.output_hint,
                     took_ms = now().since(call.arrived).as_millis() as u64,
                     "stream: finished"
@@ -201,6 +205,8 @@
         tracing::info!(
             id = call.head.id,
             endpoint = run.endpoint.id,
+            version = run.endpoint.version,
+            framing = ?run.exchange.framing(),
             reason = cause,
             after_event = events.last(),
             parts = call.parts(),
