Do not pass off a stream as complete when its engine closed between two events

Cause: a stream that ended with its connection counted as whole if it ended between two events. The kernel closes the connection of a process that dies in the same way, and engines may close it without having died, so such an end proves nothing.

Change: coordination::ending decides. The engine of a resumable stream is asked to go on after the last event, within the retry budget and in the place that the stream holds there. If it sends nothing and still accepts connections, the stream is whole; if it sends more and closes again, or is gone, another engine is asked. A stream that may not be resumed is whole if its engine accepts connections. Without a proof the stream is cut, so that its caller takes it up, and an engine that has nothing to send then proves the end.

--- /dev/null
+++ b/crates/coordination/tests/ending.rs
@@ -0,0 +1,112 @@
+//! Guards against answers that break off with their connection and are taken for whole.
+
+use berylknot_coordination::ending::{Ending, Framing, Step};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+#[test]
+fn a_stated_end_needs_no_proof() {
+    for can_go_on in [true, false] {
+        let mut ending = Ending::new(can_go_on);
+        assert_eq!(ending.ended(Framing::Stated, 5), Step::Finish);
+    }
+}
+
+#[test]
+fn an_answer_that_cannot_go_on_is_whole_only_if_its_endpoint_is_there() {
+    let mut ending = Ending::new(false);
+    assert_eq!(ending.ended(Framing::Connection, 5), Step::Reach);
+}
+
+#[test]
+fn a_stream_is_whole_when_nothing_comes_after_its_end() {
+    let mut ending = Ending::new(true);
+    assert_eq!(ending.ended(Framing::Connection, 5), Step::AskForRest);
+    assert_eq!(ending.ended(Framing::Connection, 5), Step::Reach);
+}
+
+#[test]
+fn an_endpoint_that_had_more_to_send_is_not_asked_twice() {
+    let mut ending = Ending::new(true);
+    assert_eq!(ending.ended(Framing::Connection, 5), Step::AskForRest);
+    assert_eq!(ending.ended(Framing::Connection, 8), Step::Break);
+    // The next endpoint is asked for the rest by going on after event 8.
+    assert_eq!(ending.ended(Framing::Connection, 10), Step::AskForRest);
+    assert_eq!(ending.ended(Framing::Connection, 10), Step::Reach);
+}
+
+#[test]
+fn an_empty_rest_of_another_endpoint_proves_the_end() {
+    let mut ending = Ending::new(true);
+    assert_eq!(ending.ended(Framing::Connection, 5), Step::AskForRest);
+    ending.refused();
+    assert_eq!(ending.ended(Framing::Connection, 5), Step::Reach);
+}
+
+/// Callers whose stream was cut at an end without a proof return for the rest.
+#[test]
+fn an_empty_rest_of_a_stream_that_is_taken_up_proves_its_end() {
+    let mut ending = Ending::taken_up(true);
+    assert_eq!(ending.ended(Framing::Connection, 0), Step::Reach);
+    let mut ending = Ending::taken_up(true);
+    assert_eq!(ending.ended(Framing::Connection, 3), Step::AskForRest);
+}
+
+/// An answer that failed after an event has not ended there, so an endpoint that goes on with it and sends
+/// nothing may have died.
+#[test]
+fn a_failure_after_the_last_event_proves_no_end() {
+    let mut ending = Ending::new(true);
+    assert_eq!(ending.ended(Framing::Connection, 5), Step::AskForRest);
+    ending.failed();
+    assert_eq!(ending.ended(Framing::Connection, 5), Step::AskForRest);
+}
+
+/// Events of a whole stream in the fuzz test.
+const EVENTS: u32 = 12;
+
+/// Relays a stream whose endpoints break off at random between two events, or fail; returns the events that
+/// the caller has when it is told that the stream is whole.
+fn relay(random: &mut ChaCha8Rng, mut step: impl FnMut(&mut Ending, u32) -> Step) -> Option<u32> {
+    let mut ending = Ending::new(true);
+    let mut events = 0;
+    for _ in 0..8 {
+        // An endpoint that breaks off has died, or sends at least one event.
+        let (has_died, has_closed) = (random.random_bool(0.2), random.random_bool(0.3));
+        events = match (has_died, has_closed) {
+            (true, _) => random.random_range(events..=EVENTS),
+            (_, true) => random.random_range(EVENTS.min(events + 1)..=EVENTS),
+            _ => EVENTS,
+        };
+        if random.random_bool(0.1) {
+            ending.failed();
+            continue;
+        }
+        match step(&mut ending, events) {
+            Step::Finish => return Some(events),
+            Step::Reach if !has_died => return Some(events),
+            Step::Reach => ending.refused(),
+            Step::AskForRest if has_died || random.random_bool(0.2) => ending.refused(),
+            Step::AskForRest | Step::Break => {}
+        }
+    }
+    None
+}
+
+#[test]
+fn streams_that_break_off_are_never_whole() {
+    let count = |step: fn(&mut Ending, u32) -> Step| {
+        let mut random = ChaCha8Rng::seed_from_u64(1);
+        let ends: Vec<_> = (0..10_000)
+            .filter_map(|_| relay(&mut random, step))
+            .collect();
+        let early = ends.iter().filter(|events| **events < EVENTS).count();
+        (ends.len(), early)
+    };
+    let (whole, early) = count(|ending, events| ending.ended(Framing::Connection, events));
+    assert!(whole > 5_000, "{whole} of 10,000 streams end");
+    assert_eq!(early, 0);
+    // The rule that it replaces: each end between two events is that of the stream.
+    let (_, early) = count(|_, _| Step::Finish);
+    assert!(early > 1_000, "{early} early ends");
+}
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -14,7 +14,7 @@
 use crate::fleet::Kind;
 use crate::health::{Group, Suspicion};
 use crate::http::memory::LARGE_BYTES;
-use crate::http::{Error, Timeouts};
+use crate::http::{Error, Exchange, Timeouts};
 use crate::ledger::Run;
 use crate::metrics::Label;
 use crate::peer;
@@ -360,6 +360,19 @@
     attempt
 }
 
+/// Whether the endpoint of an answer that ended with its connection is still there.
+pub(crate) async fn is_reached<D, S>(
+    host: &Host<D, S>,
+    exchange: &Exchange,
+    endpoint: &Endpoint,
+    left: Duration,
+) -> bool {
+    let connect = CONNECT_TIMEOUT.min(left);
+    let pool = &host.pool;
+    pool.reaches(endpoint.destination(), exchange.relay, connect)
+        .await
+}
+
 async fn exchange<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     call: &Call,
--- a/crates/entry/src/http/paths.rs
+++ b/crates/entry/src/http/paths.rs
@@ -125,26 +125,40 @@
         self.relays.borrow_mut().replace(now(), peers);
     }
 
-    /// Opens a connection to an endpoint through a peer.
-    pub(super) async fn relay(&self, endpoint: Destination<'_>) -> io::Result<Upgraded> {
+    /// Opens a connection to an endpoint through a peer; returns the peer too.
+    pub(super) async fn relay(
+        &self,
+        endpoint: Destination<'_>,
+    ) -> io::Result<(Upgraded, SocketAddr)> {
         for _ in 0..MAX_RELAYS {
             let relay = self.relays.borrow_mut().next(now());
             let Some(relay) = relay else {
                 break;
             };
-            match ask(relay, endpoint).await {
-                Ok(connection) => return Ok(connection),
-                Err(Refusal::EndpointUnreachable) => {
-                    return Err(io::ErrorKind::ConnectionRefused.into());
-                }
-                Err(Refusal::Unable) => {
+            match self.relay_through(relay, endpoint).await {
+                Err(error) if error.kind() == io::ErrorKind::NetworkUnreachable => {
                     tracing::info!(%relay, "relay: peer does not relay; another one is asked");
-                    self.relays.borrow_mut().failed(now(), relay);
                 }
+                opened => return Ok((opened?, relay)),
             }
         }
         Err(io::ErrorKind::NetworkUnreachable.into())
     }
+
+    /// Opens a connection to an endpoint through a given peer.
+    pub(super) async fn relay_through(
+        &self,
+        relay: SocketAddr,
+        endpoint: Destination<'_>,
+    ) -> io::Result<Upgraded> {
+        ask(relay, endpoint).await.map_err(|refusal| match refusal {
+            Refusal::EndpointUnreachable => io::ErrorKind::ConnectionRefused.into(),
+            Refusal::Unable => {
+                self.relays.borrow_mut().failed(now(), relay);
+                io::ErrorKind::NetworkUnreachable.into()
+            }
+        })
+    }
 }
 
 /// Asks a peer to open a connection to an endpoint and to pass on all bytes.
--- a/crates/entry/src/http/pool.rs
+++ b/crates/entry/src/http/pool.rs
@@ -83,7 +83,8 @@
     idle_timeout: Duration,
     history: History,
     opened_at: clock::Instant,
-    is_relayed: bool,
+    /// Peer through which the connection leads.
+    relay: Option<SocketAddr>,
     /// Number of the connection since the start of this host.
     number: u64,
     /// Requests that the connection has carried.
@@ -242,6 +243,26 @@
         }
     }
 
+    /// Whether an endpoint accepts a connection on the path of an answer that has ended: of this host, or
+    /// through the same peer. A connection of this host is kept for the next request.
+    pub async fn reaches(
+        &self,
+        endpoint: Destination<'_>,
+        relay: Option<SocketAddr>,
+        connect_timeout: Duration,
+    ) -> bool {
+        let Some(relay) = relay else {
+            let opened = timeout(connect_timeout, self.open_own(Target::Endpoint(endpoint))).await;
+            let Ok(Ok(connection)) = opened else {
+                return false;
+            };
+            self.checkin(endpoint.address, connection);
+            return true;
+        };
+        let opened = timeout(connect_timeout, self.paths.relay_through(relay, endpoint)).await;
+        matches!(opened, Ok(Ok(_)))
+    }
+
     /// Sends a request on a connection; returns the request if the connection closed before sending.
     async fn try_send(
         &self,
@@ -250,7 +271,7 @@
         request: Request<Full<Bytes>>,
         timeouts: Timeouts,
     ) -> Result<Sent> {
-        let is_on_own_link = target.is_endpoint() && !connection.is_relayed;
+        let is_on_own_link = target.is_endpoint() && connection.relay.is_none();
         let opened_at = connection.opened_at;
         let sent = try_send(connection, request, timeouts.head);
         if !is_on_own_link {
@@ -274,16 +295,24 @@
 
     /// Opens a connection, to an endpoint through another host while the links of this one are lost.
     async fn connect(&self, target: Target<'_>) -> io::Result<Connection> {
-        let number = self.opened.get() + 1;
-        self.opened.set(number);
         if let Target::Endpoint(endpoint) = target
             && self.paths.is_lost()
         {
-            let relayed = self.paths.relay(endpoint).await?;
-            return Connection::new(relayed, number, true).await;
+            let (relayed, relay) = self.paths.relay(endpoint).await?;
+            return Connection::new(relayed, self.next_number(), Some(relay)).await;
         }
+        self.open_own(target).await
+    }
+
+    fn next_number(&self) -> u64 {
+        self.opened.set(self.opened.get() + 1);
+        self.opened.get()
+    }
+
+    /// Opens a connection over the links of this host.
+    async fn open_own(&self, target: Target<'_>) -> io::Result<Connection> {
         match open(target.address()).await {
-            Ok(stream) => Connection::new(TokioIo::new(stream), number, false).await,
+            Ok(stream) => Connection::new(TokioIo::new(stream), self.next_number(), None).await,
             Err(error) => {
                 self.unopened(target);
                 Err(error)
@@ -392,7 +421,7 @@
 }
 
 impl Connection {
-    async fn new<T>(io: T, number: u64, is_relayed: bool) -> io::Result<Self>
+    async fn new<T>(io: T, number: u64, relay: Option<SocketAddr>) -> io::Result<Self>
     where
         T: hyper::rt::Read + hyper::rt::Write + Unpin + 'static,
     {
@@ -408,7 +437,7 @@
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             history: History::default(),
             opened_at: now(),
-            is_relayed,
+            relay,
             number,
             requests: 0,
         })
@@ -428,6 +457,8 @@
     pub number: u64,
     /// Requests that the connection has carried, this one included.
     pub requests: u64,
+    /// Peer through which the connection leads; `None` for a connection of this host.
+    pub relay: Option<SocketAddr>,
     connection: Option<Connection>,
     /// Whether the answer is known to be that to the request.
     is_accepted: bool,
@@ -460,6 +491,7 @@
             id: id.map(str::to_owned),
             number: connection.number,
             requests: connection.requests,
+            relay: connection.relay,
             connection: Some(connection),
             is_accepted,
             is_refusal: false,
@@ -519,7 +551,7 @@
     /// State of the links, if this exchange with an endpoint uses those of this host.
     fn own_link(&self) -> Option<&Paths> {
         let connection = self.connection.as_ref()?;
-        let uses = self.is_endpoint && !connection.is_relayed;
+        let uses = self.is_endpoint && connection.relay.is_none();
         uses.then_some(&*self.pool.paths)
     }
 
@@ -534,7 +566,7 @@
             None => {}
         }
         // The peer decides on each relayed connection, so that it honours what the endpoint tells it.
-        if !connection.history.is_full() && !connection.is_relayed {
+        if !connection.history.is_full() && connection.relay.is_none() {
             self.pool.checkin(self.address, connection);
         }
     }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -4,12 +4,13 @@
 use std::rc::Rc;
 
 use berylknot_coordination::clock::Instant;
-use berylknot_coordination::ending::Framing;
+use berylknot_coordination::ending::{Ending, Framing, Step};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use crate::aborts;
 use crate::admission::engine;
+use crate::call::is_reached;
 use crate::completion::{
     Acquired, DEFAULT_TOKENS, Decoded, Demand, KvSource, MAX_SENDS, Tried, acquire, decode,
     expected_tokens, hopeless_at, is_ready,
@@ -48,6 +49,8 @@
 const MAX_EVENTS_OF_A_CRASH: u32 = 1;
 /// Cause of a break when no event came within the maximum gap.
 const NO_EVENT: &str = "no event";
+/// Cause of a break when a stream ended with its connection and its engine did not prove that it is whole.
+const UNPROVEN_END: &str = "unproven end";
 
 pub(crate) type Sender = mpsc::Sender<Result<bytes::Bytes, Cut>>;
 
@@ -117,6 +120,11 @@
     let mut last_event = now();
     let mut gap_start = last_event;
     let mut charge = None;
+    let mut ending = match call.head.last_event_id {
+        Some(_) => Ending::taken_up(call.route().resumable),
+        None => Ending::new(call.route().resumable),
+    };
+    let mut was_asked = false;
     loop {
         let left = call.deadline().since(now());
         if left.is_zero() {
@@ -143,6 +151,9 @@
                     if produced > 0 {
                         last_event = now();
                         gap_start = last_event;
+                        if was_asked {
+                            pace = None;
+                        }
                         if let Some(pace) = &mut pace {
                             pace.record(last_event, delivered);
                         }
@@ -170,25 +181,18 @@
                 "no event before the end"
             }
             Ok(Ok(None)) if events.is_at_boundary() => {
-                host.answered(run.reservation.key, 1.0);
-                if let Some(tokens) = call.head.tokens {
-                    let mut mix = host.mix(&call.service);
-                    let pace = pace.and_then(|pace| pace.ms_per_token(tokens_per_event));
-                    mix.add(tokens.prompt, delivered * tokens_per_event, pace);
-                    host.mixes.borrow_mut().insert(call.service.clone(), mix);
+                match conclude(host, call, &mut run, &mut ending, &events).await? {
+                    Conclusion::Finished => {
+                        finish(host, call, &run, &events, pace);
+                        return Ok(());
+                    }
+                    Conclusion::GoesOn => {
+                        gap_start = now();
+                        was_asked = true;
+                        continue;
+                    }
+                    Conclusion::Broken(cause) => cause,
                 }
-                tracing::info!(
-                    id = call.head.id,
-                    endpoint = run.endpoint.id,
-                    version = run.endpoint.version,
-                    framing = ?run.exchange.framing(),
-                    events = delivered,
-                    last_event = events.last(),
-                    hint = call.head.output_hint,
-                    took_ms = now().since(call.arrived).as_millis() as u64,
-                    "stream: finished"
-                );
-                return Ok(());
             }
             Ok(Ok(None)) => "incomplete event",
             Ok(Err(error)) => {
@@ -215,12 +219,15 @@
         if call.deadline() <= now() {
             return Err(Cut("route timeout"));
         }
-        let suspicion = if cause == NO_EVENT {
-            Suspicion::Silent
-        } else {
-            Suspicion::Faulty
-        };
-        host.failed(run.reservation.key, suspicion);
+        if cause != UNPROVEN_END {
+            ending.failed();
+            let suspicion = if cause == NO_EVENT {
+                Suspicion::Silent
+            } else {
+                Suspicion::Faulty
+            };
+            host.failed(run.reservation.key, suspicion);
+        }
         events.discard_tail();
         charge = None;
         pace = None;
@@ -239,6 +246,108 @@
     }
 }
 
+/// What the end of an engine's answer means for the stream.
+enum Conclusion {
+    /// The stream is whole.
+    Finished,
+    /// The engine goes on with it.
+    GoesOn,
+    /// Another engine has to go on, for this cause.
+    Broken(&'static str),
+}
+
+/// Finds out whether a stream whose engine ended it after a whole event is whole.
+async fn conclude<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    call: &Call,
+    run: &mut Running<D, S>,
+    ending: &mut Ending,
+    events: &Splitter,
+) -> Result<Conclusion, Cut> {
+    match ending.ended(run.exchange.framing(), events.count()) {
+        Step::Finish => return Ok(Conclusion::Finished),
+        Step::Break => return Ok(Conclusion::Broken(UNPROVEN_END)),
+        Step::Reach => {
+            let left = call.deadline().since(now());
+            if is_reached(host, &run.exchange, &run.endpoint, left).await {
+                return Ok(Conclusion::Finished);
+            }
+        }
+        Step::AskForRest => {
+            if !host.may_retry(call) {
+                return Err(Cut(UNPROVEN_END));
+            }
+            host.metrics.retry("unproven_end");
+            if ask_for_rest(host, call, run, events.last()).await {
+                return Ok(Conclusion::GoesOn);
+            }
+        }
+    }
+    ending.refused();
+    Ok(Conclusion::Broken(UNPROVEN_END))
+}
+
+/// Asks the engine of a stream to go on after its last event, in the place that the stream has there.
+async fn ask_for_rest<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    call: &Call,
+    run: &mut Running<D, S>,
+    last_event_id: Option<u64>,
+) -> bool {
+    let (key, source) = (run.reservation.key, KvSource::None);
+    let sent_at = now();
+    match decode(host, call, key, &run.endpoint, source, last_event_id).await {
+        Decoded::Started(exchange) => {
+            run.exchange = *exchange;
+            run.sent_at = sent_at;
+            true
+        }
+        Decoded::Refused => false,
+        Decoded::NotSent => {
+            host.failed(key, Suspicion::Silent);
+            false
+        }
+        Decoded::Answered(_) => {
+            host.failed(key, Suspicion::Faulty);
+            false
+        }
+        Decoded::Lost(suspicion) => {
+            host.failed(key, suspicion);
+            false
+        }
+    }
+}
+
+/// Records a whole stream; `pace` is that of a stream which did not break.
+fn finish<D, S>(
+    host: &Host<D, S>,
+    call: &Call,
+    run: &Running<D, S>,
+    events: &Splitter,
+    pace: Option<Pace>,
+) {
+    host.answered(run.reservation.key, 1.0);
+    if let Some(tokens) = call.head.tokens {
+        let tokens_per_event =
+            engine(host, &call.service).map_or(1, |engine| engine.tokens_per_event);
+        let mut mix = host.mix(&call.service);
+        let pace = pace.and_then(|pace| pace.ms_per_token(tokens_per_event));
+        mix.add(tokens.prompt, events.count() * tokens_per_event, pace);
+        host.mixes.borrow_mut().insert(call.service.clone(), mix);
+    }
+    tracing::info!(
+        id = call.head.id,
+        endpoint = run.endpoint.id,
+        version = run.endpoint.version,
+        framing = ?run.exchange.framing(),
+        events = events.count(),
+        last_event = events.last(),
+        hint = call.head.output_hint,
+        took_ms = now().since(call.arrived).as_millis() as u64,
+        "stream: finished"
+    );
+}
+
 /// Where to resume a broken stream.
 #[derive(Clone, Copy, Debug)]
 struct ResumePoint {
