Do not take a plain answer for whole whose endpoint died in it

Callers saw: 3 of 14 bytes of an answer without a length, with status 200, after the service had died in the middle of it (in the tests; not known from the users' runs).

The end of the connection was taken for that of the answer, and the kernel ends the connections of a process that dies like those of one that has done.

Change: such an answer counts only if the endpoint accepts a connection after its end, on the path of the answer: over this host's links, or through the same peer, which may have died as well. The connection serves the next request to that endpoint, so a service that frames all its answers so costs no connection more. Otherwise the answer is lost: an idempotent call is repeated elsewhere, another one is answered 502.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
-use berylknot_coordination::ending::Framing;
+use berylknot_coordination::ending::{Ending, Framing, Step};
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 
@@ -349,7 +349,7 @@
         }
         Attempt::Refused => {}
         Attempt::Lost(error) => {
-            if matches!(error, Error::Lost(_) | Error::Broken(_)) {
+            if matches!(error, Error::Lost(_) | Error::Broken(_) | Error::Unproven) {
                 aborts::strike(host, call, endpoint);
             }
             host.failed(key, Suspicion::from(error));
@@ -421,13 +421,21 @@
         }
     }
     let left = timeouts.head.saturating_sub(now().since(started));
-    match exchange.read(MAX_BODY_BYTES, left).await {
-        Ok(body) => Attempt::Answered {
-            status: exchange.status,
-            headers: answer_headers(&exchange.headers),
-            body,
-            framing: exchange.framing(),
-        },
-        Err(error) => Attempt::Lost(error),
+    let body = match exchange.read(MAX_BODY_BYTES, left).await {
+        Ok(body) => body,
+        Err(error) => return Attempt::Lost(error),
+    };
+    let framing = exchange.framing();
+    let left = timeouts.head.saturating_sub(now().since(started));
+    if Ending::new(false).ended(framing, 0) == Step::Reach
+        && !is_reached(host, &exchange, endpoint, left).await
+    {
+        return Attempt::Lost(Error::Unproven);
+    }
+    Attempt::Answered {
+        status: exchange.status,
+        headers: answer_headers(&exchange.headers),
+        body,
+        framing,
     }
 }
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -25,6 +25,9 @@
     /// The request was sent, and the connection failed before an answer came.
     #[error("connection failed before the answer: {0}")]
     Lost(hyper::Error),
+    /// The answer ended with its connection, and its endpoint was gone then.
+    #[error("the endpoint was gone at the end of its answer, which has no length")]
+    Unproven,
     /// The answer is malformed or incomplete.
     #[error("answer malformed or cut off: {0}")]
     Broken(hyper::Error),
@@ -43,7 +46,7 @@
         match self {
             Self::TimedOut => true,
             Self::NotSent(error) => error.kind() == ErrorKind::TimedOut,
-            Self::Lost(_) | Self::Broken(_) | Self::TooLarge => false,
+            Self::Lost(_) | Self::Broken(_) | Self::Unproven | Self::TooLarge => false,
         }
     }
 
