Ask for the rest of a stream only where the engine may get a request

The question for the rest of a stream that ended with its connection went to its engine whatever that had told: an engine that leaves, limits its requests, or has started again under its id (with another software version, whose events do not fit) got one more request.

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -273,6 +273,7 @@
                 return Ok(Conclusion::Finished);
             }
         }
+        Step::AskForRest if !may_ask(host, run) => {}
         Step::AskForRest => {
             if !host.may_retry(call) {
                 return Err(Cut(UNPROVEN_END));
@@ -287,6 +288,17 @@
     Ok(Conclusion::Broken(UNPROVEN_END))
 }
 
+/// Whether the engine of a stream may get another request without the leader: it is the same start, has not
+/// told that it leaves or wants a pause, and does not limit its requests.
+fn may_ask<D, S>(host: &Host<D, S>, run: &Running<D, S>) -> bool {
+    let key = run.reservation.key;
+    let directory = host.directory.borrow();
+    let known = directory.get(key);
+    is_ready(host, key)
+        && known.is_some_and(|known| known.incarnation == run.endpoint.incarnation)
+        && host.limits.borrow().rate(&run.endpoint.id).is_none()
+}
+
 /// Asks the engine of a stream to go on after its last event, in the place that the stream has there.
 async fn ask_for_rest<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
