Probe the links again for a loss just before the answer to a probe

Three crashes implicated a part, the record in the store held two.

Cause: the answer to a probe ended all doubts, also those about losses less than 30 ms before it, which it does not prove to be the endpoint's fault. Without other answers such a loss stayed undecided for 3 s, and then counted against the endpoint even if the links were lost. Until then peers and the store lacked the crash, so that they admitted requests with the part.

An answer within 30 ms of the last loss now keeps the doubt, and the next round, 0.25 s later, settles it.

Ruled out: a shorter delay of the proof (an answer received before the loss would count); a shorter wait than 3 s (lost links would count against endpoints).

--- a/crates/coordination/src/link.rs
+++ b/crates/coordination/src/link.rs
@@ -152,7 +152,14 @@
                     self.was_silent.then_some(Change::Resumed)
                 };
                 self.answered(now, started);
-                self.settle();
+                self.lost_at = None;
+                self.doubted_at = None;
+                self.unopened_at = None;
+                self.was_silent = false;
+                // An answer this soon after the last loss does not settle it: the next round does.
+                if !self.is_proved() {
+                    self.doubted_at = self.closed_at;
+                }
                 return change;
             }
             Reach::Refused => {}
--- a/crates/coordination/tests/link.rs
+++ b/crates/coordination/tests/link.rs
@@ -56,6 +56,31 @@
     assert_eq!(link.fault(START), None);
 }
 
+/// Guards against a loss during a round of probes that no later round settles: without other answers it
+/// stays unconfirmed for seconds, or counts against its endpoint although the links are lost.
+#[parameterized(
+    sound_links = { Reach::Answered, Fault::Endpoint },
+    links_lost_after_the_answer = { Reach::Refused, Fault::Link },
+)]
+fn a_loss_just_before_the_answer_to_a_probe_is_settled_by_the_next_round(
+    next: Reach,
+    fault: Fault,
+) {
+    let mut link = Link::default();
+    link.closed(START);
+    let first_round = START + Duration::from_millis(60);
+    assert_eq!(link.step(first_round), Step::Probe);
+    let closed_at = first_round + Duration::from_millis(1);
+    link.closed(closed_at);
+    let answered_at = first_round + Duration::from_millis(2);
+    assert_eq!(link.probed(answered_at, first_round, Reach::Answered), None);
+    assert_eq!(link.fault(START), Some(Fault::Endpoint));
+    assert_eq!(link.fault(closed_at), None, "the answer may be older");
+    let end = START + Duration::from_secs(1);
+    play(&mut link, end, |_| next);
+    assert_eq!(link.fault(closed_at), Some(fault));
+}
+
 #[test]
 fn reset_connections_do_not_count_against_endpoints_when_none_can_be_reached() {
     let mut link = Link::default();
