Apply the crashes of one report or record at one time

Cause: the clock was read once for each crash, newest first. If it ticked in between, an older crash moved past the start of the next run, which was sent in the same millisecond, and the two no longer counted as independent. Reports of peers were read in this way too.

Ruled out: requests before the record is read (a host is ready after it, and the log of the run has the records of the same read 16 ms before the request); a tolerance in the count of independent crashes (it would count the engines of a failing rack).

suspects: the new test shows that the same report is refused with one time and admitted with a time for each crash; in the daemon the tick was not traced. Not covered: crashes in different reports, whose transit times differ by milliseconds.

--- a/crates/entry/src/aborts.rs
+++ b/crates/entry/src/aborts.rs
@@ -83,7 +83,7 @@
             strikes.observe(now(), request, &self.endpoint);
         }
         if let Some(crash) = &self.crash {
-            host.learn_crash(crash, Source::Unconfirmed);
+            host.learn_crash(now(), crash, Source::Unconfirmed);
         }
         let host = Rc::clone(host);
         actix_rt::spawn(async move {
--- a/crates/entry/src/findings.rs
+++ b/crates/entry/src/findings.rs
@@ -95,10 +95,11 @@
             return;
         }
     };
+    let now = now();
     let stored_ms = unix_millis().saturating_sub(findings.written_at);
     for mut crash in findings.crashes {
         crash.age_ms = crash.age_ms.saturating_add(stored_ms);
-        host.learn_crash(&crash, Source::Peer);
+        host.learn_crash(now, &crash, Source::Peer);
     }
     host.published.findings.set(Written {
         revision: host.suspects.borrow().revision(),
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -103,7 +103,7 @@
             .strike(now, request, endpoint, false);
     }
     for crash in &report.crashes {
-        host.learn_crash(crash, Source::Peer);
+        host.learn_crash(now, crash, Source::Peer);
     }
     for limit in &report.limits {
         if host.limits.borrow_mut().apply(now, limit) {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -431,11 +431,12 @@
         is_crashing
     }
 
-    /// Applies a crashed run that this host or a peer observed.
-    pub(crate) fn learn_crash(&self, crash: &Crash, source: Source) {
+    /// Applies a crashed run that this host or a peer observed. Those of one report are applied with the
+    /// same `now`.
+    pub(crate) fn learn_crash(&self, now: Instant, crash: &Crash, source: Source) {
         let mut suspects = self.suspects.borrow_mut();
         let was_refused = suspects.refused(&crash.parts).is_some();
-        suspects.record(now(), crash, source);
+        suspects.record(now, crash, source);
         if let Some(part) = suspects.refused(&crash.parts).filter(|_| !was_refused) {
             tracing::warn!(%part, endpoint = crash.endpoint, ?source, "suspects: engines crash on a prompt part; its requests are refused");
         }
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -148,6 +148,9 @@
     }
 
     /// Records a crashed run by its source. Returns whether it is new. An unconfirmed one is not reported.
+    ///
+    /// The runs of one report are recorded with the same `now`: a run may be sent in the millisecond of the
+    /// crash before, and is then independent of it only if the time between them is exact.
     pub fn record(&mut self, now: Instant, crash: &Crash, source: Source) -> bool {
         let at = before(now, crash.age_ms);
         let parts = shared(&crash.parts);
--- a/crates/entry/tests/suspects.rs
+++ b/crates/entry/tests/suspects.rs
@@ -356,6 +356,32 @@
     assert_eq!(restarted.refused(&parts(&[1, LETHAL, 7])), None);
 }
 
+/// Guards against crashes that no longer count as independent at the host that reads them, so that it admits
+/// the part: each request was sent in the millisecond of the crash before.
+#[test]
+fn crashes_in_quick_succession_stay_independent_at_a_host_that_reads_the_report() {
+    let mut found = Suspects::default();
+    for index in 0..3 {
+        let lost = crash(&format!("engine-{index}"), &[LETHAL, 50 + index], 2);
+        found.crashed(at(2 * index), &lost, true);
+    }
+    let fresh = parts(&[LETHAL, 60]);
+    assert_eq!(found.refused(&fresh), Some(Part(LETHAL)));
+    let report = found.report(at(500), true);
+    assert_eq!(report.len(), 3);
+    let mut reader = Suspects::default();
+    for lost in &report {
+        reader.record(at(700), lost, Source::Peer);
+    }
+    assert_eq!(reader.refused(&fresh), Some(Part(LETHAL)));
+    // A time of its own for each crash, as the clock is read, moves an older one past the next run's start.
+    let mut misreader = Suspects::default();
+    for (lost, read_at) in report.iter().zip(700..) {
+        misreader.record(at(read_at), lost, Source::Peer);
+    }
+    assert_eq!(misreader.refused(&fresh), None);
+}
+
 #[test]
 fn findings_on_long_prompts_leave_room_for_the_rest_of_a_report() {
     let mut suspects = Suspects::default();
