Count the id of an event only when the event is passed on

A stream that broke off behind the id line of an event, and went on with a copy of an earlier answer, lost that event: the splitter counted the id at its line, then dropped the event, and the stream resumed after it. Its caller saw a gap in the ids. An event with several id lines also counted several times against the memory of its engine, and one with a falling second id left the first one as the resumption point.

The splitter now takes over the id at the empty line that ends the event, so the resumption point is always that of the last event that was passed on. Ids within one event still have to rise.

Three of the new tests failed before: (Some(2), 2) in place of (Some(1), 1) after the dropped event, (Some(2), 2) in place of (Some(2), 1) for two ids, (Some(5), 1) in place of (Some(1), 0) for a falling one. The test of odd ids (spacing, gaps, CR LF, a first id above 1, a weight version line before the id) held before as well.

--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -110,13 +110,19 @@
     }
 
     /// Counts whole events; returns the position of the first one that does not belong to the stream: it
-    /// repeats an earlier one, or is the head of another answer.
+    /// repeats an earlier one, or is the head of another answer. Its id does not count: its caller does not
+    /// get it.
     fn count_events(&mut self, events: &[u8]) -> Option<usize> {
         let (mut at, mut event_start) = (0, 0);
+        let mut event_id = None;
         for line in events.split_inclusive(|byte| *byte == b'\n') {
             at += line.len();
             if line == b"\n" || line == b"\r\n" {
                 event_start = at;
+                if event_id.is_some() {
+                    self.last = event_id.take();
+                    self.count += 1;
+                }
                 continue;
             }
             if line.starts_with(STATUS_LINE) {
@@ -127,11 +133,10 @@
             let Some(id) = id.and_then(|id| id.trim().parse().ok()) else {
                 continue;
             };
-            if self.last.is_some_and(|last| id <= last) {
+            if event_id.or(self.last).is_some_and(|last| id <= last) {
                 return Some(event_start);
             }
-            self.last = Some(id);
-            self.count += 1;
+            event_id = Some(id);
         }
         None
     }
--- a/crates/entry/tests/events.rs
+++ b/crates/entry/tests/events.rs
@@ -88,3 +88,61 @@
     assert!(!events.is_at_boundary());
     assert_eq!(events.last(), Some(2));
 }
+
+/// An engine that breaks off after the id of an event, and whose earlier answer then stands in its stream:
+/// the caller does not have that event, so the stream has to resume before it.
+#[test]
+fn an_event_that_is_not_passed_on_does_not_move_the_resumption_point() {
+    let head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    for begin in [&b"id: 2\n"[..], b"weight-versions: 4\nid: 2\n"] {
+        let mut events = Splitter::after(None);
+        let broken = [b"id: 1\ndata: a\n\n", begin, head, STREAM].concat();
+        let complete = events.push(&broken).expect("one whole event");
+        assert_eq!(complete, &b"id: 1\ndata: a\n\n"[..]);
+        assert_eq!((events.last(), events.count()), (Some(1), 1));
+        events.discard_tail();
+        let resumed = b"id: 2\ndata: b\n\n";
+        assert_eq!(events.push(resumed).expect("the next event"), &resumed[..]);
+    }
+}
+
+/// An event whose ids go back is not passed on, whichever of them comes last.
+#[test]
+fn an_event_with_a_lower_id_among_several_is_an_error() {
+    let mut events = Splitter::after(Some(1));
+    assert_eq!(
+        events.push(b"id: 5\nid: 2\ndata: a\n\n"),
+        Err(Error::Repeated)
+    );
+    assert_eq!((events.last(), events.count()), (Some(1), 0));
+}
+
+/// An event with several ids counts once; its tokens would count several times against the engine.
+#[test]
+fn an_event_with_several_ids_is_one_event() {
+    let mut events = Splitter::after(None);
+    let event = b"id: 1\nid: 2\ndata: a\n\n";
+    assert_eq!(events.push(event).expect("a whole event"), &event[..]);
+    assert_eq!((events.last(), events.count()), (Some(2), 1));
+}
+
+/// Ids that do not start at 1, have gaps, or stand in a line with odd spacing are the resumption point all
+/// the same; lines that are no id do not change it.
+#[test]
+fn odd_ids_are_the_resumption_point() {
+    let mut events = Splitter::after(None);
+    for (event, last) in [
+        (&b"id:7\ndata: a\n\n"[..], Some(7)),
+        (b"weight-versions: 4\nid:  9 \ndata: a\n\n", Some(9)),
+        (b"id: 12\r\ndata: a\r\n\r\n", Some(12)),
+        (b"id: 0013\ndata: a\n\n", Some(13)),
+        (b": a comment\n\n", Some(13)),
+        (b"data: id: 2\n\n", Some(13)),
+        (b"id : 2\ndata: a\n\n", Some(13)),
+        (b" id: 2\ndata: a\n\n", Some(13)),
+        (b"ids: 2\ndata: a\n\n", Some(13)),
+    ] {
+        assert_eq!(events.push(event).expect("a whole event"), event);
+        assert_eq!(events.last(), last, "{}", String::from_utf8_lossy(event));
+    }
+}
