End an event at an empty line whose ending differs from the line before

An event whose lines end in LF and whose empty line is CR LF was held back until a later event ended, or the stream was broken off and resumed as if no event had come. The splitter knew only LF LF and CR LF CR LF; lines of one stream may end differently. It now ends an event at LF LF and at LF CR LF, which includes the former two.

The new test failed before: nothing was passed on of an event that ends in LF CR LF.

--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -146,9 +146,8 @@
 fn last_boundary(bytes: &[u8]) -> Option<usize> {
     let mut at = bytes.len();
     while at >= 2 {
-        if bytes[at - 1] == b'\n'
-            && (bytes[at - 2] == b'\n' || at >= 4 && &bytes[at - 4..at] == b"\r\n\r\n")
-        {
+        let end = &bytes[..at];
+        if end.ends_with(b"\n\n") || end.ends_with(b"\n\r\n") {
             return Some(at);
         }
         at -= 1;
--- a/crates/entry/tests/events.rs
+++ b/crates/entry/tests/events.rs
@@ -146,3 +146,21 @@
         assert_eq!(events.last(), last, "{}", String::from_utf8_lossy(event));
     }
 }
+
+/// Lines of one event may end differently, so the empty line does not have to end like the one before.
+#[test]
+fn an_empty_line_of_either_ending_ends_an_event() {
+    for event in [
+        &b"id: 1\ndata: a\n\r\n"[..],
+        b"id: 1\r\ndata: a\r\n\n",
+        b"id: 1\r\ndata: a\n\r\n",
+    ] {
+        for cut in 0..=event.len() {
+            let mut events = Splitter::after(None);
+            let mut complete = events.push(&event[..cut]).expect("valid events").to_vec();
+            complete.extend_from_slice(&events.push(&event[cut..]).expect("valid events"));
+            assert_eq!(complete, event, "cut at {cut}");
+            assert_eq!(events.last(), Some(1));
+        }
+    }
+}
