Fail a read of a log whose answer lacks all records before its end

An answer without a length or chunks ends with its connection, and may break off between two records. A read of the lease log that broke off before the first claim passed for that of a log without claims: the host claimed at once and might order beside the holder, and with the lower wait of a first holder. A read of the log of streams that broke off passed for a read to the end: a stream of a new software version went on at the former one.

The answer states the end of the log.

--- a/crates/entry/src/archive.rs
+++ b/crates/entry/src/archive.rs
@@ -37,6 +37,24 @@
     pub(crate) records: Vec<Bytes>,
 }
 
+/// Checks the number of records in an answer to a read from the offset `from` of a log with the end `end`.
+/// An answer whose end is that of its connection may break off behind any record.
+///
+/// # Errors
+/// Fails when the answer has none of the records before the end, or more than there are.
+fn check_count(from: u64, end: u64, records: usize) -> Result<()> {
+    let left = end.saturating_sub(from);
+    if records == 0 && left > 0 {
+        return Err(Error::Malformed("read response: no records before the end"));
+    }
+    if records as u64 > left {
+        return Err(Error::Malformed(
+            "read response: more records than the log has",
+        ));
+    }
+    Ok(())
+}
+
 /// What the result of a call says about the store.
 const fn outcome<T>(result: &Result<T>) -> Outcome {
     match result {
@@ -156,6 +174,9 @@
     }
 
     /// Reads a log from a position on, or from its first record that has not expired.
+    ///
+    /// # Errors
+    /// Fails when the answer lacks all records before the end that it states.
     pub(crate) async fn log_read(&self, log: Log, from: Option<Position>) -> Result<Tail> {
         let mut offset = from.map_or(0, |from| from.offset);
         let mut answer = self.store.log_read(log, offset).await;
@@ -167,6 +188,7 @@
             Some(from) => self.observe_at(from, answer)?,
             None => self.observe(answer)?,
         };
+        check_count(offset, end, records.len())?;
         let start = Position::new(self.era(), offset);
         Ok(Tail {
             start,
