Read the lease log up to its end before a claim

The holder of the lease was taken from the last record of one answer, and the end from its head. An answer that broke off, or a log of more than a megabyte, so hid the last claims. The host then took its own earlier claim, or that of nobody, for the last one, claimed on the end that it had not read, and ordered without the wait for the other holder.

The host now goes on reading until the records reach the end.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -156,11 +156,8 @@
 }
 
 async fn read<D: Dialect, S: Store>(host: &Host<D, S>, lease: &mut Lease) {
-    match host.store.log_read(Log::Leases, lease.end()).await {
-        Ok(tail) => {
-            let holder = tail.records.last();
-            let holder = holder.map(|record| String::from_utf8_lossy(record).into_owned());
-            let end = tail.end;
+    match read_claims(host, lease.end()).await {
+        Ok((holder, end)) => {
             tracing::info!(era = end.era.0, end = end.offset, holder, "lease: read");
             lease.read(now(), end, holder);
         }
@@ -171,6 +168,25 @@
     }
 }
 
+/// Reads the claims from a position up to the end of the log; returns the holder of the last one, and the
+/// end.
+async fn read_claims<D, S: Store>(
+    host: &Host<D, S>,
+    mut from: Option<Position>,
+) -> Result<(Option<String>, Position)> {
+    let mut holder = None;
+    loop {
+        let tail = host.store.log_read(Log::Leases, from).await?;
+        if let Some(record) = tail.records.last() {
+            holder = Some(String::from_utf8_lossy(record).into_owned());
+        }
+        if tail.next.offset >= tail.end.offset {
+            return Ok((holder, tail.end));
+        }
+        from = Some(tail.next);
+    }
+}
+
 async fn claim<D: Dialect, S: Store>(host: &Host<D, S>, lease: &mut Lease, end: Position) {
     let sent = now();
     let holder = lease.holder().to_owned();
