Confirm what an answer of the store has, not what its end says

A read of a feed ignored the end of the feed that the answer states. An answer that broke off between two records, or that had the first megabyte of more, confirmed the entries and the configuration as current, although changes were missing. The host did not ask a peer for fresher entries then; by reading, it could use endpoints that had left. An answer that held its records twice moved the position behind the end, and the next record was never read.

A read now confirms only if its records reach the end, and goes on otherwise. An answer without any record before the end, or with more than there are, fails, and the whole list is read after the usual pause. An answer that the position has expired confirmed the configuration as well; it no longer does, since it has no records.

--- a/crates/entry/src/archive.rs
+++ b/crates/entry/src/archive.rs
@@ -55,6 +55,16 @@
     Ok(())
 }
 
+/// Records of a feed, read from a position on.
+#[derive(Clone, Debug)]
+pub(crate) struct Batch {
+    pub(crate) records: Vec<Record>,
+    /// Position after the records.
+    pub(crate) next: Position,
+    /// Whether they go up to the end of the feed.
+    pub(crate) is_complete: bool,
+}
+
 /// What the result of a call says about the store.
 const fn outcome<T>(result: &Result<T>) -> Outcome {
     match result {
@@ -133,7 +143,7 @@
     }
 
     /// Reads the newest record of every key, and the position from which to follow the feed.
-    pub(crate) async fn read_newest(&self, feed: Feed) -> Result<(Vec<Record>, Position)> {
+    pub(crate) async fn read_newest(&self, feed: Feed) -> Result<Batch> {
         let mut page = self.observe(self.store.read_newest(feed, None).await)?;
         let mut records = std::mem::take(&mut page.records);
         // The pages are no consistent snapshot: following the feed from the end at the first page
@@ -144,27 +154,31 @@
             page = self.observe_at(end, next)?;
             records.append(&mut page.records);
         }
-        Ok((records, end))
+        Ok(Batch {
+            records,
+            next: end,
+            is_complete: true,
+        })
     }
 
-    /// Reads records from a position, waiting up to `wait` for the first one; returns them and the
-    /// position after them.
+    /// Reads records from a position, waiting up to `wait` for the first one.
     ///
     /// # Errors
-    /// Fails with [`Error::Abandoned`] when the store is back after a failure while the call waits.
-    pub(crate) async fn read(
-        &self,
-        feed: Feed,
-        from: Position,
-        wait: Duration,
-    ) -> Result<(Vec<Record>, Position)> {
+    /// Fails with [`Error::Abandoned`] when the store is back after a failure while the call waits, and
+    /// when the answer lacks all records before the end that it states.
+    pub(crate) async fn read(&self, feed: Feed, from: Position, wait: Duration) -> Result<Batch> {
         let answer = tokio::select! {
             answer = self.store.read(feed, from.offset, wait) => answer,
             () = self.returned(), if !wait.is_zero() => return Err(Error::Abandoned),
         };
-        let records = self.observe_at(from, answer)?;
+        let (end, records) = self.observe_at(from, answer)?;
+        check_count(from.offset, end, records.len())?;
         let next = from.after(records.len() as u64);
-        Ok((records, next))
+        Ok(Batch {
+            records,
+            next,
+            is_complete: next.offset >= end,
+        })
     }
 
     /// Publishes a record of the feed of hosts; returns the era in which the store has it.
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -139,10 +139,6 @@
             }
             *failures = 0;
             host.store_answered.set(Some(now));
-            // The other feeds say nothing about the configuration.
-            if feed == Feed::Configuration {
-                host.configuration_confirmed.set(Some(now));
-            }
             None
         }
         Err(error @ Error::Abandoned) => {
@@ -179,20 +175,23 @@
         };
         let pause = record_outcome(&host, Feed::Configuration, &result, &mut failures);
         match result {
-            Ok((records, next)) => {
-                for record in records {
+            Ok(batch) => {
+                if batch.is_complete {
+                    host.configuration_confirmed.set(Some(now()));
+                }
+                for record in batch.records {
                     if let Some(document) = record.value.filter(|_| record.key == CONFIGURATION_KEY)
                     {
                         configure::<D, S>(&host, document, "store");
                     }
                 }
                 let is_unpublished = position.is_none() && host.fleet.borrow().is_none();
-                position = Some(next);
+                position = Some(batch.next);
                 if is_unpublished {
                     tracing::info!("config: none published yet");
                 }
             }
-            Err(Error::Expired(_) | Error::Restored) => position = None,
+            Err(Error::Expired(_) | Error::Restored | Error::Malformed(_)) => position = None,
             Err(_) => {}
         }
         if let Some(pause) = pause {
@@ -242,10 +241,11 @@
         };
         let backoff = record_outcome(host, Feed::Endpoints, &result, &mut failures);
         match result {
-            Ok((records, end)) => {
+            Ok(batch) => {
                 // The records of a listing have no offsets, and those of the log follow each other.
                 let start = position.map_or(0, |position| position.offset);
-                let changes = records
+                let changes = batch
+                    .records
                     .into_iter()
                     .zip(start..)
                     .map(|(record, offset)| Change {
@@ -253,18 +253,26 @@
                         key: record.key,
                         value: record.value,
                     });
-                apply_changes::<D, S>(host, changes.collect(), end, position.is_none());
-                host.confirm_entries(started);
-                return None;
+                apply_changes::<D, S>(host, changes.collect(), batch.next, position.is_none());
+                if batch.is_complete {
+                    host.confirm_entries(started);
+                    return None;
+                }
             }
             Err(Error::Expired(_) | Error::Restored) => *host.changes.borrow_mut() = None,
+            Err(Error::Malformed(_)) => {
+                // A list tells what the answer lacked.
+                *host.changes.borrow_mut() = None;
+                return backoff;
+            }
             Err(_) => return backoff,
         }
     }
     None
 }
 
-/// Reads in a row: one whose position the store no longer has is followed by one of the whole list.
+/// Reads in a row: one whose position the store no longer has is followed by one of the whole list, and one
+/// that does not go up to the end by another. Entries that are late are read again without a pause.
 const MAX_READS: usize = 2;
 
 /// Records that a reader has answered with entries of the store.
@@ -338,7 +346,7 @@
         .announce(&host.options.host, own.ip().to_string().as_bytes())
         .await?;
     let read_at = now();
-    let (records, _) = host.store.read_newest(Feed::Hosts).await?;
+    let records = host.store.read_newest(Feed::Hosts).await?.records;
     versions::restore(host, read_at, &records);
     for record in records {
         if record.key == versions::KEY {
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -268,13 +268,14 @@
 pub trait Store: 'static {
     /// Reads a page of the newest records by key, starting after the key `after`.
     fn read_newest(&self, feed: Feed, after: Option<&str>) -> impl Future<Output = Answer<Page>>;
-    /// Reads records from an offset on, waiting up to `wait` for the first one.
+    /// Reads records from an offset on, waiting up to `wait` for the first one; returns the end of the feed
+    /// and the first records, at most a megabyte.
     fn read(
         &self,
         feed: Feed,
         from: u64,
         wait: Duration,
-    ) -> impl Future<Output = Answer<Vec<Record>>>;
+    ) -> impl Future<Output = Answer<(u64, Vec<Record>)>>;
     /// Publishes a record of the feed of hosts, such as the announcement of an entry host.
     fn announce(&self, key: &str, value: &[u8]) -> impl Future<Output = Answer<()>>;
     /// Reads a log from an offset on; returns its end and the first records, at most a megabyte.
--- a/crates/entry/src/versions.rs
+++ b/crates/entry/src/versions.rs
@@ -202,7 +202,7 @@
 /// Reads the regimes again that the store has.
 async fn reread<D, S: Store>(host: &Host<D, S>) -> Result<()> {
     let read_at = now();
-    let (records, _) = host.store.read_newest(Feed::Hosts).await?;
+    let records = host.store.read_newest(Feed::Hosts).await?.records;
     restore(host, read_at, &records);
     Ok(())
 }
