Apply only the newest of several changes of an entry in a read

A host reads the list in pages and then the changes since the first page, and after an outage the changes since its last read, of which peers may have told it the outcome. So it may have an entry already when it reads an older removal of it. The removal took the newer entry away and left its number as that of the removed endpoint, and the registration that followed was ignored as not newer. The endpoint was missing until its next heartbeat.

Of several changes of one entry in a read only the newest is applied now, as in a listing.

The new test failed before: 503 in place of 200 for a service with one endpoint that was removed and registered again between two pages.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the records in the platform's store: configuration, endpoints and entry hosts.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -281,6 +281,16 @@
     record_outcome(host, Feed::Endpoints, &Ok(()), &mut failures);
 }
 
+/// Drops the changes that a later one of the same key follows. The host may have the later entry already,
+/// from a listing or a peer; an older removal would take it away, and it would then count as removed.
+fn keep_newest(changes: &mut Vec<Change>) {
+    let newest: HashMap<String, u64> = changes
+        .iter()
+        .map(|change| (change.key.clone(), change.offset))
+        .collect();
+    changes.retain(|change| newest.get(&change.key) == Some(&change.offset));
+}
+
 /// Applies changes of entries up to the position `end`, and keeps those that matter to other hosts: a
 /// heartbeat that changes only its number does not. `complete` changes are the whole list.
 pub(crate) fn apply_changes<D: Dialect, S: Store>(
@@ -290,6 +300,7 @@
     complete: bool,
 ) {
     let listed: HashSet<String> = changes.iter().map(|change| change.key.clone()).collect();
+    keep_newest(&mut changes);
     changes.retain(|change| match &change.value {
         Some(value) => put::<D, S>(host, change.key.clone(), value.clone()),
         None => {
