Do not use an answer of a reader that the own read has overtaken

A host that reads the store for others asks a reader itself while the hosts differ on who reads. The answer and an own read could cross. The older one was applied last, so that an older removal took an entry away, and its changes were kept behind newer ones. The hosts that read here got them in that order, or missed some, since the search for a position needs rising offsets. Without a known list an answer even counted as all changes from offset 0.

An answer is now used only if the position is still that of the question, for both kinds of reads, and changes before the known end or of another era are not kept.

The new test of the kept changes failed before: offsets 104, 108, 101, 104 in place of 104, 108. The crossing of two reads at a daemon was found by reading and has no test of its own.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -240,6 +240,9 @@
             }
         };
         let backoff = record_outcome(host, Feed::Endpoints, &result, &mut failures);
+        if result.is_ok() && !is_at(host, position) {
+            continue;
+        }
         match result {
             Ok(batch) => {
                 // The records of a listing have no offsets, and those of the log follow each other.
@@ -271,6 +274,12 @@
     None
 }
 
+/// Whether the entries have still been read up to `position`. A read and the answer of a reader may cross, and
+/// the older of them would undo changes of the other.
+pub(crate) fn is_at<D, S>(host: &Host<D, S>, position: Option<Position>) -> bool {
+    host.changes.borrow().as_ref().map(Changes::end) == position
+}
+
 /// Reads in a row: one whose position the store no longer has is followed by one of the whole list, and one
 /// that does not go up to the end by another. Entries that are late are read again without a pause.
 const MAX_READS: usize = 2;
@@ -314,10 +323,9 @@
     versions::observe(host);
     {
         let mut known = host.changes.borrow_mut();
-        let known = known.get_or_insert_default();
         if complete {
-            known.restart(end);
-        } else {
+            known.get_or_insert_default().restart(end);
+        } else if let Some(known) = known.as_mut() {
             known.add(end, changes);
         }
     }
--- a/crates/entry/src/readers.rs
+++ b/crates/entry/src/readers.rs
@@ -55,10 +55,17 @@
         (self.start, self.end) = (end.offset, end);
     }
 
-    /// Adds what changed up to the position `end` of the same era.
+    /// Adds what changed up to the position `end`. Changes before the known end, or of another era, are not
+    /// kept again: the search for a position needs rising offsets.
     pub fn add(&mut self, end: Position, changes: impl IntoIterator<Item = Change>) {
+        if end.era != self.end.era {
+            return;
+        }
+        let known = self.end.offset;
+        let changes = changes.into_iter();
+        self.changes
+            .extend(changes.filter(|change| change.offset >= known));
         self.end = end.max(self.end);
-        self.changes.extend(changes);
         while self.changes.len() > MAX_CHANGES {
             let dropped = self.changes.pop_front();
             self.start = dropped.map_or(self.end.offset, |change| change.offset + 1);
--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -239,6 +239,10 @@
         return false;
     };
     follow::reader_answered(host).await;
+    if !follow::is_at(host, Some(from)) {
+        tracing::info!(%reader, "peer: entries were read from the store meanwhile; the answer is not used");
+        return false;
+    }
     follow::apply_changes::<D, S>(host, changes, end, false);
     apply_configuration(
         host,
--- a/crates/entry/tests/readers.rs
+++ b/crates/entry/tests/readers.rs
@@ -72,6 +72,26 @@
     assert_eq!(since.map(|since| since.len()), Some(1));
 }
 
+/// A late answer of a reader brought older changes behind newer ones. The hosts that read here then got an
+/// older removal last, or missed changes, since the search for their position needs rising offsets.
+#[test]
+fn changes_that_were_read_before_are_not_kept_again() {
+    let mut changes = Changes::default();
+    changes.restart(position(100));
+    changes.add(position(110), [change(104), change(108)]);
+    changes.add(position(106), [change(101), change(104)]);
+    assert_eq!(changes.end(), position(110));
+    assert_eq!(offsets(&changes, 100), Some(vec![104, 108]));
+    changes.add(position(112), [change(108), change(111)]);
+    assert_eq!(offsets(&changes, 100), Some(vec![104, 108, 111]));
+    // Nor those of the store before its restore.
+    changes.restart(Position::new(Era(1), 90));
+    changes.add(position(120), [change(113)]);
+    assert_eq!(changes.end(), Position::new(Era(1), 90));
+    let since = changes.since(Position::new(Era(1), 90));
+    assert_eq!(since.map(|since| since.len()), Some(0));
+}
+
 fn address(host: u16) -> SocketAddr {
     let [high, low] = host.to_be_bytes();
     SocketAddr::from((Ipv4Addr::new(10, 0, high, low), 7_500))
