Record an order to a restarted engine under the same token

A holder may order an engine, and order it again after its restart under the same lease. The hosts compared the token and the state only, so they took the second order for older knowledge of the first one, which was over, and would go on sending requests to the engine.

Orders of one token are now compared by the incarnation of the engine before the state. The new test failed before: no order was pending in place of a sent one.

--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -64,8 +64,9 @@
     pub fn apply(&mut self, now: Instant, order: Order) {
         let until = now + Duration::from_millis(order.left_ms);
         let known = self.by_endpoint.get(&order.endpoint);
-        let is_newer =
-            known.is_none_or(|(known, _)| (order.token, order.state) > (known.token, known.state));
+        // An engine that restarts may get a second order under the same token.
+        let rank = |order: &Order| (order.token, order.incarnation, order.state);
+        let is_newer = known.is_none_or(|(known, _)| rank(&order) > rank(known));
         if !is_newer || order.left_ms == 0 {
             return;
         }
--- a/crates/entry/tests/orders.rs
+++ b/crates/entry/tests/orders.rs
@@ -181,3 +181,22 @@
     }
     assert_eq!(peer.report(at(1_000)).count(), 200);
 }
+
+/// An engine that restarts may get a second order under the same token. Hosts took it for the first one,
+/// whose change was over, and went on sending requests there.
+#[test]
+fn an_order_after_a_restart_under_the_same_token_is_known() {
+    let mut orders = Orders::default();
+    orders.apply(at(0), order(7, Stage::Prefill, State::Sent));
+    let restarted = endpoint(2, Stage::Decode);
+    orders.observe(&restarted);
+    let second = Order {
+        incarnation: 2,
+        ..order(7, Stage::Prefill, State::Sent)
+    };
+    orders.apply(at(500), second);
+    assert_eq!(pending(&orders, 501, &restarted), Some(State::Sent));
+    // A late report of the first order changes nothing.
+    orders.apply(at(502), order(7, Stage::Prefill, State::Ended));
+    assert_eq!(pending(&orders, 503, &restarted), Some(State::Sent));
+}
