Hear a host that restarts after its clock was set back

The incarnation of a host is the time of day at its start. When the clock was set back by more than the restart took, peers took its reports for those of an earlier process and dropped them until they forgot the host, for 20 s. By reading, they meanwhile left it its share of the limits and took the fleet for partitioned.

Peers now keep the incarnations that others have followed and drop the reports of these. A lower incarnation that they have not heard is a restart if the process started, by the time since its start that the report states, at most 1 s before the last report of the one before.

The new test of the restart failed before (no totals in place of 40); that of a late report of an unknown earlier process held before as well.

--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -58,6 +58,11 @@
 pub(crate) const INTRODUCTION_TIME: Duration = Duration::from_millis(500);
 /// Largest share of announced hosts without a report that are taken for removed ones.
 const MAX_REMOVED_SHARE: f64 = 0.25;
+/// Longest delay of a report that is not lost. A process that started later than this before the last report
+/// of another one at its address, or later, has followed it.
+const MAX_REPORT_DELAY: Duration = Duration::from_secs(1);
+/// Largest number of former incarnations that are kept of a peer.
+const MAX_FORMER: usize = 4;
 /// Largest number of peers; further ones are ignored.
 const MAX_PEERS: usize = 1_024;
 
@@ -95,7 +100,7 @@
 pub struct Report {
     /// Format version.
     pub version: u8,
-    /// Incarnation of the sender; it grows with each restart.
+    /// Incarnation of the sender; it grows with each restart, unless the clock of its host was set back.
     pub incarnation: u64,
     /// Sequence number within the incarnation.
     pub sequence: u64,
@@ -224,6 +229,30 @@
     /// Whether it has announced itself in the store, so that it exists or existed.
     announced: bool,
     report: Report,
+    /// Incarnations that others have followed, the last one at the end.
+    former: Vec<u64>,
+}
+
+impl Peer {
+    /// Whether a report is not newer than the last one: it was sent before, or by a former process.
+    fn has_passed(&self, now: Instant, report: &Report) -> bool {
+        let known = &self.report;
+        if report.incarnation == known.incarnation {
+            return report.sequence <= known.sequence;
+        }
+        if self.former.contains(&report.incarnation) {
+            return true;
+        }
+        let is_lower = report.incarnation < known.incarnation;
+        let started = start(now, report);
+        let last_report_at = self.last_report_at.unwrap_or_default();
+        is_lower && started + MAX_REPORT_DELAY < last_report_at
+    }
+}
+
+/// Start of the process that sent a report, by the clock of this host.
+fn start(now: Instant, report: &Report) -> Instant {
+    Instant::from_millis(now.as_millis().saturating_sub(report.uptime_ms))
 }
 
 /// Membership view: all known peers of this host.
@@ -245,6 +274,7 @@
             started: now,
             announced: false,
             report: Report::new(0, 0),
+            former: Vec::new(),
         });
     }
 
@@ -270,10 +300,10 @@
     pub fn apply(&mut self, now: Instant, from: SocketAddr, mut report: Report) -> Option<Delta> {
         self.add(now, from);
         let peer = self.peers.get_mut(&from)?;
-        let known = &peer.report;
-        if (report.incarnation, report.sequence) <= (known.incarnation, known.sequence) {
+        if peer.has_passed(now, &report) {
             return None;
         }
+        let known = &peer.report;
         if report.partial {
             if known.incarnation != report.incarnation {
                 // The totals of another incarnation do not apply.
@@ -315,7 +345,12 @@
                 }
             }
         }
-        peer.started = Instant::from_millis(now.as_millis().saturating_sub(report.uptime_ms));
+        peer.started = start(now, &report);
+        if !first && !same_start {
+            peer.former.push(peer.report.incarnation);
+            let surplus = peer.former.len().saturating_sub(MAX_FORMER);
+            peer.former.drain(..surplus);
+        }
         if !report.partial {
             peer.totals_at = Some(now);
         }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -148,7 +148,8 @@
 /// Interval between checks of the settings file for changes.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Incarnation of this process: a number that increases with each start of the host.
+/// Incarnation of this process: a number that increases with each start of the host, unless its clock was set
+/// back. Peers tell such a restart by the time since the start, which the reports state as well.
 fn incarnation() -> u64 {
     let since_epoch = std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
--- a/crates/entry/tests/gossip.rs
+++ b/crates/entry/tests/gossip.rs
@@ -211,3 +211,40 @@
     let (_, alone) = announced(8).hosts(at(501));
     assert!(alone > 0.8, "{alone}");
 }
+
+/// A host whose clock was set back by seconds before it started again has a lower incarnation. Its reports
+/// were dropped for 20 s, and its peers counted it as unreachable.
+#[test]
+fn a_peer_that_restarts_after_its_clock_was_set_back_is_heard() {
+    let mut view = View::default();
+    apply_report(&mut view, 0, report(5_000, 1, 0));
+    apply_report(&mut view, 1_000, report(5_000, 9, 1_000));
+    let mut restarted = report(3_000, 1, 40);
+    restarted.uptime_ms = 10;
+    assert_eq!(apply_report(&mut view, 1_500, restarted), Some(40));
+    assert_eq!(
+        apply_report(&mut view, 1_510, report(5_000, 10, 2_000)),
+        None,
+        "a late report of the process before is ignored"
+    );
+    let mut next = report(3_000, 2, 70);
+    next.uptime_ms = 130;
+    assert_eq!(apply_report(&mut view, 1_620, next), Some(30));
+    assert_eq!(view.count_unreachable(at(1_700)), (0, 1));
+}
+
+/// A late report of a process that this host never heard must not pass for a restart.
+#[test]
+fn a_late_report_of_an_earlier_process_is_no_restart() {
+    let mut view = View::default();
+    let mut running = report(5_000, 1, 0);
+    running.uptime_ms = 4_000;
+    apply_report(&mut view, 4_000, running);
+    let mut late = report(3_000, 8, 900);
+    late.uptime_ms = 9_000;
+    assert_eq!(apply_report(&mut view, 4_010, late), None);
+    assert_eq!(
+        apply_report(&mut view, 4_020, report(5_000, 2, 30)),
+        Some(30)
+    );
+}
