Ignore the findings in a report that another one has overtaken

Totals in a late or repeated report were ignored, but its findings were applied. Their ages are those at the time of sending, so they counted as heard at the arrival: a limit that an endpoint had ended came back, and a part of a prompt could be cleared of a crash that came later.

A report that is not newer than the last one of its sender is now dropped before its findings are applied. The new test failed before: the limit of an endpoint changed 3 times in place of 2.

--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -295,6 +295,14 @@
         peer.is_some_and(|peer| peer.report.incarnation == incarnation)
     }
 
+    /// Whether a report is not newer than the last one of its sender, so that none of its findings count: their
+    /// ages are those at the time of sending.
+    #[must_use]
+    pub fn has_passed(&self, now: Instant, from: SocketAddr, report: &Report) -> bool {
+        let peer = self.peers.get(&from);
+        peer.is_some_and(|peer| peer.has_passed(now, report))
+    }
+
     /// Applies a report; `None` if it is not newer than the last one of its sender, or if it is partial
     /// and its base is unknown.
     pub fn apply(&mut self, now: Instant, from: SocketAddr, mut report: Report) -> Option<Delta> {
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -81,6 +81,9 @@
     if report.incarnation == host.incarnation {
         return;
     }
+    if host.view.borrow().has_passed(now, from, &report) {
+        return;
+    }
     {
         let mut ledger = host.ledger.borrow_mut();
         for (_, grant) in report.endpoints.iter().flat_map(|(_, runs)| runs) {
