Simulate claims of the lease that the store carries out late

The simulation of the order lease had claims that are carried out at once or not at all. Two cases now have claims without an answer that the store carries out up to 12 s later, alone and with restores and restarts. Orders of two holders stay one lease apart and their tokens rise (1,500 seeds each).

--- a/crates/entry/tests/lease.rs
+++ b/crates/entry/tests/lease.rs
@@ -13,6 +13,8 @@
 const LEASE_MS: u64 = 3_000;
 const HOSTS: usize = 3;
 const SEEDS: u64 = 1_500;
+/// Longest time after which the store carries out a claim that it has not answered.
+const MAX_CLAIM_DELAY_MS: u64 = 12_000;
 /// Longest time between the check of the lease and the arrival of the order at an engine.
 const MAX_ORDER_DELAY_MS: u64 = 200;
 
@@ -85,9 +87,18 @@
     lease.read(at(now), end, holder);
 }
 
+/// A claim without an answer that the store carries out later.
+#[derive(Clone, Copy, Debug)]
+struct LateClaim {
+    due: u64,
+    host: usize,
+    at: Position,
+}
+
 /// Simulates hosts that all try to send orders all the time, and restart and restore the store with the
-/// given probability at each step; returns the orders by arrival time.
-fn simulate(seed: u64, restore_probability: f64) -> Vec<Sent> {
+/// given probability at each step; returns the orders by arrival time. Claims without an answer may be
+/// `late`.
+fn simulate(seed: u64, restore_probability: f64, late: bool) -> Vec<Sent> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut log = Claims::new();
     let mut era = Era(0);
@@ -97,7 +108,15 @@
     }
     let mut frozen_until = [0_u64; HOSTS];
     let mut sent = Vec::new();
+    let mut late_claims: Vec<LateClaim> = Vec::new();
     for now in (0..120_000).step_by(50) {
+        late_claims.retain(|claim| {
+            let is_due = claim.due <= now;
+            if is_due && claim.at == Position::new(era, log.len() as u64) {
+                log.push((claim.host, now));
+            }
+            !is_due
+        });
         if restore_probability > 0.0 && random.random_bool(restore_probability) {
             era.0 += 1;
             let copied_at = now - random.random_range(0..9_000).min(now);
@@ -123,6 +142,15 @@
                 Step::Read => read(&mut leases[host], now, era, &log),
                 Step::Claim(end) => {
                     let answered = random.random_bool(0.8);
+                    if late && !answered && random.random_bool(0.5) {
+                        late_claims.push(LateClaim {
+                            due: now + random.random_range(50..MAX_CLAIM_DELAY_MS),
+                            host,
+                            at: end,
+                        });
+                        leases[host].claim_failed();
+                        continue;
+                    }
                     if end.offset == log.len() as u64 {
                         log.push((host, now));
                         if answered && end.era == era {
@@ -151,13 +179,15 @@
 }
 
 #[parameterized(
-    store_keeps_all = { 0.0 },
-    store_is_restored_and_hosts_restart = { 0.002 },
+    store_keeps_all = { 0.0, false },
+    store_is_restored_and_hosts_restart = { 0.002, false },
+    claims_are_late = { 0.0, true },
+    claims_are_late_and_store_is_restored = { 0.002, true },
 )]
-fn orders_of_two_holders_are_at_least_one_lease_apart(restore_probability: f64) {
+fn orders_of_two_holders_are_at_least_one_lease_apart(restore_probability: f64, late: bool) {
     let mut handovers = 0;
     for seed in 0..SEEDS {
-        let sent = simulate(seed, restore_probability);
+        let sent = simulate(seed, restore_probability, late);
         for pair in sent.windows(2) {
             if pair[0].holder == pair[1].holder {
                 continue;
