--- a/crates/entry/src/archive.rs
+++ b/crates/entry/src/archive.rs
@@ -37,6 +37,34 @@
     pub(crate) records: Vec<Bytes>,
 }
 
+/// Checks the number of records in an answer to a read from the offset `from` of a log with the end `end`.
+/// An answer whose end is that of its connection may break off behind any record.
+///
+/// # Errors
+/// Fails when the answer has none of the records before the end, or more than there are.
+fn check_count(from: u64, end: u64, records: usize) -> Result<()> {
+    let left = end.saturating_sub(from);
+    if records == 0 && left > 0 {
+        return Err(Error::Malformed("read response: no records before the end"));
+    }
+    if records as u64 > left {
+        return Err(Error::Malformed(
+            "read response: more records than the log has",
+        ));
+    }
+    Ok(())
+}
+
+/// Records of a feed, read from a position on.
+#[derive(Clone, Debug)]
+pub(crate) struct Batch {
+    pub(crate) records: Vec<Record>,
+    /// Position after the records.
+    pub(crate) next: Position,
+    /// Whether they go up to the end of the feed.
+    pub(crate) is_complete: bool,
+}
+
 /// What the result of a call says about the store.
 const fn outcome<T>(result: &Result<T>) -> Outcome {
     match result {
@@ -115,7 +143,7 @@
     }
 
     /// Reads the newest record of every key, and the position from which to follow the feed.
-    pub(crate) async fn read_newest(&self, feed: Feed) -> Result<(Vec<Record>, Position)> {
+    pub(crate) async fn read_newest(&self, feed: Feed) -> Result<Batch> {
         let mut page = self.observe(self.store.read_newest(feed, None).await)?;
         let mut records = std::mem::take(&mut page.records);
         // The pages are no consistent snapshot: following the feed from the end at the first page
@@ -126,27 +154,31 @@
             page = self.observe_at(end, next)?;
             records.append(&mut page.records);
         }
-        Ok((records, end))
+        Ok(Batch {
+            records,
+            next: end,
+            is_complete: true,
+        })
     }
 
-    /// Reads records from a position, waiting up to `wait` for the first one; returns them and the
-    /// position after them.
+    /// Reads records from a position, waiting up to `wait` for the first one.
     ///
     /// # Errors
-    /// Fails with [`Error::Abandoned`] when the store is back after a failure while the call waits.
-    pub(crate) async fn read(
-        &self,
-        feed: Feed,
-        from: Position,
-        wait: Duration,
-    ) -> Result<(Vec<Record>, Position)> {
+    /// Fails with [`Error::Abandoned`] when the store is back after a failure while the call waits, and
+    /// when the answer lacks all records before the end that it states.
+    pub(crate) async fn read(&self, feed: Feed, from: Position, wait: Duration) -> Result<Batch> {
         let answer = tokio::select! {
             answer = self.store.read(feed, from.offset, wait) => answer,
             () = self.returned(), if !wait.is_zero() => return Err(Error::Abandoned),
         };
-        let records = self.observe_at(from, answer)?;
+        let (end, records) = self.observe_at(from, answer)?;
+        check_count(from.offset, end, records.len())?;
         let next = from.after(records.len() as u64);
-        Ok((records, next))
+        Ok(Batch {
+            records,
+            next,
+            is_complete: next.offset >= end,
+        })
     }
 
     /// Publishes a record of the feed of hosts; returns the era in which the store has it.
@@ -156,6 +188,9 @@
     }
 
     /// Reads a log from a position on, or from its first record that has not expired.
+    ///
+    /// # Errors
+    /// Fails when the answer lacks all records before the end that it states.
     pub(crate) async fn log_read(&self, log: Log, from: Option<Position>) -> Result<Tail> {
         let mut offset = from.map_or(0, |from| from.offset);
         let mut answer = self.store.log_read(log, offset).await;
@@ -167,6 +202,7 @@
             Some(from) => self.observe_at(from, answer)?,
             None => self.observe(answer)?,
         };
+        check_count(offset, end, records.len())?;
         let start = Position::new(self.era(), offset);
         Ok(Tail {
             start,
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the records in the platform's store: configuration, endpoints and entry hosts.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -139,10 +139,6 @@
             }
             *failures = 0;
             host.store_answered.set(Some(now));
-            // The other feeds say nothing about the configuration.
-            if feed == Feed::Configuration {
-                host.configuration_confirmed.set(Some(now));
-            }
             None
         }
         Err(error @ Error::Abandoned) => {
@@ -179,20 +175,23 @@
         };
         let pause = record_outcome(&host, Feed::Configuration, &result, &mut failures);
         match result {
-            Ok((records, next)) => {
-                for record in records {
+            Ok(batch) => {
+                if batch.is_complete {
+                    host.configuration_confirmed.set(Some(now()));
+                }
+                for record in batch.records {
                     if let Some(document) = record.value.filter(|_| record.key == CONFIGURATION_KEY)
                     {
                         configure::<D, S>(&host, document, "store");
                     }
                 }
                 let is_unpublished = position.is_none() && host.fleet.borrow().is_none();
-                position = Some(next);
+                position = Some(batch.next);
                 if is_unpublished {
                     tracing::info!("config: none published yet");
                 }
             }
-            Err(Error::Expired(_) | Error::Restored) => position = None,
+            Err(Error::Expired(_) | Error::Restored | Error::Malformed(_)) => position = None,
             Err(_) => {}
         }
         if let Some(pause) = pause {
@@ -241,11 +240,15 @@
             }
         };
         let backoff = record_outcome(host, Feed::Endpoints, &result, &mut failures);
+        if result.is_ok() && !is_at(host, position) {
+            continue;
+        }
         match result {
-            Ok((records, end)) => {
+            Ok(batch) => {
                 // The records of a listing have no offsets, and those of the log follow each other.
                 let start = position.map_or(0, |position| position.offset);
-                let changes = records
+                let changes = batch
+                    .records
                     .into_iter()
                     .zip(start..)
                     .map(|(record, offset)| Change {
@@ -253,18 +256,32 @@
                         key: record.key,
                         value: record.value,
                     });
-                apply_changes::<D, S>(host, changes.collect(), end, position.is_none());
-                host.confirm_entries(started);
-                return None;
+                apply_changes::<D, S>(host, changes.collect(), batch.next, position.is_none());
+                if batch.is_complete {
+                    host.confirm_entries(started);
+                    return None;
+                }
             }
             Err(Error::Expired(_) | Error::Restored) => *host.changes.borrow_mut() = None,
+            Err(Error::Malformed(_)) => {
+                // A list tells what the answer lacked.
+                *host.changes.borrow_mut() = None;
+                return backoff;
+            }
             Err(_) => return backoff,
         }
     }
     None
 }
 
-/// Reads in a row: one whose position the store no longer has is followed by one of the whole list.
+/// Whether the entries have still been read up to `position`. A read and the answer of a reader may cross, and
+/// the older of them would undo changes of the other.
+pub(crate) fn is_at<D, S>(host: &Host<D, S>, position: Option<Position>) -> bool {
+    host.changes.borrow().as_ref().map(Changes::end) == position
+}
+
+/// Reads in a row: one whose position the store no longer has is followed by one of the whole list, and one
+/// that does not go up to the end by another. Entries that are late are read again without a pause.
 const MAX_READS: usize = 2;
 
 /// Records that a reader has answered with entries of the store.
@@ -273,6 +290,16 @@
     record_outcome(host, Feed::Endpoints, &Ok(()), &mut failures);
 }
 
+/// Drops the changes that a later one of the same key follows. The host may have the later entry already,
+/// from a listing or a peer; an older removal would take it away, and it would then count as removed.
+fn keep_newest(changes: &mut Vec<Change>) {
+    let newest: HashMap<String, u64> = changes
+        .iter()
+        .map(|change| (change.key.clone(), change.offset))
+        .collect();
+    changes.retain(|change| newest.get(&change.key) == Some(&change.offset));
+}
+
 /// Applies changes of entries up to the position `end`, and keeps those that matter to other hosts: a
 /// heartbeat that changes only its number does not. `complete` changes are the whole list.
 pub(crate) fn apply_changes<D: Dialect, S: Store>(
@@ -282,6 +309,7 @@
     complete: bool,
 ) {
     let listed: HashSet<String> = changes.iter().map(|change| change.key.clone()).collect();
+    keep_newest(&mut changes);
     changes.retain(|change| match &change.value {
         Some(value) => put::<D, S>(host, change.key.clone(), value.clone()),
         None => {
@@ -295,10 +323,9 @@
     versions::observe(host);
     {
         let mut known = host.changes.borrow_mut();
-        let known = known.get_or_insert_default();
         if complete {
-            known.restart(end);
-        } else {
+            known.get_or_insert_default().restart(end);
+        } else if let Some(known) = known.as_mut() {
             known.add(end, changes);
         }
     }
@@ -338,7 +365,7 @@
         .announce(&host.options.host, own.ip().to_string().as_bytes())
         .await?;
     let read_at = now();
-    let (records, _) = host.store.read_newest(Feed::Hosts).await?;
+    let records = host.store.read_newest(Feed::Hosts).await?.records;
     versions::restore(host, read_at, &records);
     for record in records {
         if record.key == versions::KEY {
