Check the end of close-delimited answers as the review asks

The check now waits 20 ms for a close; what was an answer cut short is 502 or goes elsewhere; - an answer 204 counted as one that ends with its connection, and `Transfer-Encoding: identity` as one with a stated end: framing now follows RFC 9112, 6.3; - the connection of the check was kept, which holds up servers that serve one connection at a time: it is closed; - a connect that times out counted as death, and an endpoint that stops in an orderly way as crashed by the request: only a refusal or a reset counts, and not as a strike; - an engine that answers 4xx when asked for the rest counted as faulty; - a death at the end of a stream was not recorded: it suspects the engine, and counts as a crash before the first event. Names follow RFC 9112 (delimited, close).

A stream that its caller takes up is asked for again while the retry budget allows it; the empty rest counts as proof without a budget only.

--- a/crates/coordination/src/ending.rs
+++ b/crates/coordination/src/ending.rs
@@ -1,20 +1,20 @@
-//! Decides whether an answer is whole whose end is that of its connection.
+//! Decides whether a close-delimited answer is complete.
 //!
 //! Answers with neither a length nor chunks end with their connection. The kernel closes the connections of
-//! a process that dies in the same way, so such an end proves nothing by itself. An answer is whole only if
-//! its endpoint still accepts connections; a stream that can go on after its last event, only once an
-//! endpoint that was asked for the rest has sent none.
+//! a process that dies in the same way, so such an end proves nothing by itself. An answer counts as
+//! complete only if its endpoint still accepts connections; a resumable stream, only once an endpoint that
+//! was asked for the rest has sent none.
 //!
-//! Replaces the rule that a stream is whole if it ends between two events, which passed off what a dying
-//! engine had sent so far as a complete answer.
+//! Two faults are not noticed: an endpoint that lives and breaks off an answer that is not resumable, and
+//! one that breaks off a stream and then the rest of it before the first event.
 
 /// What marks the end of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Framing {
     /// A length or a last chunk; without it, the end of the connection is an error.
-    Stated,
+    Delimited,
     /// The end of the connection.
-    Connection,
+    Close,
 }
 
 /// What to do at the end of an answer.
@@ -24,7 +24,7 @@
     Finish,
     /// Ask the same endpoint to go on after the last event.
     AskForRest,
-    /// Find out whether the endpoint accepts connections; the answer is whole if it does.
+    /// Find out whether the endpoint accepts connections; the answer is complete if it does.
     Reach,
     /// Go on at another endpoint: this one breaks answers off.
     Break,
@@ -33,39 +33,42 @@
 /// The ends of one answer, which several endpoints may send one after the other.
 #[derive(Clone, Copy, Debug)]
 pub struct Ending {
-    can_go_on: bool,
+    resumable: bool,
     /// Number of events after which an endpoint was asked for the rest.
     asked_after: Option<u32>,
     /// Whether the present endpoint was asked for it.
     is_asked: bool,
+    /// Whether the caller had events before, so that the first endpoint was asked for the rest already.
+    is_taken_up: bool,
 }
 
 impl Ending {
-    /// Ending of an answer; `can_go_on` is whether an endpoint can be asked for the rest of it.
+    /// Ending of an answer; `resumable` is whether an endpoint can be asked for the rest of it.
     #[must_use]
-    pub const fn new(can_go_on: bool) -> Self {
+    pub const fn new(resumable: bool) -> Self {
         Self {
-            can_go_on,
+            resumable,
             asked_after: None,
             is_asked: false,
+            is_taken_up: false,
         }
     }
 
-    /// Ending of a stream that its caller takes up: the first endpoint is asked for the rest already.
+    /// Ending of a stream that its caller takes up.
     #[must_use]
-    pub const fn taken_up(can_go_on: bool) -> Self {
+    pub const fn taken_up(resumable: bool) -> Self {
         Self {
-            asked_after: Some(0),
-            ..Self::new(can_go_on)
+            is_taken_up: true,
+            ..Self::new(resumable)
         }
     }
 
     /// Handles an end without an error, after a number of whole events.
     pub fn ended(&mut self, framing: Framing, events: u32) -> Step {
-        if framing == Framing::Stated {
+        if framing == Framing::Delimited {
             return Step::Finish;
         }
-        if !self.can_go_on || self.asked_after == Some(events) {
+        if !self.resumable || self.asked_after == Some(events) {
             return Step::Reach;
         }
         self.asked_after = Some(events);
@@ -77,8 +80,19 @@
         Step::AskForRest
     }
 
+    /// What to do after a number of events if the retry budget does not allow to ask for the rest: callers
+    /// whose stream is cut take it up, and their request asks for the rest.
+    #[must_use]
+    pub const fn denied(&self, events: u32) -> Step {
+        if self.is_taken_up && events == 0 {
+            Step::Reach
+        } else {
+            Step::Break
+        }
+    }
+
     /// Records that the present endpoint cannot prove the end, so that another one is asked for the rest.
-    pub const fn refused(&mut self) {
+    pub const fn unproven(&mut self) {
         self.is_asked = false;
     }
 
--- a/crates/coordination/tests/ending.rs
+++ b/crates/coordination/tests/ending.rs
@@ -6,50 +6,51 @@
 
 #[test]
 fn a_stated_end_needs_no_proof() {
-    for can_go_on in [true, false] {
-        let mut ending = Ending::new(can_go_on);
-        assert_eq!(ending.ended(Framing::Stated, 5), Step::Finish);
+    for resumable in [true, false] {
+        let mut ending = Ending::new(resumable);
+        assert_eq!(ending.ended(Framing::Delimited, 5), Step::Finish);
     }
 }
 
 #[test]
-fn an_answer_that_cannot_go_on_is_whole_only_if_its_endpoint_is_there() {
+fn the_endpoint_of_an_answer_that_is_not_resumable_is_checked() {
     let mut ending = Ending::new(false);
-    assert_eq!(ending.ended(Framing::Connection, 5), Step::Reach);
+    assert_eq!(ending.ended(Framing::Close, 5), Step::Reach);
 }
 
 #[test]
 fn a_stream_is_whole_when_nothing_comes_after_its_end() {
     let mut ending = Ending::new(true);
-    assert_eq!(ending.ended(Framing::Connection, 5), Step::AskForRest);
-    assert_eq!(ending.ended(Framing::Connection, 5), Step::Reach);
+    assert_eq!(ending.ended(Framing::Close, 5), Step::AskForRest);
+    assert_eq!(ending.ended(Framing::Close, 5), Step::Reach);
 }
 
 #[test]
 fn an_endpoint_that_had_more_to_send_is_not_asked_twice() {
     let mut ending = Ending::new(true);
-    assert_eq!(ending.ended(Framing::Connection, 5), Step::AskForRest);
-    assert_eq!(ending.ended(Framing::Connection, 8), Step::Break);
+    assert_eq!(ending.ended(Framing::Close, 5), Step::AskForRest);
+    assert_eq!(ending.ended(Framing::Close, 8), Step::Break);
     // The next endpoint is asked for the rest by going on after event 8.
-    assert_eq!(ending.ended(Framing::Connection, 10), Step::AskForRest);
-    assert_eq!(ending.ended(Framing::Connection, 10), Step::Reach);
+    assert_eq!(ending.ended(Framing::Close, 10), Step::AskForRest);
+    assert_eq!(ending.ended(Framing::Close, 10), Step::Reach);
 }
 
 #[test]
 fn an_empty_rest_of_another_endpoint_proves_the_end() {
     let mut ending = Ending::new(true);
-    assert_eq!(ending.ended(Framing::Connection, 5), Step::AskForRest);
-    ending.refused();
-    assert_eq!(ending.ended(Framing::Connection, 5), Step::Reach);
+    assert_eq!(ending.ended(Framing::Close, 5), Step::AskForRest);
+    ending.unproven();
+    assert_eq!(ending.ended(Framing::Close, 5), Step::Reach);
 }
 
-/// Callers whose stream was cut at an end without a proof return for the rest.
+/// Callers whose stream was cut for want of a proof return for the rest.
 #[test]
-fn an_empty_rest_of_a_stream_that_is_taken_up_proves_its_end() {
+fn an_empty_rest_of_a_stream_that_is_taken_up_proves_its_end_without_a_retry_budget() {
     let mut ending = Ending::taken_up(true);
-    assert_eq!(ending.ended(Framing::Connection, 0), Step::Reach);
-    let mut ending = Ending::taken_up(true);
-    assert_eq!(ending.ended(Framing::Connection, 3), Step::AskForRest);
+    assert_eq!(ending.ended(Framing::Close, 0), Step::AskForRest);
+    assert_eq!(ending.denied(0), Step::Reach);
+    assert_eq!(ending.denied(3), Step::Break);
+    assert_eq!(Ending::new(true).denied(0), Step::Break);
 }
 
 /// An answer that failed after an event has not ended there, so an endpoint that goes on with it and sends
@@ -57,9 +58,9 @@
 #[test]
 fn a_failure_after_the_last_event_proves_no_end() {
     let mut ending = Ending::new(true);
-    assert_eq!(ending.ended(Framing::Connection, 5), Step::AskForRest);
+    assert_eq!(ending.ended(Framing::Close, 5), Step::AskForRest);
     ending.failed();
-    assert_eq!(ending.ended(Framing::Connection, 5), Step::AskForRest);
+    assert_eq!(ending.ended(Framing::Close, 5), Step::AskForRest);
 }
 
 /// Events of a whole stream in the fuzz test.
@@ -85,8 +86,8 @@
         match step(&mut ending, events) {
             Step::Finish => return Some(events),
             Step::Reach if !has_died => return Some(events),
-            Step::Reach => ending.refused(),
-            Step::AskForRest if has_died || random.random_bool(0.2) => ending.refused(),
+            Step::Reach => ending.unproven(),
+            Step::AskForRest if has_died || random.random_bool(0.2) => ending.unproven(),
             Step::AskForRest | Step::Break => {}
         }
     }
@@ -103,7 +104,7 @@
         let early = ends.iter().filter(|events| **events < EVENTS).count();
         (ends.len(), early)
     };
-    let (whole, early) = count(|ending, events| ending.ended(Framing::Connection, events));
+    let (whole, early) = count(|ending, events| ending.ended(Framing::Close, events));
     assert!(whole > 5_000, "{whole} of 10,000 streams end");
     assert_eq!(early, 0);
     // The rule that it replaces: each end between two events is that of the stream.
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -349,7 +349,7 @@
         }
         Attempt::Refused => {}
         Attempt::Lost(error) => {
-            if matches!(error, Error::Lost(_) | Error::Broken(_) | Error::Unproven) {
+            if matches!(error, Error::Lost(_) | Error::Broken(_)) {
                 aborts::strike(host, call, endpoint);
             }
             host.failed(key, Suspicion::from(error));
@@ -361,7 +361,7 @@
 }
 
 /// Whether the endpoint of an answer that ended with its connection is still there.
-pub(crate) async fn is_reached<D, S>(
+pub(crate) async fn accepts_connection<D, S>(
     host: &Host<D, S>,
     exchange: &Exchange,
     endpoint: &Endpoint,
@@ -369,7 +369,7 @@
 ) -> bool {
     let connect = CONNECT_TIMEOUT.min(left);
     let pool = &host.pool;
-    pool.reaches(endpoint.destination(), exchange.relay, connect)
+    pool.accepts_connection(endpoint.destination(), exchange.relay, connect)
         .await
 }
 
@@ -428,7 +428,7 @@
     let framing = exchange.framing();
     let left = timeouts.head.saturating_sub(now().since(started));
     if Ending::new(false).ended(framing, 0) == Step::Reach
-        && !is_reached(host, &exchange, endpoint, left).await
+        && !accepts_connection(host, &exchange, endpoint, left).await
     {
         return Attempt::Lost(Error::Unproven);
     }
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -20,6 +20,8 @@
     tail: BytesMut,
     last: Option<u64>,
     count: u32,
+    /// Whether an event without an id is passed on only with a later one that has one.
+    holds_without_id: bool,
 }
 
 /// Why a stream is invalid.
@@ -39,9 +41,16 @@
             tail: BytesMut::new(),
             last,
             count: 0,
+            holds_without_id: false,
         }
     }
 
+    /// Sets whether the answer ends with its connection. What follows its last event then cannot be told from
+    /// it by the framing: bytes that no event with an id follows are not passed on.
+    pub const fn set_unframed(&mut self, is_unframed: bool) {
+        self.holds_without_id = is_unframed;
+    }
+
     /// Id of the last complete event.
     #[must_use]
     pub const fn last(&self) -> Option<u64> {
@@ -54,10 +63,10 @@
         self.count
     }
 
-    /// Whether the received bytes end at an event boundary.
+    /// Whether the received bytes end at an event boundary; whole events that are held back do not count.
     #[must_use]
     pub fn is_at_boundary(&self) -> bool {
-        self.tail.is_empty()
+        self.tail.is_empty() || last_boundary(&self.tail) == Some(self.tail.len())
     }
 
     /// Bytes of the event that is not complete.
@@ -92,29 +101,30 @@
             };
         };
         let mut complete = self.tail.split_to(searched + end);
-        match self.count_events(&complete) {
-            Some(0) => return Err(Error::Repeated),
-            Some(valid) => {
-                // The next call, or the end of the stream, reports the rest; the events before are whole.
-                let mut rest = complete.split_off(valid);
-                rest.extend_from_slice(&self.tail);
-                self.tail = rest;
-            }
-            None => {
-                if complete.len() > SMALL_BYTES {
-                    self.tail = BytesMut::from(&self.tail[..]);
-                }
-            }
+        let counted = self.count_events(&complete);
+        if counted.is_foreign && counted.passed == 0 {
+            return Err(Error::Repeated);
+        }
+        if counted.passed < complete.len() {
+            // The next call, or the end of the stream, reports the rest; the events before are whole.
+            let mut rest = complete.split_off(counted.passed);
+            rest.extend_from_slice(&self.tail);
+            self.tail = rest;
+        } else if complete.len() > SMALL_BYTES {
+            self.tail = BytesMut::from(&self.tail[..]);
+        }
+        if self.tail.len() > MAX_EVENT_BYTES {
+            return Err(Error::TooLong);
         }
         Ok(complete.freeze())
     }
 
-    /// Counts whole events; returns the position of the first one that does not belong to the stream: it
-    /// repeats an earlier one, or is the head of another answer. Its id does not count: its caller does not
-    /// get it.
-    fn count_events(&mut self, events: &[u8]) -> Option<usize> {
+    /// Counts whole events. The id of an event that is not passed on does not count.
+    fn count_events(&mut self, events: &[u8]) -> Counted {
+        let mut counted = Counted::default();
         let (mut at, mut event_start) = (0, 0);
         let mut event_id = None;
+        let (mut has_field, mut is_held) = (false, false);
         for line in events.split_inclusive(|byte| *byte == b'\n') {
             at += line.len();
             if line == b"\n" || line == b"\r\n" {
@@ -122,26 +132,45 @@
                 if event_id.is_some() {
                     self.last = event_id.take();
                     self.count += 1;
+                    is_held = false;
+                } else {
+                    is_held |= has_field && self.holds_without_id;
                 }
+                if !is_held {
+                    counted.passed = at;
+                }
+                has_field = false;
                 continue;
             }
-            if line.starts_with(STATUS_LINE) {
-                return Some(event_start);
-            }
+            has_field |= !line.starts_with(b":");
             let id = line.strip_prefix(ID_FIELD);
             let id = id.and_then(|id| std::str::from_utf8(id).ok());
-            let Some(id) = id.and_then(|id| id.trim().parse().ok()) else {
-                continue;
-            };
-            if event_id.or(self.last).is_some_and(|last| id <= last) {
-                return Some(event_start);
+            let id = id.and_then(|id| id.trim().parse().ok());
+            let last = event_id.or(self.last);
+            let is_repeated = id.is_some_and(|id| last.is_some_and(|last| id <= last));
+            if is_repeated || line.starts_with(STATUS_LINE) {
+                if !is_held {
+                    counted.passed = event_start;
+                }
+                counted.is_foreign = true;
+                return counted;
             }
-            event_id = Some(id);
+            event_id = id.or(event_id);
         }
-        None
+        counted
     }
 }
 
+/// Events that belong to a stream.
+#[derive(Clone, Copy, Debug, Default)]
+struct Counted {
+    /// Bytes of the events that are passed on.
+    passed: usize,
+    /// Whether what follows does not belong to the stream: it repeats an event, or is the head of another
+    /// answer.
+    is_foreign: bool,
+}
+
 /// Position after the last empty line.
 fn last_boundary(bytes: &[u8]) -> Option<usize> {
     let mut at = bytes.len();
--- a/crates/entry/src/http/pool.rs
+++ b/crates/entry/src/http/pool.rs
@@ -43,6 +43,9 @@
 /// Largest head of an answer, and most bytes read from a connection at once. The default of 417,792 bytes
 /// for each of 200 connections exceeds the memory of the smallest host (88 MB).
 const MAX_BUFFER_BYTES: usize = 16 * 1_024;
+/// Time after which the kernel has closed the listener of a process that ends, which may come after its
+/// connections: those accepted in between are reset.
+const LISTENER_CLOSE_TIME: Duration = Duration::from_millis(20);
 const KEEP_ALIVE: &str = "keep-alive";
 
 /// Timeouts of an exchange.
@@ -243,24 +246,31 @@
         }
     }
 
-    /// Whether an endpoint accepts a connection on the path of an answer that has ended: of this host, or
-    /// through the same peer. A connection of this host is kept for the next request.
-    pub async fn reaches(
+    /// Whether an endpoint still accepts connections on the path of an answer that has ended: of this host, or
+    /// through the same peer. Only a refusal or a reset says that it does not. A machine that is gone closes no
+    /// connection, so the end of the answer came from one that runs, and its queue may be full.
+    pub async fn accepts_connection(
         &self,
         endpoint: Destination<'_>,
         relay: Option<SocketAddr>,
         connect_timeout: Duration,
     ) -> bool {
-        let Some(relay) = relay else {
-            let opened = timeout(connect_timeout, self.open_own(Target::Endpoint(endpoint))).await;
-            let Ok(Ok(connection)) = opened else {
-                return false;
-            };
-            self.checkin(endpoint.address, connection);
-            return true;
-        };
-        let opened = timeout(connect_timeout, self.paths.relay_through(relay, endpoint)).await;
-        matches!(opened, Ok(Ok(_)))
+        if let Some(relay) = relay {
+            let opening = self.paths.relay_through(relay, endpoint);
+            let opened = timeout(connect_timeout, opening).await;
+            return !matches!(opened, Ok(Err(error)) if is_refusal(&error));
+        }
+        // The connection is not kept: a server without a length often serves one connection at a time.
+        match timeout(connect_timeout, open(endpoint.address)).await {
+            Ok(Ok(connection)) => timeout(LISTENER_CLOSE_TIME, connection.readable())
+                .await
+                .is_err(),
+            Ok(Err(error)) => {
+                self.unopened(Target::Endpoint(endpoint));
+                !is_refusal(&error)
+            }
+            Err(_) => true,
+        }
     }
 
     /// Sends a request on a connection; returns the request if the connection closed before sending.
@@ -379,6 +389,13 @@
     }
 }
 
+fn is_refusal(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
+    )
+}
+
 type Sent = std::result::Result<http::Response<Incoming>, Request<Full<Bytes>>>;
 
 /// Sends a request on a connection; returns the request if the connection closed before sending.
@@ -462,6 +479,7 @@
     connection: Option<Connection>,
     /// Whether the answer is known to be that to the request.
     is_accepted: bool,
+    framing: Framing,
     /// Whether the answer refuses the request, which may be sent again then.
     is_refusal: bool,
     /// Status of the answer.
@@ -481,6 +499,7 @@
     ) -> Self {
         let (parts, body) = response.into_parts();
         let is_accepted = id.is_none();
+        let framing = framing(&parts.headers, &body);
         connection.requests += 1;
         connection.idle_timeout =
             stated_idle_timeout(&parts.headers).unwrap_or(DEFAULT_IDLE_TIMEOUT);
@@ -494,6 +513,7 @@
             relay: connection.relay,
             connection: Some(connection),
             is_accepted,
+            framing,
             is_refusal: false,
             status: parts.status,
             headers: parts.headers,
@@ -511,16 +531,8 @@
 
     /// What marks the end of the body.
     #[must_use]
-    pub fn framing(&self) -> Framing {
-        let framing = [
-            http::header::CONTENT_LENGTH,
-            http::header::TRANSFER_ENCODING,
-        ];
-        if framing.iter().any(|name| self.headers.contains_key(name)) {
-            Framing::Stated
-        } else {
-            Framing::Connection
-        }
+    pub const fn framing(&self) -> Framing {
+        self.framing
     }
 
     /// Reads the next chunk of the body; `None` at its end, where the connection of an accepted answer
@@ -556,7 +568,9 @@
     }
 
     fn checkin(&mut self) {
-        let connection = self.connection.take().filter(|_| self.is_accepted);
+        let connection = self.connection.take();
+        let connection =
+            connection.filter(|_| self.is_accepted && self.framing == Framing::Delimited);
         let Some(mut connection) = connection else {
             return;
         };
@@ -599,6 +613,22 @@
     }
 }
 
+/// What marks the end of a body; one that is known to be empty needs no mark (RFC 9112, 6.3).
+fn framing(headers: &HeaderMap, body: &Incoming) -> Framing {
+    let codings = headers.get_all(http::header::TRANSFER_ENCODING);
+    let last = codings
+        .iter()
+        .next_back()
+        .and_then(|value| value.to_str().ok());
+    let last = last.and_then(|value| value.rsplit(',').next());
+    let is_chunked = last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"));
+    if is_chunked || body.size_hint().exact().is_some() {
+        Framing::Delimited
+    } else {
+        Framing::Close
+    }
+}
+
 /// Idle timeout that the `Keep-Alive` header of an answer states, less a margin.
 fn stated_idle_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -561,7 +561,7 @@
 
     /// Counts an answer that ends with its connection.
     pub(crate) fn note_framing(&self, call: &Call, framing: Framing) {
-        if framing == Framing::Connection {
+        if framing == Framing::Close {
             let kind = call.route().kind.name();
             let label = metrics::Kind { kind };
             self.metrics.unframed_answers.get_or_create(&label).inc();
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -10,7 +10,7 @@
 
 use crate::aborts;
 use crate::admission::engine;
-use crate::call::is_reached;
+use crate::call::accepts_connection;
 use crate::completion::{
     Acquired, DEFAULT_TOKENS, Decoded, Demand, KvSource, MAX_SENDS, Tried, acquire, decode,
     expected_tokens, hopeless_at, is_ready,
@@ -137,6 +137,7 @@
         } else {
             left
         };
+        events.set_unframed(run.exchange.framing() == Framing::Close);
         let cause = match timeout(max_gap, next(&mut run.exchange, &mut events, &mut charge)).await
         {
             Ok(Ok(Some(data))) => match events.push(&data) {
@@ -175,7 +176,7 @@
                 Err(_) => "malformed events",
             },
             Ok(Ok(None)) if events.last().is_none() => {
-                if run.exchange.framing() == Framing::Connection {
+                if run.exchange.framing() == Framing::Close {
                     aborts::crash(host, call, &run.endpoint, run.sent_at);
                 }
                 "no event before the end"
@@ -187,6 +188,7 @@
                         return Ok(());
                     }
                     Conclusion::GoesOn => {
+                        events.discard_tail();
                         gap_start = now();
                         was_asked = true;
                         continue;
@@ -264,27 +266,36 @@
     ending: &mut Ending,
     events: &Splitter,
 ) -> Result<Conclusion, Cut> {
-    match ending.ended(run.exchange.framing(), events.count()) {
-        Step::Finish => return Ok(Conclusion::Finished),
-        Step::Break => return Ok(Conclusion::Broken(UNPROVEN_END)),
-        Step::Reach => {
-            let left = call.deadline().since(now());
-            if is_reached(host, &run.exchange, &run.endpoint, left).await {
-                return Ok(Conclusion::Finished);
-            }
-        }
-        Step::AskForRest if !may_ask(host, run) => {}
-        Step::AskForRest => {
-            if !host.may_retry(call) {
-                return Err(Cut(UNPROVEN_END));
-            }
+    let mut step = ending.ended(run.exchange.framing(), events.count());
+    if step == Step::AskForRest && may_ask(host, run) {
+        if host.may_retry(call) {
             host.metrics.retry("unproven_end");
             if ask_for_rest(host, call, run, events.last()).await {
                 return Ok(Conclusion::GoesOn);
             }
+        } else {
+            step = ending.denied(events.count());
+            if step == Step::Break {
+                return Err(Cut(UNPROVEN_END));
+            }
         }
     }
-    ending.refused();
+    if step == Step::Finish {
+        return Ok(Conclusion::Finished);
+    }
+    if step == Step::Reach {
+        let left = call.deadline().since(now());
+        if accepts_connection(host, &run.exchange, &run.endpoint, left).await {
+            return Ok(Conclusion::Finished);
+        }
+        host.failed(run.reservation.key, Suspicion::Silent);
+        if events.count() == 0 {
+            aborts::crash(host, call, &run.endpoint, run.sent_at);
+        }
+    }
+    if step != Step::Break {
+        ending.unproven();
+    }
     Ok(Conclusion::Broken(UNPROVEN_END))
 }
 
@@ -319,10 +330,8 @@
             host.failed(key, Suspicion::Silent);
             false
         }
-        Decoded::Answered(_) => {
-            host.failed(key, Suspicion::Faulty);
-            false
-        }
+        // Says nothing about the engine, which may have forgotten a run that has ended.
+        Decoded::Answered(_) => false,
         Decoded::Lost(suspicion) => {
             host.failed(key, suspicion);
             false
--- a/crates/entry/tests/events.rs
+++ b/crates/entry/tests/events.rs
@@ -164,3 +164,27 @@
         }
     }
 }
+
+/// Surplus bytes behind the last event of an answer that ends with its connection reached the caller.
+#[test]
+fn bytes_behind_the_last_event_are_held_back_in_an_unframed_stream() {
+    let mut splitter = Splitter::after(None);
+    splitter.set_unframed(true);
+    let events = b"retry: 5\n\nid: 1\ndata: a\n\n: alive\n\n";
+    assert_eq!(splitter.push(events).as_deref(), Ok(&events[..]));
+    assert_eq!(splitter.push(b"surplus bytes\n\n").as_deref(), Ok(&b""[..]));
+    assert_eq!(splitter.push(b": alive\n\n").as_deref(), Ok(&b""[..]));
+    assert!(splitter.is_at_boundary());
+    assert_eq!((splitter.last(), splitter.count()), (Some(1), 1));
+    let held = b"surplus bytes\n\n: alive\n\nid: 2\n\n";
+    assert_eq!(splitter.push(b"id: 2\n\n").as_deref(), Ok(&held[..]));
+}
+
+#[test]
+fn bytes_without_an_event_are_not_held_back_without_end() {
+    let mut splitter = Splitter::after(None);
+    splitter.set_unframed(true);
+    let surplus = b"surplus bytes\n\n".repeat(1_024);
+    let pushed = (0..64).find_map(|_| splitter.push(&surplus).err());
+    assert_eq!(pushed, Some(Error::TooLong));
+}
