Reset a relayed connection whose other half was reset or failed

Callers of a host that has lost its links to the endpoints got part of an answer with status 200 and a complete framing: an answer without a length or chunks ends with its connection, and the relaying peer closed the connection to the asking host with a plain FIN also when the endpoint had reset its half, when that half had timed out, or when the relaying process was killed.

Cause: `relay::pass` dropped both sockets after an error of the copy. A dropped socket is closed.

Now both halves have SO_LINGER 0 from before the answer to CONNECT until one of them has closed regularly. Whatever else ends them resets both; the kernel applies the same rule to the sockets of a killed process, so the asking host can tell that case too. The asking host's client takes a reset for the failure of the body. The other direction is the same: a caller, or an asking host, that is gone still ends the work at the endpoint. Bytes that were read before the reset may be lost; the answer is broken or, if it has a length and is complete, on its way before the reset.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -2,7 +2,9 @@
 //!
 //! A peer asks by the method CONNECT with the id of an endpoint. From the answer on, all bytes are
 //! passed on until one of both ends closes its connection, and then both are closed: a caller who leaves
-//! ends the work at the endpoint as on a direct connection.
+//! ends the work at the endpoint as on a direct connection. When one half is reset, times out or fails, the
+//! other half is reset too: an answer may have neither a length nor chunks, and then a closed connection
+//! says that it is complete.
 
 use std::convert::Infallible;
 use std::io;
@@ -13,6 +15,7 @@
 use actix_http::h1::Codec;
 use actix_http::{HttpMessage, Request};
 use http::StatusCode;
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -109,14 +112,26 @@
         return peer.write_all(head.as_bytes()).await;
     };
     guard(peer.stream())?;
+    // Until both halves may close, whatever ends them resets them: an error below, or the end of this process,
+    // since the kernel closes the sockets of a killed process by the same rule.
+    set_linger(peer.stream(), &relayed.endpoint, Some(Duration::ZERO))?;
     let head = format!("HTTP/1.1 {} {reason}\r\n\r\n", status.as_u16());
     peer.write_all(head.as_bytes()).await?;
     relayed.endpoint.write_all(received).await?;
-    let (mut from_peer, mut to_peer) = tokio::io::split(peer);
-    let (mut from_endpoint, mut to_endpoint) = relayed.endpoint.split();
-    tokio::select! {
-        copied = tokio::io::copy(&mut from_peer, &mut to_endpoint) => copied?,
-        copied = tokio::io::copy(&mut from_endpoint, &mut to_peer) => copied?,
-    };
-    Ok(())
+    {
+        let (mut from_peer, mut to_peer) = tokio::io::split(&mut *peer);
+        let (mut from_endpoint, mut to_endpoint) = relayed.endpoint.split();
+        tokio::select! {
+            copied = tokio::io::copy(&mut from_peer, &mut to_endpoint) => copied?,
+            copied = tokio::io::copy(&mut from_endpoint, &mut to_peer) => copied?,
+        };
+    }
+    // Bytes that are passed on still arrive.
+    set_linger(peer.stream(), &relayed.endpoint, None)
+}
+
+/// Sets `SO_LINGER` of both halves; zero resets a connection when it is closed, and drops unsent bytes.
+fn set_linger(peer: &TcpStream, endpoint: &TcpStream, linger: Option<Duration>) -> io::Result<()> {
+    SockRef::from(peer).set_linger(linger)?;
+    SockRef::from(endpoint).set_linger(linger)
 }
