Treat a broken-off answer of an endpoint as a failure in the gateway

Callers of berylknot-gateway got the part of an answer that a plain service had sent before its connection ended, with status 200 and complete framing; with an idempotency key the part was stored as the outcome and replayed. An answer without a length or chunks reached its caller as an empty body. An engine's answer to a prefill that was shorter than stated was used if its JSON was complete (decodes end by their final event and were not affected).

Cause: awc takes an early end of the connection for the end of the body, whatever length was stated and whether or not the last chunk came, and gives an HTTP/1.1 answer without a length or chunks no body.

Endpoint calls (plain services; prefill, decode and cancel at engines) now use hyper's client connection, as the entry daemon does; each had a connection of its own already. The gateway holds an answer of a plain service until it is complete, up to 256 KiB or the deadline of the call. One that breaks off meanwhile is a failure after sending: an idempotent call is retried within the budget, another one gets 502 endpoint_broken with the outcome may_have_run, and the key records that the outcome is unknown. A caller of a larger or slower answer sees a body that breaks off, since its first bytes are out. Event streams are not held. The refusal of an engine that breaks off no longer counts as a proof that the request did not start, since its code is lost. A prefill or cancel has its timeout for the whole exchange; the body had another one.

Ruled out: counting bytes around awc, which drops the body of some answers and does not tell a missing last chunk from a present one.

--- a/crates/gateway/src/engine/http.rs
+++ b/crates/gateway/src/engine/http.rs
@@ -3,20 +3,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_web::dev::Payload;
-use awc::error::{ConnectError, SendRequestError};
-use awc::http::Method;
+use actix_web::http::Method;
+use actix_web::http::header::{CONTENT_TYPE, HeaderValue};
 use berylknot_border::engine::{
     CancelRequest, CancelResponse, DecodeRequest, EngineError, PrefillRequest, PrefillResponse,
 };
 use berylknot_border::event::Event;
 use berylknot_border::sse::Decoder;
-use bytes::Bytes;
-use futures_util::stream::{LocalBoxStream, StreamExt};
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use super::{Cancel, Decode, Error, Events, Prefill, Result};
-use crate::endpoint::Client;
+use crate::endpoint::{self, Answer};
 
 /// Timeout of a cancel call.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -24,65 +22,88 @@
 /// Timeout for the response headers of a decode; the engine imports the KV cache in this time.
 const DECODE_START_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Client of engines, one per thread.
-#[derive(Clone)]
+/// Maximum size of an answer in JSON.
+const MAX_JSON_BYTES: usize = 64 << 10;
+
+/// Client of engines.
+#[derive(Clone, Debug)]
 pub(crate) struct Http {
-    client: Client,
     prefill_timeout: Duration,
     event_timeout: Duration,
 }
 
-impl std::fmt::Debug for Http {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter.debug_struct("Http").finish_non_exhaustive()
-    }
-}
-
 impl Http {
     /// Creates a client with timeouts for prefills and for the gap between events.
     pub(crate) fn new(prefill_timeout: Duration, event_timeout: Duration) -> Self {
         Self {
-            client: Client::new(),
             prefill_timeout,
             event_timeout,
         }
     }
 
+    /// Sends JSON and waits for the head of a success.
     async fn post<T: Serialize>(
         &self,
         address: SocketAddr,
         path: &str,
         timeout: Duration,
         body: &T,
-    ) -> Result<awc::ClientResponse<LocalBoxStream<'static, PayloadResult>>> {
-        let request = self
-            .client
-            .request(Method::POST, &format!("http://{address}{path}"))
-            .send_json(body);
-        let sent = actix_rt::time::timeout(timeout, request)
+    ) -> Result<Answer> {
+        let body = serde_json::to_vec(body).map_err(|error| Error::Broken(error.to_string()))?;
+        let headers = [(CONTENT_TYPE, HeaderValue::from_static("application/json"))];
+        let request = endpoint::Request {
+            method: &Method::POST,
+            target: path,
+            headers: &headers,
+            body: body.into(),
+        };
+        let exchange = async {
+            let mut answer = endpoint::send(address, request).await?;
+            if answer.status.is_success() {
+                return Ok(answer);
+            }
+            // A refusal whose code is lost may be that of a running request that was cancelled.
+            let body = answer.read(MAX_JSON_BYTES).await?;
+            let code = match serde_json::from_slice::<EngineError>(&body) {
+                Ok(error) => error.code,
+                Err(_) => answer.status.to_string(),
+            };
+            Err(Error::Refused { code })
+        };
+        actix_rt::time::timeout(timeout, exchange)
             .await
-            .map_err(|_| Error::Timeout)?;
-        let mut response = sent.map_err(classify)?.map_body(|_, body| Payload::Stream {
-            payload: body.boxed_local(),
-        });
-        if response.status().is_success() {
-            return Ok(response);
-        }
-        let code = match response.json::<EngineError>().await {
-            Ok(error) => error.code,
-            Err(_) => response.status().to_string(),
+            .unwrap_or(Err(Error::Timeout))
+    }
+
+    /// Sends JSON and reads JSON, both within the timeout.
+    async fn exchange<T: Serialize, A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        timeout: Duration,
+        body: &T,
+    ) -> Result<A> {
+        let exchange = async {
+            let mut answer = self.post(address, path, timeout, body).await?;
+            read_json(&mut answer).await
         };
-        Err(Error::Refused { code })
+        actix_rt::time::timeout(timeout, exchange)
+            .await
+            .unwrap_or(Err(Error::Timeout))
     }
 }
 
-type PayloadResult = std::result::Result<Bytes, awc::error::PayloadError>;
+async fn read_json<A: DeserializeOwned>(answer: &mut Answer) -> Result<A> {
+    let body = answer.read(MAX_JSON_BYTES).await?;
+    serde_json::from_slice(&body).map_err(|error| Error::Broken(error.to_string()))
+}
 
-fn classify(error: SendRequestError) -> Error {
-    match error {
-        SendRequestError::Connect(ConnectError::Disconnected) => Error::Broken(error.to_string()),
-        SendRequestError::Connect(error) => Error::Unreachable(error.to_string()),
-        error => Error::Broken(error.to_string()),
+impl From<endpoint::Error> for Error {
+    fn from(error: endpoint::Error) -> Self {
+        match error {
+            endpoint::Error::NotSent(error) => Self::Unreachable(error.to_string()),
+            error => Self::Broken(error.to_string()),
+        }
     }
 }
 
@@ -92,13 +113,8 @@
         address: SocketAddr,
         request: &PrefillRequest,
     ) -> Result<PrefillResponse> {
-        let mut response = self
-            .post(address, "/v1/prefill", self.prefill_timeout, request)
-            .await?;
-        response
-            .json()
+        self.exchange(address, "/v1/prefill", self.prefill_timeout, request)
             .await
-            .map_err(|error| Error::Broken(error.to_string()))
     }
 }
 
@@ -106,11 +122,11 @@
     type Events = Stream;
 
     async fn decode(&self, address: SocketAddr, request: &DecodeRequest) -> Result<Stream> {
-        let response = self
+        let answer = self
             .post(address, "/v1/decode", DECODE_START_TIMEOUT, request)
             .await?;
         Ok(Stream {
-            body: response.boxed_local(),
+            answer,
             decoder: Decoder::default(),
             timeout: self.event_timeout,
         })
@@ -122,20 +138,16 @@
         let body = CancelRequest {
             request_id: request_id.to_owned(),
         };
-        let mut response = self
-            .post(address, "/v1/cancel", CANCEL_TIMEOUT, &body)
+        let answer: CancelResponse = self
+            .exchange(address, "/v1/cancel", CANCEL_TIMEOUT, &body)
             .await?;
-        let answer: CancelResponse = response
-            .json()
-            .await
-            .map_err(|error| Error::Broken(error.to_string()))?;
         Ok(answer.known)
     }
 }
 
 /// Decode events, parsed from a response body.
 pub(crate) struct Stream {
-    body: LocalBoxStream<'static, PayloadResult>,
+    answer: Answer,
     decoder: Decoder,
     timeout: Duration,
 }
@@ -145,16 +157,13 @@
         // The loop only checks whether an event is complete: the borrow checker rejects an early
         // return of a borrowed event from inside it.
         while !self.decoder.has_data() {
-            let received = actix_rt::time::timeout(self.timeout, self.body.next()).await;
-            match received.map_err(|_| Error::Timeout)? {
-                Some(Ok(bytes)) => {
-                    self.decoder
-                        .feed(&bytes)
-                        .map_err(|error| Error::Broken(error.to_string()))?;
-                }
-                Some(Err(error)) => return Err(Error::Broken(error.to_string())),
-                None => return Ok(None),
-            }
+            let received = actix_rt::time::timeout(self.timeout, self.answer.next()).await;
+            let Some(bytes) = received.map_err(|_| Error::Timeout)?? else {
+                return Ok(None);
+            };
+            self.decoder
+                .feed(&bytes)
+                .map_err(|error| Error::Broken(error.to_string()))?;
         }
         let Some(data) = self.decoder.next_data() else {
             return Ok(None);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -8,7 +8,6 @@
 
 use crate::connection::Connection;
 use crate::control::Control;
-use crate::endpoint::Client;
 use crate::engine::http::Http;
 use crate::refusal::Refusal;
 use crate::shutdown::count::count;
@@ -24,7 +23,6 @@
             Duration::from_millis(limits.prefill_timeout_ms),
             Duration::from_millis(limits.event_timeout_ms),
         ),
-        client: Client::new(),
     }
 }
 
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -3,20 +3,31 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use actix_web::http::header::{HeaderName, HeaderValue};
+use actix_web::http::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use actix_web::http::{Method, StatusCode};
 use actix_web::{HttpRequest, HttpResponse, web};
-use awc::error::{ConnectError, SendRequestError};
 use berylknot_settings::fleet::{Endpoint, Fleet, Route};
+use bytes::BytesMut;
+use futures_util::stream::{self, StreamExt};
+use tokio::time::{Instant, timeout_at};
 
 mod keyed;
 
 use crate::caller::authenticate;
 use crate::completion::refuse_exposed_key;
+use crate::endpoint::{self, Answer};
 use crate::metrics::Reason;
 use crate::refusal::{REQUEST_ID_HEADER, Refusal};
 use crate::state::State;
 
+/// Bytes of an answer from which on it is passed on before it is complete. Shorter ones are held until then,
+/// so that a call whose answer breaks off can be retried; a caller of a larger one sees the end of its
+/// connection before the last bytes. Each call takes as much memory, at most.
+const MAX_HELD_BYTES: usize = 256 << 10;
+
+/// Media type of answers that are passed on from their first byte on.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Prefix of headers reserved for the router, which are not forwarded in either direction.
 const INTERNAL_PREFIX: &str = "x-berylknot-";
 
@@ -230,7 +241,7 @@
     NoEndpoint,
     /// No connection was established, so the endpoint did not receive the call.
     NotSent,
-    /// The connection failed after the call was sent; the endpoint may have run it.
+    /// The connection failed after the call was sent, or the answer broke off; the endpoint may have run it.
     Broken,
     /// No response before the route's timeout; the endpoint may have run the call.
     Timeout,
@@ -278,36 +289,70 @@
     route: &Route,
     call: &Call,
 ) -> Result<HttpResponse, Failure> {
-    let url = format!("http://{}{}", endpoint.address, call.target);
-    let mut request = state.client.request(call.method.clone(), &url);
-    for (name, value) in &call.headers {
-        request = request.append_header((name.clone(), value.clone()));
-    }
-    request = request.insert_header((REQUEST_ID_HEADER, call.request_id.as_str()));
-    let timeout = Duration::from_millis(route.timeout_ms);
-    let sent = actix_rt::time::timeout(timeout, request.send_body(call.body.clone())).await;
-    let sent = sent.map_err(|_| Failure::Timeout)?;
-    let response = sent.map_err(|error| classify(&error))?;
+    let mut headers = call.headers.clone();
+    headers.retain(|(name, _)| name != REQUEST_ID_HEADER);
+    let request_id = HeaderValue::from_str(&call.request_id).map_err(|_| Failure::NotSent)?;
+    headers.push((HeaderName::from_static(REQUEST_ID_HEADER), request_id));
+    let request = endpoint::Request {
+        method: &call.method,
+        target: &call.target,
+        headers: &headers,
+        body: call.body.clone(),
+    };
+    let deadline = Instant::now() + Duration::from_millis(route.timeout_ms);
+    let sent = timeout_at(deadline, endpoint::send(endpoint.address, request)).await;
+    let mut answer = sent.map_err(|_| Failure::Timeout)??;
     state.shared.metrics.service_calls.inc();
-    let mut answer = HttpResponse::build(response.status());
-    for (name, value) in response.headers() {
+    let mut response = HttpResponse::build(answer.status);
+    for (name, value) in &answer.headers {
         if is_forwarded(name) {
-            answer.append_header((name.clone(), value.clone()));
+            response.append_header((name.clone(), value.clone()));
+        }
+    }
+    response.insert_header((REQUEST_ID_HEADER, call.request_id.as_str()));
+    // Its events are of use one by one.
+    let is_event_stream = answer.headers.iter().any(|(name, value)| {
+        let start = value.as_bytes().get(..EVENT_STREAM.len());
+        name == CONTENT_TYPE && start.is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM))
+    });
+    let mut held = BytesMut::new();
+    if !is_event_stream {
+        let holding = timeout_at(deadline, hold(&mut answer, &mut held)).await;
+        if let Ok(is_whole) = holding
+            && is_whole?
+            && call.method != Method::HEAD
+        {
+            return Ok(response.body(held.freeze()));
         }
     }
-    answer.insert_header((REQUEST_ID_HEADER, call.request_id.as_str()));
-    Ok(answer.streaming(response))
+    let rest = stream::try_unfold(answer, |mut answer| async move {
+        let part = answer.next().await?;
+        Ok::<_, endpoint::Error>(part.map(|part| (part, answer)))
+    });
+    let held = stream::once(async move { Ok(held.freeze()) });
+    Ok(response.streaming(held.chain(rest)))
+}
+
+/// Reads a body into `held`; returns whether that is the whole, or false from [`MAX_HELD_BYTES`] on.
+async fn hold(answer: &mut Answer, held: &mut BytesMut) -> Result<bool, Failure> {
+    while held.len() < MAX_HELD_BYTES {
+        let Some(part) = answer.next().await? else {
+            return Ok(true);
+        };
+        held.extend_from_slice(&part);
+    }
+    Ok(false)
 }
 
 fn is_forwarded(name: &HeaderName) -> bool {
     !DROPPED_HEADERS.contains(&name.as_str()) && !name.as_str().starts_with(INTERNAL_PREFIX)
 }
 
-fn classify(error: &SendRequestError) -> Failure {
-    match error {
-        SendRequestError::Connect(ConnectError::Disconnected) => Failure::Broken,
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => Failure::NotSent,
-        SendRequestError::Timeout => Failure::Timeout,
-        _ => Failure::Broken,
+impl From<endpoint::Error> for Failure {
+    fn from(error: endpoint::Error) -> Self {
+        match error {
+            endpoint::Error::NotSent(_) => Self::NotSent,
+            endpoint::Error::Broken(_) | endpoint::Error::TooLarge => Self::Broken,
+        }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -57,11 +57,10 @@
     }
 }
 
-/// State of one worker thread; its HTTP clients cannot be shared between threads.
+/// State of one worker thread; its client of the coordinator cannot be shared between threads.
 #[derive(Clone, Debug)]
 pub(crate) struct State {
     pub(crate) shared: Shared,
     pub(crate) control: Control,
     pub(crate) engine: Http,
-    pub(crate) client: crate::endpoint::Client,
 }
