Test that every truncated frame is refused

An answer between berylknot processes that breaks off reaches the frame decoder as a shorter body, since awc takes the early end of a connection for the end of the body. The code over the whole frame refuses each proper prefix; the test guards that. No fault was found: it passes before and after (aarch64).

--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -31,6 +31,17 @@
     }
 }
 
+/// Guards against an answer that breaks off and is taken for a shorter one.
+#[test]
+fn truncated_frames_are_rejected() {
+    let secret = Secret::new(*b"secret");
+    let sealed = sealed(&secret);
+    for length in 0..sealed.len() {
+        let opened = Frame::<Request>::open(&sealed[..length], &secret);
+        assert!(opened.is_err(), "{length} of {} bytes", sealed.len());
+    }
+}
+
 /// Guards against network input that crashes the process.
 #[test]
 fn arbitrary_bytes_never_panic() {
