Refuse a read of the log that ends short of the tail in berylknot

Operators whose log sent a page without entries, though it stated a later tail, got an older configuration as the one in force: `berylknot show` printed {} with exit status 0 after a publish.

Cause: Log::read_to_tail returned success when a page brought nothing new, whether or not the tail was reached. It now fails with status 4 and names both offsets.

A page whose connection breaks off before its last byte is refused before and after, since the JSON object is not closed; the second case of the test guards that.

--- a/crates/command/src/platform.rs
+++ b/crates/command/src/platform.rs
@@ -160,9 +160,14 @@
             }
             let has_advanced = next_offset > self.next_offset;
             self.next_offset = next_offset;
-            if next_offset >= tail || !has_advanced {
+            if next_offset >= tail {
                 return Ok(());
             }
+            if !has_advanced {
+                return Err(self.unreachable(&format!(
+                    "the log has entries before offset {tail}, but sent none from offset {next_offset} on"
+                )));
+            }
         }
         Err(self.unreachable("the log could not be read to its tail within 60 s"))
     }
--- a/crates/command/tests/command/online.rs
+++ b/crates/command/tests/command/online.rs
@@ -175,6 +175,29 @@
     assert_eq!(shown["customers"]["rival"]["rate"], 90);
 }
 
+/// Guards against a page of the log that breaks off, or that ends short of the tail which it states, and is
+/// taken for the whole log.
+#[parameterized(
+    cut_before_its_last_byte = { Fault::PageCut },
+    withheld = { Fault::PageWithheld },
+)]
+fn part_of_the_log_is_not_mistaken_for_the_whole(fault: Fault) {
+    let platform = Platform::start();
+    let (_guard, folder) = sample();
+    let path = folder.to_str().unwrap();
+    assert_eq!(platform.json(&["publish", path]).0, 0);
+    platform.inject(fault);
+    for arguments in [
+        &["show"][..],
+        &["publish", path],
+        &["drain", "draft-decode-1"],
+    ] {
+        let (code, report) = platform.json(arguments);
+        assert_eq!(code, 4, "{arguments:?}: {report}");
+    }
+    assert_eq!(platform.appends(), 1);
+}
+
 /// Guards against publishing on a log whose first entries have expired as if it were empty.
 #[test]
 fn expired_history_is_not_mistaken_for_an_empty_log() {
--- a/crates/command/tests/command/platform.rs
+++ b/crates/command/tests/command/platform.rs
@@ -22,6 +22,10 @@
     AppendLostOnce,
     /// Breaks the connection without storing the entry, for every append.
     AppendLost,
+    /// Breaks the connection before the last byte of a page of entries.
+    PageCut,
+    /// Sends a page without entries, as if none were left, though the log has more.
+    PageWithheld,
     /// Refuses with a client error.
     Refused,
     /// Stores another operator's publish on the same base first, for one append.
@@ -164,11 +168,21 @@
         .entries
         .iter()
         .filter(|entry| entry.offset >= range.from.max(state.oldest_offset));
-    HttpResponse::Ok().json(ReadResponse {
-        entries: wanted.take(range.limit.min(3)).cloned().collect(),
+    let count = match state.fault {
+        Fault::PageWithheld => 0,
+        _ => range.limit.min(3),
+    };
+    let page = ReadResponse {
+        entries: wanted.take(count).cloned().collect(),
         next: state.entries.len() as u64 + 1,
         oldest: state.oldest_offset.max(1),
-    })
+    };
+    if state.fault == Fault::PageCut {
+        let mut page = serde_json::to_vec(&page).unwrap();
+        page.pop();
+        return break_off(page);
+    }
+    HttpResponse::Ok().json(page)
 }
 
 async fn append(
@@ -200,8 +214,13 @@
 
 /// Answer that ends in the middle of its body, followed by a closed connection.
 fn broken_answer() -> HttpResponse {
+    break_off(b"{".to_vec())
+}
+
+/// Answer whose connection is closed after these bytes of its body.
+fn break_off(body: Vec<u8>) -> HttpResponse {
     let parts = vec![
-        Ok(bytes::Bytes::from_static(b"{")),
+        Ok(bytes::Bytes::from(body)),
         Err(std::io::Error::other("cut")),
     ];
     HttpResponse::Ok().streaming(futures_util::stream::iter(parts))
