--- a/crates/coordination/src/link.rs
+++ b/crates/coordination/src/link.rs
@@ -158,7 +158,7 @@
                 self.was_silent = false;
                 // An answer this soon after the last loss does not settle it: the next round does.
                 if !self.is_proved() {
-                    self.doubted_at = self.closed_at;
+                    self.doubted_at = Some(now);
                 }
                 return change;
             }
