Do not take a stream for whole that ends behind a repeated event

Found by reading the diff: since surplus bytes are held back, the splitter counted an end as one at a boundary also if its tail began with a copied event, which may have taken the place of later ones in the same read. Such a stream ended as complete without them. The new case of crates/entry/tests/events.rs shows it.

--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -22,6 +22,8 @@
     count: u32,
     /// Whether an event without an id is passed on only with a later one that has one.
     holds_without_id: bool,
+    /// Whether the tail begins with bytes that do not belong to the stream.
+    is_tail_foreign: bool,
 }
 
 /// Why a stream is invalid.
@@ -42,6 +44,7 @@
             last,
             count: 0,
             holds_without_id: false,
+            is_tail_foreign: false,
         }
     }
 
@@ -63,10 +66,12 @@
         self.count
     }
 
-    /// Whether the received bytes end at an event boundary; whole events that are held back do not count.
+    /// Whether the received bytes end at an event boundary. Whole events without an id that are held back do
+    /// not count; bytes that do not belong to the stream may have replaced some of its events.
     #[must_use]
     pub fn is_at_boundary(&self) -> bool {
-        self.tail.is_empty() || last_boundary(&self.tail) == Some(self.tail.len())
+        let ends_whole = last_boundary(&self.tail) == Some(self.tail.len());
+        self.tail.is_empty() || ends_whole && !self.is_tail_foreign
     }
 
     /// Bytes of the event that is not complete.
@@ -84,6 +89,7 @@
     /// Discards the buffered part of an event, after the stream of its endpoint broke.
     pub fn discard_tail(&mut self) {
         self.tail = BytesMut::new();
+        self.is_tail_foreign = false;
     }
 
     /// Adds received bytes; returns the events that they complete.
@@ -105,6 +111,7 @@
         if counted.is_foreign && counted.passed == 0 {
             return Err(Error::Repeated);
         }
+        self.is_tail_foreign = counted.is_foreign;
         if counted.passed < complete.len() {
             // The next call, or the end of the stream, reports the rest; the events before are whole.
             let mut rest = complete.split_off(counted.passed);
--- a/crates/entry/tests/events.rs
+++ b/crates/entry/tests/events.rs
@@ -188,3 +188,17 @@
     let pushed = (0..64).find_map(|_| splitter.push(&surplus).err());
     assert_eq!(pushed, Some(Error::TooLong));
 }
+
+/// A copied event took the place of others in the last read of a stream, which then passed for whole.
+#[test]
+fn a_stream_that_ends_behind_a_repeated_event_is_not_at_a_boundary() {
+    for is_unframed in [false, true] {
+        let mut splitter = Splitter::after(None);
+        splitter.set_unframed(is_unframed);
+        let passed = splitter.push(b"id: 1\n\nid: 1\n\nid: 2\n\n");
+        assert_eq!(passed.as_deref(), Ok(&b"id: 1\n\n"[..]));
+        assert!(!splitter.is_at_boundary());
+        splitter.discard_tail();
+        assert!(splitter.is_at_boundary());
+    }
+}
