--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -435,7 +435,17 @@
         return Err(reject(Reason::LinksLost, Some(after)));
     }
     let longest_run = completion::longest_run_of(host, &head, route, &service);
-    if !host.shutdown.get().accepts(arrived, longest_run) {
+    let accepts = host.shutdown.get().accepts(arrived, longest_run);
+    if let Some(stopping) = host.shutdown.get().started_before(arrived) {
+        tracing::info!(
+            id = head.id,
+            after_signal_ms = stopping.as_millis() as u64,
+            longest_run_ms = longest_run.as_millis() as u64,
+            accepts,
+            "request: arrived at a stopping host"
+        );
+    }
+    if !accepts {
         return Err(reject(
             Reason::Stopping,
             Some(call::jittered(STOPPING_RETRY_AFTER)),
--- a/crates/entry/src/shutdown.rs
+++ b/crates/entry/src/shutdown.rs
@@ -48,6 +48,13 @@
         self.started.is_some()
     }
 
+    /// Time from the signal to `now`; `None` before the signal.
+    #[must_use]
+    pub fn started_before(&self, now: Instant) -> Option<Duration> {
+        let started = self.started.filter(|started| *started <= now)?;
+        Some(now.since(started))
+    }
+
     /// Time at which the process exits even if requests are open; `None` before the signal.
     #[must_use]
     pub fn exit_at(&self) -> Option<Instant> {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
 use berylknot_coordination::ending::{Ending, Framing, Step};
@@ -63,6 +64,7 @@
 ) {
     let caller = sender.clone();
     tokio::select! {
+        () = note_exit(&host, &call) => {}
         () = caller.closed() => tracing::info!(id = call.head.id, "stream: caller disconnected; generation cancelled"),
         end = relay_events(&host, &call, run, &sender) => match end {
             Ok(()) => {}
@@ -76,6 +78,22 @@
     }
 }
 
+/// Logs a stream that is open shortly before the exit of the process, which may cut it; never ends.
+async fn note_exit<D, S>(host: &Host<D, S>, call: &Call) {
+    host.shutdown.answers_due().await;
+    tracing::info!(
+        id = call.head.id,
+        arrived_after_signal_ms = host.shutdown.get().started_before(call.arrived).map(millis),
+        open_ms = millis(now().since(call.arrived)),
+        "stream: open shortly before the exit of this host"
+    );
+    std::future::pending::<()>().await;
+}
+
+fn millis(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
+
 /// Passes bytes to a caller, large ones in copies of pieces: a piece that waits for a slow caller does not
 /// keep the memory of the whole. Returns whether the caller is still there.
 pub(crate) async fn forward(sender: &Sender, mut bytes: bytes::Bytes) -> bool {
--- a/crates/entry/tests/shutdown.rs
+++ b/crates/entry/tests/shutdown.rs
@@ -58,3 +58,14 @@
     assert!(!shutdown.is_late(at(3_499)));
     assert!(shutdown.is_late(at(3_500)));
 }
+
+/// Guards against log lines that state a wrong time since the signal.
+#[test]
+fn the_time_since_the_signal_is_known_after_it_only() {
+    let mut shutdown = Shutdown::new(GRACE);
+    assert_eq!(shutdown.started_before(at(1_000)), None);
+    shutdown.start(at(1_000));
+    assert_eq!(shutdown.started_before(at(999)), None);
+    let since = shutdown.started_before(at(3_500));
+    assert_eq!(since, Some(Duration::from_millis(2_500)));
+}
