Begin no generation late in a planned stop that may outlast the exit

What callers saw: a stream that came on a kept connection 4 s after the SIGTERM of its host was begun and cut off when the host exited.

Cause: a stopping host compared an estimate of the run with the time to its exit, and an engine may exceed any estimate. Only streams that may not be resumed were held to the timeout of the route, and a wait for an engine was ended by the estimate of its beginning. Ruled out for these cases: connections that end with a request on the way (the endpoints had the requests), and the deadlines of the callers (5 s were left).

Change: once the balancer knows of the stop, what has not run is held to its deadline, whatever its kind, also while it waits. A stream whose caller has the head of the answer is still resumed by the estimate: a refusal is no longer possible.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -211,12 +211,12 @@
 pub(crate) async fn admit<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     mut query: Query,
-    longest_run: Duration,
+    longest_run: impl Fn() -> Duration,
 ) -> Verdict {
     let started = now();
     let (start_in, hopeless_in) = (query.start_in_ms, query.hopeless_in_ms);
     loop {
-        let latest_start = host.shutdown.get().latest_start(longest_run);
+        let latest_start = host.shutdown.get().latest_start(longest_run());
         if latest_start.is_some_and(|latest| now() > latest) {
             return Verdict::Hopeless;
         }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -144,6 +144,7 @@
         hopeless_at: hopeless_at(host, call, tokens, call.arrived),
         is_first: true,
         has_begun: false,
+        is_answered: false,
     };
     let mut tried = Tried::default();
     let mut runs = 0;
@@ -310,19 +311,27 @@
 }
 
 fn longest_run<D, S>(host: &Host<D, S>, call: &Call) -> Duration {
-    longest_run_of(host, &call.head, call.route(), &call.service)
+    longest_run_of(
+        host,
+        &call.head,
+        call.route(),
+        &call.service,
+        call.deadline(),
+    )
 }
 
-/// Longest time that a request may take at a host that may be stopping. An engine may exceed the estimate,
-/// and a stream that may not be resumed is lost at the exit; callers that come late go elsewhere.
+/// Longest time that a request which has not run may take. An engine may exceed any estimate, so late in a
+/// shutdown only the deadline counts: callers that still come can go elsewhere.
 pub(crate) fn longest_run_of<D, S>(
     host: &Host<D, S>,
     head: &Head,
     route: &Route,
     service: &str,
+    deadline: Instant,
 ) -> Duration {
-    if !route.resumable && host.shutdown.get().is_late(now()) {
-        return route.timeout;
+    let now = now();
+    if host.shutdown.get().is_late(now) {
+        return deadline.since(now);
     }
     max_duration(head, route, &host.mix(service))
 }
@@ -368,6 +377,8 @@
     pub(crate) is_first: bool,
     /// Whether an engine has begun the answer, so that the request does not crash engines.
     pub(crate) has_begun: bool,
+    /// Whether the caller has the head of the answer: the generation can no longer be refused.
+    pub(crate) is_answered: bool,
 }
 
 /// Engines that a request was sent to, which admission excludes, and the version to which it is bound.
@@ -430,7 +441,14 @@
     };
     let hopeless_in_ms = query.hopeless_in_ms;
     let is_taken_up = call.head.last_event_id.is_some();
-    let verdict = admission::admit(host, query, longest_run(host, call)).await;
+    let longest_run = || {
+        if demand.is_answered {
+            max_duration(&call.head, call.route(), &host.mix(&call.service))
+        } else {
+            longest_run(host, call)
+        }
+    };
+    let verdict = admission::admit(host, query, longest_run).await;
     tracing::info!(
         id = call.head.id,
         resumes = call.head.resumes,
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -434,7 +434,10 @@
         let after = call::jittered(LINKS_LOST_RETRY_AFTER);
         return Err(reject(Reason::LinksLost, Some(after)));
     }
-    let longest_run = completion::longest_run_of(host, &head, route, &service);
+    let timeout = route.timeout;
+    let wait = head.deadline.unwrap_or(timeout);
+    let deadline = arrived + wait.min(timeout);
+    let longest_run = completion::longest_run_of(host, &head, route, &service, deadline);
     let accepts = host.shutdown.get().accepts(arrived, longest_run);
     if let Some(stopping) = host.shutdown.get().started_before(arrived) {
         tracing::info!(
@@ -456,7 +459,6 @@
     if host.strikes.borrow().is_refused(arrived, fingerprint) {
         return Err(reject(Reason::CrashesEndpoints, None));
     }
-    let timeout = route.timeout;
     let mut tokens = 0;
     if let Some(customer) = customer.map(|index| &fleet.customers[index]) {
         tokens = head.tokens.map_or(customer.plain_tokens, |tokens| {
@@ -484,7 +486,6 @@
         }
     }
     host.budgets.borrow_mut().request(arrived, &service);
-    let wait = head.deadline.unwrap_or(timeout);
     let call = Call {
         request,
         head,
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -444,6 +444,7 @@
         hopeless_at,
         is_first: false,
         has_begun: resume_point.last_event_id.is_some(),
+        is_answered: true,
     };
     for _ in 0..MAX_SENDS {
         let acquired = acquire(host, call, demand, &mut tried).await.ok()?;
