Close the connections of callers before the exit of a stopping host

What callers saw: a connection that the host had just accepted, or one that they kept, ended without an answer to the request on it.

Cause: the process ended 2.5 s after the signal, as soon as no request was open, whatever connections were. The kernel reset what was in the accept queue, connections whose first request was on the way, and kept ones whose request arrived while the process ended. Ruled out: requests that endpoints had (none of these reached one).

Change: coordination::closing knows when a connection has nothing on it. The listener stays open while requests are, then accepts what is in its queue and closes; each connection closes by itself 0.3 s after its last answer if nothing has arrived; one without a request yet waits for it (at most 3 s, the timeout of the head). The process ends when no connection is left, at the latest as before.

Evidence, x86_64: the two tests on fresh and queued connections failed before.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod balance;
 pub mod claim;
 pub mod clock;
+pub mod closing;
 pub mod configuration;
 pub mod deadline;
 pub mod drain;
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -1,23 +1,62 @@
 //! Connections of callers. An answer counts as open until its last byte is in the socket's buffer: the HTTP
-//! library drops the body when it has copied it to its own buffer, which an exit of the process loses.
+//! library drops the body when it has copied it to its own buffer, which an exit of the process loses. A
+//! stopping host closes its connections before the exit, each as [`Usage`] allows.
 
 use std::cell::{Cell, RefCell};
 use std::error::Error;
+use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
 use actix_http::body::{BodySize, BoxBody, MessageBody};
+use berylknot_coordination::closing::Usage;
 use bytes::Bytes;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
+use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
+
+use crate::state::now;
+
+/// End of a listener and of its connections, which are told of it apart.
+#[derive(Debug, Default)]
+pub(crate) struct Closing {
+    of_listener: CancellationToken,
+    of_connections: CancellationToken,
+    connections: Cell<usize>,
+}
+
+impl Closing {
+    /// Lets the listener accept what has arrived, and close.
+    pub(crate) fn close_listener(&self) {
+        self.of_listener.cancel();
+    }
+
+    pub(crate) async fn listener_closes(&self) {
+        self.of_listener.cancelled().await;
+    }
+
+    /// Lets the connections close, each when nothing is on it.
+    pub(crate) fn close_connections(&self) {
+        self.of_connections.cancel();
+    }
+
+    /// Connections that are open.
+    pub(crate) fn connections(&self) -> usize {
+        self.connections.get()
+    }
+}
 
 /// What the handler of a connection's requests shares with its socket; `G` keeps a request open.
 pub(crate) struct Progress<G> {
     /// Answers that are in the library's buffer.
     unwritten: RefCell<Vec<G>>,
     is_closing: Cell<bool>,
+    usage: Cell<Usage>,
 }
 
 impl<G> Default for Progress<G> {
@@ -25,6 +64,7 @@
         Self {
             unwritten: RefCell::default(),
             is_closing: Cell::new(false),
+            usage: Cell::default(),
         }
     }
 }
@@ -41,8 +81,26 @@
         self.is_closing.get()
     }
 
-    fn written(&self) {
-        self.unwritten.take().clear();
+    /// Records that a request has begun; its answer ends it.
+    pub(crate) fn begin(&self) {
+        self.update(Usage::began);
+    }
+
+    fn received(&self) {
+        self.update(Usage::received);
+    }
+
+    /// Returns whether an answer has ended.
+    fn written(&self) -> bool {
+        let answers = self.unwritten.take().len();
+        self.update(|usage| usage.answered(now(), answers as u32));
+        answers > 0
+    }
+
+    fn update(&self, update: impl FnOnce(&mut Usage)) {
+        let mut usage = self.usage.get();
+        update(&mut usage);
+        self.usage.set(usage);
     }
 }
 
@@ -50,16 +108,42 @@
 pub(crate) struct Connection<G> {
     stream: TcpStream,
     progress: Rc<Progress<G>>,
+    closing: Rc<Closing>,
+    closing_started: Pin<Box<WaitForCancellationFutureOwned>>,
+    /// Wakes the task when the connection may be closed.
+    quiet: Option<Pin<Box<Sleep>>>,
 }
 
 impl<G> Connection<G> {
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream, closing: Rc<Closing>) -> Self {
+        closing.connections.set(closing.connections.get() + 1);
         Self {
             stream,
             progress: Rc::default(),
+            closing_started: Box::pin(closing.of_connections.clone().cancelled_owned()),
+            closing,
+            quiet: None,
         }
     }
 
+    /// Whether the connection is to be closed now: its host stops, and nothing has arrived that it has not
+    /// answered. Otherwise wakes the task when that may have changed.
+    fn is_due(&mut self, context: &mut Context<'_>) -> bool {
+        if self.closing_started.as_mut().poll(context).is_pending() {
+            return false;
+        }
+        let Some(at) = self.progress.usage.get().may_close_at() else {
+            return false;
+        };
+        let left = at.since(now());
+        if left.is_zero() {
+            return has_nothing_to_read(&self.stream);
+        }
+        let quiet = self.quiet.insert(Box::pin(tokio::time::sleep(left)));
+        // Registers the task; the time is over only if the clocks differ by a tick.
+        quiet.as_mut().poll(context).is_ready() && has_nothing_to_read(&self.stream)
+    }
+
     pub(crate) const fn stream(&self) -> &TcpStream {
         &self.stream
     }
@@ -69,9 +153,17 @@
     }
 }
 
+/// Whether no byte, end or error is in the socket's buffer. The runtime may not have noticed them yet.
+fn has_nothing_to_read(stream: &TcpStream) -> bool {
+    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+}
+
 impl<G> Drop for Connection<G> {
     fn drop(&mut self) {
         self.progress.written();
+        let others = self.closing.connections.get().saturating_sub(1);
+        self.closing.connections.set(others);
     }
 }
 
@@ -81,7 +173,15 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        match read {
+            Poll::Ready(Ok(())) if buffer.filled().len() > before => self.progress.received(),
+            // Without bytes, the library takes this for the end of the caller's half, and closes.
+            Poll::Pending if self.is_due(context) => return Poll::Ready(Ok(())),
+            _ => {}
+        }
+        read
     }
 }
 
@@ -96,7 +196,10 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.stream).poll_flush(context))?;
-        self.progress.written();
+        if self.progress.written() && self.closing.of_connections.is_cancelled() {
+            // The next read finds out when the connection may be closed.
+            context.waker().wake_by_ref();
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -11,6 +11,7 @@
 use tokio::net::UdpSocket;
 
 use crate::admission::{self, dispatch};
+use crate::connection::Closing;
 use crate::http::Pool;
 use crate::metrics::Metrics;
 use crate::options::Options;
@@ -61,14 +62,16 @@
         (Audience::Peers, at(options.listen.peer_port)),
         (Audience::Metrics, at(options.listen.metrics_port)),
     ];
-    let mut accepting = Vec::new();
+    let mut listening = Listening::default();
     for (audience, address) in listeners {
         let listener = server::listen(address)?;
-        accepting.push(actix_rt::spawn(server::accept(
-            Rc::clone(&host),
-            listener,
-            audience,
-        )));
+        let closing = match audience {
+            Audience::Callers => &listening.callers,
+            Audience::Checks | Audience::Peers | Audience::Metrics => &listening.others,
+        };
+        let closing = Rc::clone(closing);
+        let accepting = server::accept(Rc::clone(&host), listener, audience, closing);
+        listening.tasks.push(actix_rt::spawn(accepting));
     }
     let socket = Rc::new(UdpSocket::bind(at(options.listen.peer_port)).await?);
     add_seeds(&host, &options.seeds);
@@ -90,7 +93,15 @@
     actix_rt::spawn(link::watch(Rc::clone(&host)));
     actix_rt::spawn(dispatcher(Rc::clone(&host)));
     actix_rt::spawn(reload(Rc::clone(&host), settings));
-    stop(&host, accepting).await
+    stop(&host, listening).await
+}
+
+/// The listeners and their connections.
+#[derive(Debug, Default)]
+struct Listening {
+    tasks: Vec<actix_rt::task::JoinHandle<()>>,
+    callers: Rc<Closing>,
+    others: Rc<Closing>,
 }
 
 /// Adds the seeds to the view of peers.
@@ -175,11 +186,9 @@
     }
 }
 
-/// Waits for SIGTERM or SIGINT, then for the open requests, up to the end of the grace period.
-async fn stop<D, S>(
-    host: &Rc<Host<D, S>>,
-    accepting: Vec<actix_rt::task::JoinHandle<()>>,
-) -> eyre::Result<()> {
+/// Waits for SIGTERM or SIGINT, then for the connections of callers and the open requests, up to the end of
+/// the grace period.
+async fn stop<D, S>(host: &Rc<Host<D, S>>, listening: Listening) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
@@ -189,13 +198,35 @@
     let shutdown = host.shutdown.start();
     tracing::info!(open = host.open_requests.get(), "daemon: stopping");
     tokio::time::sleep(UNREADY_DETECTION).await;
-    for task in accepting {
-        task.abort();
-    }
+    let Listening {
+        tasks,
+        callers,
+        others,
+    } = listening;
+    others.close_connections();
+    others.close_listener();
+    let answer_by = shutdown.answer_by().unwrap_or_else(now);
     let exit_at = shutdown.exit_at().unwrap_or_else(now);
-    while host.open_requests.get() > 0 && now() < exit_at {
+    // A load balancer without enough other hosts still sends connections, and callers use those that they
+    // have; each answer announces the end of its connection.
+    while host.open_requests.get() > 0 && now() < answer_by {
+        tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
+    }
+    callers.close_connections();
+    callers.close_listener();
+    for task in tasks {
+        if let Err(error) = task.await {
+            tracing::error!(%error, "daemon: a listener ended before it was told to");
+        }
+    }
+    let is_busy = || host.open_requests.get() > 0 || callers.connections() > 0;
+    while is_busy() && now() < exit_at {
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
-    tracing::info!(open = host.open_requests.get(), "daemon: stopped");
+    tracing::info!(
+        open = host.open_requests.get(),
+        connections = callers.connections(),
+        "daemon: stopped"
+    );
     Ok(())
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -20,7 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
-use crate::connection::{Body, Connection, Progress};
+use crate::connection::{Body, Closing, Connection, Progress};
 use crate::fleet::Kind;
 use crate::metrics::Kind as KindLabel;
 use crate::platform::{Dialect, Store};
@@ -68,11 +68,12 @@
     socket.listen(LISTEN_BACKLOG)
 }
 
-/// Accepts connections until the task is dropped.
+/// Accepts connections until the listener is told to close.
 pub(crate) async fn accept<D: Dialect, S: Store>(
     host: Rc<Host<D, S>>,
     listener: TcpListener,
     audience: Audience,
+    closing: Rc<Closing>,
 ) {
     let shared = Rc::clone(&host);
     let answer = move |request: Incoming| {
@@ -92,17 +93,21 @@
     if audience == Audience::Peers {
         let relay = move |request| relay::serve(Rc::clone(&host), request);
         let factory = builder.upgrade(relay).h1(answer);
-        accept_for(factory, listener, audience).await;
+        accept_for(factory, listener, audience, closing).await;
     } else {
-        accept_for(builder.h1(answer), listener, audience).await;
+        accept_for(builder.h1(answer), listener, audience, closing).await;
     }
 }
 
 /// Connection and its remote address, as the HTTP library takes them.
 type Accepted<D, S> = (Connection<Open<D, S>>, Option<SocketAddr>);
 
-async fn accept_for<D, S, F>(factory: F, listener: TcpListener, audience: Audience)
-where
+async fn accept_for<D, S, F>(
+    factory: F,
+    listener: TcpListener,
+    audience: Audience,
+    closing: Rc<Closing>,
+) where
     D: 'static,
     S: 'static,
     F: ServiceFactory<Accepted<D, S>, Config = (), Error = DispatchError>,
@@ -115,26 +120,58 @@
         );
         return;
     };
-    let service = Rc::new(service);
-    loop {
-        let stream: TcpStream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::warn!(?audience, %error, "server: accept failed; retrying after a pause");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+    let serve = |stream: TcpStream| {
         if let Err(error) = stream.set_nodelay(true) {
             tracing::debug!(%error, "server: TCP_NODELAY could not be set; the connection is served without it");
         }
         let peer = stream.peer_addr().ok();
-        let serving = service.call((Connection::new(stream), peer));
+        let serving = service.call((Connection::new(stream, Rc::clone(&closing)), peer));
         actix_rt::spawn(async move {
             if let Err(error) = serving.await {
                 tracing::debug!(%error, "server: connection ended with an error");
             }
         });
+    };
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing.listener_closes() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => serve(stream),
+            Err(error) => {
+                tracing::warn!(?audience, %error, "server: accept failed; retrying after a pause");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    let mut queued = 0;
+    match drain(listener, |stream| {
+        queued += 1;
+        serve(stream);
+    }) {
+        Ok(()) => tracing::info!(?audience, queued, "server: listener closed"),
+        Err(error) => {
+            tracing::warn!(?audience, queued, %error, "server: listener closed; connections in its queue may be lost");
+        }
+    }
+}
+
+/// Accepts what is in the queue of a listener, which the kernel would reset, and closes it. Asks the socket
+/// itself, since the runtime may not have noticed the last connections.
+fn drain(listener: TcpListener, mut serve: impl FnMut(TcpStream)) -> std::io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                serve(TcpStream::from_std(stream)?);
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return Ok(()),
+            // The caller is gone.
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionAborted => {}
+            Err(error) => return Err(error),
+        }
     }
 }
 
@@ -209,6 +246,7 @@
         .conn_data::<Rc<Progress<Open<D, S>>>>()
         .cloned()
         .unwrap_or_default();
+    progress.begin();
     let answered = if progress.is_closing() {
         Answered::unread(refuse_stopping(&host))
     } else {
