--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -203,7 +203,6 @@
         callers,
         others,
     } = listening;
-    others.close_connections();
     others.close_listener();
     let answer_by = shutdown.answer_by().unwrap_or_else(now);
     let exit_at = shutdown.exit_at().unwrap_or_else(now);
