Take an answer with a status outside of 200 to 599 for a failure of its endpoint

Statuses 000, 099, 20 and 2000 were failures already. The check stands where answers are read: the pool of the entry daemon (plain calls, streams, prefills, commands, the store, other hosts) and the client of berylknot-gateway.

--- a/acceptance/tests/truncated.rs
+++ b/acceptance/tests/truncated.rs
@@ -57,6 +57,14 @@
         }
     }
 
+    /// Whole answers whose status is not one of HTTP.
+    fn odd_statuses() -> [Self; 6] {
+        ["000", "099", "600", "999", "20", "2000"].map(|status| Self {
+            bytes: format!("HTTP/1.1 {status} Odd\r\nContent-Length: 3\r\n\r\n123").into_bytes(),
+            end: End::Close,
+        })
+    }
+
     /// All ways to break off an answer. The parts that arrive are complete as JSON.
     fn truncated() -> [Self; 4] {
         let chunked = "Transfer-Encoding: chunked\r\n";
@@ -240,13 +248,15 @@
     assert!(retries > 0.0);
 }
 
-/// Guards against a part of an answer that is passed on as complete, and against a second run of the call.
+/// Guards against a part of an answer, or one without a status of HTTP, that is passed on as complete, and
+/// against a second run of the call.
 #[actix_rt::test]
 async fn call_with_a_truncated_answer_may_have_run() {
     let server = Server::start();
     let deployment = deploy(&server, true).await;
     let host = deployment.hosts[0].address;
-    for script in Script::truncated() {
+    let scripts = Script::truncated().into_iter();
+    for script in scripts.chain(Script::odd_statuses()) {
         server.set(&script);
         for method in ["POST", "GET"] {
             let answer = send(host, method, PATH, Some(KEY), &[], None)
--- a/crates/entry/src/health.rs
+++ b/crates/entry/src/health.rs
@@ -36,7 +36,11 @@
 impl From<&Error> for Suspicion {
     fn from(error: &Error) -> Self {
         match error {
-            Error::Lost(_) | Error::Broken(_) | Error::Unproven | Error::TooLarge => Self::Faulty,
+            Error::Lost(_)
+            | Error::Broken(_)
+            | Error::Status(_)
+            | Error::Unproven
+            | Error::TooLarge => Self::Faulty,
             Error::NotSent(_) | Error::TimedOut => Self::Silent,
         }
     }
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -28,6 +28,9 @@
     /// The answer ended with its connection, and its endpoint was gone then.
     #[error("the endpoint was gone at the end of its answer, which has no length")]
     Unproven,
+    /// The status of the answer is not that of a final answer in HTTP (RFC 9110, 15).
+    #[error("the answer has the status {0}, which no final answer has")]
+    Status(u16),
     /// The answer is malformed or incomplete.
     #[error("answer malformed or cut off: {0}")]
     Broken(hyper::Error),
@@ -46,7 +49,9 @@
         match self {
             Self::TimedOut => true,
             Self::NotSent(error) => error.kind() == ErrorKind::TimedOut,
-            Self::Lost(_) | Self::Broken(_) | Self::Unproven | Self::TooLarge => false,
+            Self::Lost(_) | Self::Broken(_) | Self::Status(_) | Self::Unproven | Self::TooLarge => {
+                false
+            }
         }
     }
 
--- a/crates/entry/src/http/pool.rs
+++ b/crates/entry/src/http/pool.rs
@@ -296,7 +296,7 @@
             }
         };
         match &sent {
-            Ok(Ok(_)) => self.paths.answered(opened_at),
+            Ok(Ok(_)) | Err(Error::Status(_)) => self.paths.answered(opened_at),
             Ok(Err(_)) => {}
             Err(_) => self.paths.closed(),
         }
@@ -406,7 +406,8 @@
 ) -> Result<Sent> {
     let sent = timeout(head_timeout, connection.sender.try_send_request(request)).await;
     match sent.map_err(|_| Error::TimedOut)? {
-        Ok(response) => Ok(Ok(response)),
+        Ok(response) if is_final(response.status()) => Ok(Ok(response)),
+        Ok(response) => Err(Error::Status(response.status().as_u16())),
         Err(mut failed) => match failed.take_message() {
             Some(request) => Ok(Err(request)),
             None => Err(Error::Lost(failed.into_error())),
@@ -414,6 +415,11 @@
     }
 }
 
+/// Whether a final answer in HTTP has the status. The parser takes any number of three digits from 100 on.
+const fn is_final(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 200..=599)
+}
+
 /// Opens a connection.
 pub(crate) async fn open(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -119,7 +119,9 @@
         // The head of an answer has come, whatever it is worth.
         Ok(_)
         | Err(Error::Malformed(_))
-        | Err(Error::Exchange(http::Error::Broken(_) | http::Error::TooLarge)) => Reach::Answered,
+        | Err(Error::Exchange(
+            http::Error::Broken(_) | http::Error::Status(_) | http::Error::TooLarge,
+        )) => Reach::Answered,
         Err(Error::Exchange(error)) if error.is_silence() => Reach::Silent,
         Err(_) => Reach::Refused,
     };
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -40,6 +40,9 @@
     /// The connection failed after the request was sent, or the answer is malformed or incomplete.
     #[error("answer malformed or cut off: {0}")]
     Broken(hyper::Error),
+    /// The status of the answer is not that of a final answer in HTTP (RFC 9110, 15).
+    #[error("the answer has the status {0}, which no final answer has")]
+    Status(u16),
     /// The body of the answer exceeds the given limit.
     #[error("answer exceeds the size limit")]
     TooLarge,
@@ -111,7 +114,7 @@
         drop(driver.await);
     }));
     match sender.try_send_request(request).await {
-        Ok(response) => Ok(Answer::new(response, connection)),
+        Ok(response) => Answer::new(response, connection),
         Err(mut failed) => Err(match failed.take_message() {
             Some(_) => Error::NotSent(io::ErrorKind::ConnectionReset.into()),
             None => Error::Broken(failed.into_error()),
@@ -120,9 +123,13 @@
 }
 
 impl Answer {
-    fn new(response: http::Response<Incoming>, connection: Task) -> Self {
+    fn new(response: http::Response<Incoming>, connection: Task) -> Result<Self> {
         let (parts, body) = response.into_parts();
-        let status = StatusCode::from_u16(parts.status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
+        let code = parts.status.as_u16();
+        // The parser takes any number of three digits from 100 on.
+        let status = StatusCode::from_u16(code).ok();
+        let status = status.filter(|_| matches!(code, 200..=599));
+        let status = status.ok_or(Error::Status(code))?;
         let mut headers = Vec::with_capacity(parts.headers.len());
         for (name, value) in &parts.headers {
             let name = header::HeaderName::from_bytes(name.as_str().as_bytes());
@@ -131,12 +138,12 @@
                 headers.push((name, value));
             }
         }
-        Self {
+        Ok(Self {
             status,
             headers,
             body,
             _connection: connection,
-        }
+        })
     }
 
     /// Reads the next part of the body; `None` at its end.
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -352,7 +352,9 @@
     fn from(error: endpoint::Error) -> Self {
         match error {
             endpoint::Error::NotSent(_) => Self::NotSent,
-            endpoint::Error::Broken(_) | endpoint::Error::TooLarge => Self::Broken,
+            endpoint::Error::Broken(_) | endpoint::Error::Status(_) | endpoint::Error::TooLarge => {
+                Self::Broken
+            }
         }
     }
 }
