Believe the end of an unframed stream of a live engine where the retry budget allows no question

A cut now needs evidence against the stream: the engine is gone, or it has had more to send after an earlier end of the same stream. Ruled out: sparing the budget for these questions, which leaves the same cut one step later.

--- a/crates/coordination/src/ending.rs
+++ b/crates/coordination/src/ending.rs
@@ -5,8 +5,9 @@
 //! complete only if its endpoint still accepts connections; a resumable stream, only once an endpoint that
 //! was asked for the rest has sent none.
 //!
-//! Two faults are not noticed: an endpoint that lives and breaks off an answer that is not resumable, and
-//! one that breaks off a stream and then the rest of it before the first event.
+//! Three faults are not noticed: an endpoint that lives and breaks off an answer that is not resumable, one
+//! that breaks off a stream and then the rest of it before the first event, and one that breaks off a stream
+//! for the first time while the retry budget allows no question.
 
 /// What marks the end of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -38,8 +39,8 @@
     asked_after: Option<u32>,
     /// Whether the present endpoint was asked for it.
     is_asked: bool,
-    /// Whether the caller had events before, so that the first endpoint was asked for the rest already.
-    is_taken_up: bool,
+    /// Whether an endpoint had more to send after an end.
+    has_broken_off: bool,
 }
 
 impl Ending {
@@ -50,16 +51,7 @@
             resumable,
             asked_after: None,
             is_asked: false,
-            is_taken_up: false,
-        }
-    }
-
-    /// Ending of a stream that its caller takes up.
-    #[must_use]
-    pub const fn taken_up(resumable: bool) -> Self {
-        Self {
-            is_taken_up: true,
-            ..Self::new(resumable)
+            has_broken_off: false,
         }
     }
 
@@ -74,20 +66,21 @@
         self.asked_after = Some(events);
         if self.is_asked {
             self.is_asked = false;
+            self.has_broken_off = true;
             return Step::Break;
         }
         self.is_asked = true;
         Step::AskForRest
     }
 
-    /// What to do after a number of events if the retry budget does not allow to ask for the rest: callers
-    /// whose stream is cut take it up, and their request asks for the rest.
+    /// What to do if the retry budget does not allow to ask for the rest. A cut needs evidence against the
+    /// answer: without it every whole stream without a length would be cut once the budget is used up.
     #[must_use]
-    pub const fn denied(&self, events: u32) -> Step {
-        if self.is_taken_up && events == 0 {
-            Step::Reach
-        } else {
+    pub const fn denied(&self) -> Step {
+        if self.has_broken_off {
             Step::Break
+        } else {
+            Step::Reach
         }
     }
 
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -138,10 +138,7 @@
     let mut last_event = now();
     let mut gap_start = last_event;
     let mut charge = None;
-    let mut ending = match call.head.last_event_id {
-        Some(_) => Ending::taken_up(call.route().resumable),
-        None => Ending::new(call.route().resumable),
-    };
+    let mut ending = Ending::new(call.route().resumable);
     let mut was_asked = false;
     loop {
         let left = call.deadline().since(now());
@@ -292,7 +289,7 @@
                 return Ok(Conclusion::GoesOn);
             }
         } else {
-            step = ending.denied(events.count());
+            step = ending.denied();
             if step == Step::Break {
                 return Err(Cut(UNPROVEN_END));
             }
