Bound the memory that callers' uploads and connections take

Now bodies claim memory of one budget, stalled uploads give way to bodies that wait, connections read 4 KiB ahead, and idle ones give way to new ones (docs/design/memory-of-clients.md).

--- a/crates/coordination/src/closing.rs
+++ b/crates/coordination/src/closing.rs
@@ -49,6 +49,12 @@
         }
     }
 
+    /// Whether a request is on the connection.
+    #[must_use]
+    pub const fn is_open(&self) -> bool {
+        self.open > 0
+    }
+
     /// Time from which the connection may be closed, if the host has read all that has arrived by then; `None`
     /// while a request is on it or expected.
     #[must_use]
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod ending;
 pub mod freshness;
 pub mod history;
+pub mod intake;
 pub mod lease;
 pub mod link;
 pub mod member;
--- a/crates/entry/src/http/memory.rs
+++ b/crates/entry/src/http/memory.rs
@@ -1,9 +1,11 @@
-//! Memory of the answers that a host has not passed on, from the first large part of each to its last.
+//! Memory of the bodies that a host has not passed on, from the first large part of each to its last: answers
+//! of endpoints, and requests of callers.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use berylknot_coordination::intake::Budget;
 use berylknot_coordination::memory::{self, Limits, Ticket};
 use bytes::{Bytes, BytesMut};
 use tokio::sync::oneshot;
@@ -60,12 +62,14 @@
     }
 }
 
-/// Memory of the answers of a host; clones share it. An answer that grows claims medium memory before large
-/// memory, so answers never wait for each other in a circle.
+/// Memory of bodies of one direction; clones share it. A body that grows claims medium memory before large
+/// memory, so bodies never wait for each other in a circle.
 #[derive(Clone, Debug)]
 pub(crate) struct Memory {
     medium: Shared,
     large: Shared,
+    /// Largest body.
+    largest: usize,
 }
 
 impl Default for Memory {
@@ -73,11 +77,26 @@
         Self {
             medium: Class::shared(MEDIUM),
             large: Class::shared(LARGE),
+            largest: LARGE_BYTES,
         }
     }
 }
 
 impl Memory {
+    /// Memory of the requests of callers, of which a source may have half.
+    pub(crate) fn of_requests(budget: &Budget) -> Self {
+        let halves = |total: usize| Limits {
+            total,
+            source: total / 2,
+        };
+        let large = halves(budget.large_bodies);
+        Self {
+            medium: Class::shared(halves(budget.medium_bodies.max(2 * MEDIUM_BYTES))),
+            large: Class::shared(large),
+            largest: large.source,
+        }
+    }
+
     /// Waits until a source may have `bytes` more.
     ///
     /// # Errors
@@ -175,7 +194,7 @@
         length: Option<u64>,
         limit: usize,
     ) -> Result<Self> {
-        let limit = limit.min(LARGE_BYTES);
+        let limit = limit.min(memory.largest);
         let stated = length.map(usize::try_from).transpose();
         let stated = stated.map_err(|_| Error::TooLarge)?;
         if stated.is_some_and(|length| length > limit) {
@@ -187,11 +206,21 @@
             largest: stated.unwrap_or(limit),
             has_length: stated.is_some(),
             bytes: BytesMut::new(),
-            room: SMALL_BYTES,
+            // A body that is known to be large claims its memory before its first bytes.
+            room: if stated.is_some_and(|length| length > SMALL_BYTES) {
+                0
+            } else {
+                SMALL_BYTES
+            },
             charge: None,
         })
     }
 
+    /// Whether more bytes would have to wait for memory first.
+    pub(crate) fn needs_room(&self, bytes: usize) -> bool {
+        self.bytes.len() + bytes > self.room
+    }
+
     /// Adds received bytes; waits for memory if they need more.
     ///
     /// # Errors
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -43,6 +43,7 @@
 pub(crate) mod control;
 pub(crate) mod findings;
 pub(crate) mod follow;
+pub(crate) mod intake;
 pub(crate) mod link;
 pub(crate) mod locate;
 pub(crate) mod metrics;
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -30,6 +30,9 @@
     pub store: Store,
     /// Limits that the operator sets for the deployment.
     pub bounds: Bounds,
+    /// Resources of the host.
+    #[serde(default)]
+    pub resources: Resources,
     /// Logging.
     #[serde(default)]
     pub log: Log,
@@ -50,6 +53,27 @@
     pub metrics_port: u16,
 }
 
+/// Resources of the host, which bound what it holds for clients.
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Resources {
+    /// Memory that the process may use, in megabytes of 1,000,000 bytes.
+    pub memory_mb: usize,
+    /// Descriptors that the process may open.
+    pub max_files: usize,
+}
+
+impl Default for Resources {
+    /// The smallest host of the users' sites.
+    fn default() -> Self {
+        Self {
+            memory_mb: 88,
+            max_files: 3_075,
+        }
+    }
+}
+
 /// The store of the platform.
 #[derive(Clone, Debug)]
 #[derive(Deserialize)]
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -16,6 +16,8 @@
 pub(crate) enum Reason {
     Unreadable,
     TooLarge,
+    TooSlow,
+    NoMemory,
     UnknownRoute,
     UnknownKey,
     NoConfiguration,
@@ -44,6 +46,8 @@
         match self {
             Self::Unreadable => "unreadable",
             Self::TooLarge => "too_large",
+            Self::TooSlow => "too_slow",
+            Self::NoMemory => "no_memory",
             Self::UnknownRoute => "unknown_route",
             Self::UnknownKey => "unknown_key",
             Self::NoConfiguration => "no_configuration",
@@ -72,10 +76,12 @@
         match self {
             Self::Unreadable => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
-            Self::NoConfiguration
+            Self::NoMemory
+            | Self::NoConfiguration
             | Self::StaleConfiguration
             | Self::QueueFull
             | Self::Hopeless
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -97,13 +97,23 @@
 }
 
 /// The listeners and their connections.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Listening {
     tasks: Vec<actix_rt::task::JoinHandle<()>>,
     callers: Rc<Closing>,
     others: Rc<Closing>,
 }
 
+impl Default for Listening {
+    fn default() -> Self {
+        Self {
+            tasks: Vec::new(),
+            callers: Rc::default(),
+            others: Rc::new(Closing::of_trusted_clients()),
+        }
+    }
+}
+
 /// Adds the seeds to the view of peers.
 fn add_seeds<D, S>(host: &Host<D, S>, seeds: &[SocketAddr]) {
     for seed in seeds {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -30,7 +30,7 @@
 use crate::state::{Host, now};
 use crate::stream::{PIECE_BYTES, forward};
 use crate::strikes::Fingerprint;
-use crate::{admission, call, completion, permit, records, relay};
+use crate::{admission, call, completion, intake, permit, records, relay};
 
 /// Idle timeout of a caller's connection. Callers reuse connections for up to four fifths of the
 /// configured idle time (15 s in the platform's specification), so the listener must not close
@@ -38,10 +38,10 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Timeout of the head of a request (limit in the platform's specification).
 const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
-/// Timeout of the body of a request.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Mean `Retry-After` of a request whose body has no room; stalled uploads have given way by then.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 /// Maximum size of a request body while no configuration is known, and of a query from a peer.
-const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1_024 * 1_024;
+pub(crate) const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1_024 * 1_024;
 /// Longest time to write a large answer, whatever deadline its caller states: until then it takes memory
 /// that other large answers wait for.
 const MAX_WRITE_TIME: Duration = Duration::from_secs(30);
@@ -75,6 +75,10 @@
     audience: Audience,
     closing: Rc<Closing>,
 ) {
+    let most = match audience {
+        Audience::Callers => host.intake.connections(),
+        Audience::Checks | Audience::Peers | Audience::Metrics => usize::MAX,
+    };
     let shared = Rc::clone(&host);
     let answer = move |request: Incoming| {
         let host = Rc::clone(&shared);
@@ -93,9 +97,9 @@
     if audience == Audience::Peers {
         let relay = move |request| relay::serve(Rc::clone(&host), request);
         let factory = builder.upgrade(relay).h1(answer);
-        accept_for(factory, listener, audience, closing).await;
+        accept_for(factory, listener, audience, most, closing).await;
     } else {
-        accept_for(builder.h1(answer), listener, audience, closing).await;
+        accept_for(builder.h1(answer), listener, audience, most, closing).await;
     }
 }
 
@@ -106,6 +110,7 @@
     factory: F,
     listener: TcpListener,
     audience: Audience,
+    most: usize,
     closing: Rc<Closing>,
 ) where
     D: 'static,
@@ -121,6 +126,14 @@
         return;
     };
     let serve = |stream: TcpStream| {
+        if !closing.make_room(most) {
+            tracing::warn!(
+                ?audience,
+                most,
+                "server: connection closed; as many are open as this host's memory allows, none of them idle"
+            );
+            return;
+        }
         if let Err(error) = stream.set_nodelay(true) {
             tracing::debug!(%error, "server: TCP_NODELAY could not be set; the connection is served without it");
         }
@@ -191,7 +204,7 @@
         }
         Audience::Peers => {
             let path = incoming.path().to_owned();
-            let body = read_body(incoming, DEFAULT_MAX_BODY_BYTES)
+            let body = read_query(incoming, DEFAULT_MAX_BODY_BYTES)
                 .await
                 .unwrap_or_default();
             let answer = match path.as_str() {
@@ -250,12 +263,12 @@
     let answered = if progress.is_closing() {
         Answered::unread(refuse_stopping(&host))
     } else {
-        answer(&host, incoming).await
+        answer(&host, incoming, &progress).await
     };
-    let is_closing = host.is_stopping();
-    if is_closing {
+    if host.is_stopping() {
         progress.close();
     }
+    let is_closing = progress.is_closing();
     respond(answered, is_closing).map_body(|_, body| Body::new(body, open, progress).boxed())
 }
 
@@ -286,7 +299,11 @@
 }
 
 /// Reads the body of a request and serves it.
-async fn answer<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, incoming: Incoming) -> Answered {
+async fn answer<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    incoming: Incoming,
+    progress: &Progress<Open<D, S>>,
+) -> Answered {
     let limit = host
         .fleet
         .borrow()
@@ -295,11 +312,11 @@
     let (method, target, host_name, headers) = head(&incoming);
     let body = tokio::select! {
         biased;
-        body = tokio::time::timeout(BODY_TIMEOUT, read_body(incoming, limit)) => body,
+        body = host.intake.read(incoming, limit, || progress.taken()) => body,
         () = host.shutdown.answers_due() => return Answered::unread(refuse_stopping(host)),
     };
     match body {
-        Ok(Ok(body)) => {
+        Ok(body) => {
             let request = Request {
                 method,
                 target,
@@ -309,10 +326,21 @@
             };
             serve(host, request).await
         }
-        Ok(Err(BodyError(true))) => Answered::unread(call::rejection(host, Reason::TooLarge, None)),
-        Ok(Err(BodyError(false))) | Err(_) => {
+        Err(intake::Error::TooLarge) => {
+            Answered::unread(call::rejection(host, Reason::TooLarge, None))
+        }
+        Err(intake::Error::Unreadable) => {
             Answered::unread(call::rejection(host, Reason::Unreadable, None))
         }
+        Err(intake::Error::TooSlow) => {
+            progress.end_early();
+            Answered::unread(call::rejection(host, Reason::TooSlow, None))
+        }
+        Err(intake::Error::NoMemory) => {
+            progress.end_early();
+            let after = call::jittered(NO_MEMORY_RETRY_AFTER);
+            Answered::unread(call::rejection(host, Reason::NoMemory, Some(after)))
+        }
     }
 }
 
@@ -339,20 +367,18 @@
     (method, target, host, headers)
 }
 
-/// A body that exceeds the size limit (true) or cannot be read (false).
-struct BodyError(bool);
-
-async fn read_body(mut incoming: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+/// Reads the query of a peer; `None` if it is cut off or exceeds the limit.
+async fn read_query(mut incoming: Incoming, limit: usize) -> Option<Bytes> {
     let mut payload = incoming.take_payload();
     let mut whole = BytesMut::new();
     while let Some(part) = payload.next().await {
-        let part = part.map_err(|_| BodyError(false))?;
+        let part = part.ok()?;
         if whole.len() + part.len() > limit {
-            return Err(BodyError(true));
+            return None;
         }
         whole.extend_from_slice(&part);
     }
-    Ok(whole.freeze())
+    Some(whole.freeze())
 }
 
 /// `Retry-After` of a host without a current configuration, which a starting host has by then.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -23,6 +23,7 @@
 use crate::gossip::{INTRODUCTION_TIME, Rank, View};
 use crate::health::{Group, Health, Suspicion};
 use crate::http::Pool;
+use crate::intake::Intake;
 use crate::ledger::{Grant, Ledger, Run, Ticket};
 use crate::limits::Limits;
 use crate::metrics::{self, Metrics};
@@ -36,6 +37,7 @@
 use crate::refresh::Refresh;
 use crate::request::{Call, Classification};
 use crate::saturation::Saturation;
+use crate::server::DEFAULT_MAX_BODY_BYTES;
 use crate::stages::Demand;
 use crate::strikes::Strikes;
 use crate::suspects::{Crash, Source, Suspects};
@@ -64,6 +66,8 @@
     pub(crate) store: Archive<S>,
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
+    /// Memory for the bodies of requests.
+    pub(crate) intake: Intake,
     pub(crate) incarnation: u64,
     pub(crate) fleet: RefCell<Option<Rc<Fleet>>>,
     /// Raw document of the current configuration, for peers that cannot reach the store.
@@ -151,6 +155,7 @@
         let mut ledger = Ledger::default();
         ledger.number_grants_from(incarnation);
         Self {
+            intake: Intake::new(options.resources, DEFAULT_MAX_BODY_BYTES),
             quotas: RefCell::new(Quotas::new(options.first_start, bounds.quota_window_ms())),
             shutdown: Termination::new(bounds.grace()),
             options,
