Serve evacuations, cold endpoints, homes, and the pace that endpoints state

coordination::evacuation orders what hosts know by the position in the operator's feed, so that a host whose poll is lost adopts what a peer has read. Cold endpoints are limits with a small bucket, counted by the leader as stated limits are. entry::places holds regions and evacuations. coordination::forecast tells from running and waiting requests, slots and pace when a call would end, and calls that would be late everywhere are refused at arrival. Hosts tell each other evacuations, cold endpoints and loads behind their reports, in the same datagram: builds up to read the report and leave the rest (extension.rs), and nothing is added where there is nothing to tell.

Weighed: a field in the report (older builds drop reports with surplus fields); the leader alone knowing the loads (a query for each call).

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod drain;
 pub mod eject;
 pub mod ending;
+pub mod evacuation;
+pub mod forecast;
 pub mod freshness;
 pub mod history;
 pub mod intake;
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -62,6 +62,10 @@
 /// Cost of an engine at which all requests fail, as a share of the engine. It exceeds 1 because an
 /// engine that fails fast always looks empty.
 const FAILURE_COST: f64 = 1.5;
+/// Cost of an engine that has just started and is slow, as a share of the engine: others with room go first.
+const COLD_COST: f64 = 1.0;
+/// Cost of a cold prefill engine, in milliseconds of backlog.
+const COLD_PREFILL_COST_MS: f64 = 400.0;
 /// Largest accepted response of the leader.
 const MAX_ANSWER_BYTES: usize = 16 * 1_024;
 
@@ -657,6 +661,7 @@
     let limit = |key| saturation.limit(now, key);
     let share = host.limit_share();
     let limits = host.limits.borrow();
+    let forecast = host.forecast.borrow();
     let cost = |key, endpoint: &Endpoint, suspicion| {
         let fault = match suspicion {
             None => 0.0,
@@ -690,7 +695,14 @@
             0.0
         };
         let reading = host.backlogs.borrow().reading_cost(now, key);
-        Some(share + fault + failures + reading + jitter(DECODE_JITTER) - bonus)
+        let pace = forecast.pace(now, key).unwrap_or(1.0);
+        let cold = if limits.is_cold(now, &endpoint.id) {
+            COLD_COST
+        } else {
+            0.0
+        };
+        let jitter = jitter(DECODE_JITTER);
+        Some(share * pace + fault + failures + reading + cold + jitter - bonus)
     };
     let (key, endpoint) = host.choose(service, Some(Stage::Decode), tried, cost)?;
     drop(limits);
@@ -715,6 +727,8 @@
     let (key, endpoint) = {
         let limits = host.limits.borrow();
         let backlogs = host.backlogs.borrow();
+        let forecast = host.forecast.borrow();
+        let read_ms = backlog::read_time(query.run.held).as_secs_f64() * 1_000.0;
         let cost = |key, endpoint: &Endpoint, suspicion| {
             if endpoint.version != decode.version {
                 return None;
@@ -724,7 +738,15 @@
                 return None;
             }
             let is_near = endpoint.data_centre == decode.data_centre;
-            Some(backlogs.cost(now, key, is_near, suspicion)? + jitter(PREFILL_JITTER_MS))
+            let pace = forecast.pace(now, key).unwrap_or(1.0);
+            let slower_ms = read_ms * (pace - 1.0);
+            let cold = if limits.is_cold(now, &endpoint.id) {
+                COLD_PREFILL_COST_MS
+            } else {
+                0.0
+            };
+            let cost = backlogs.cost(now, key, is_near, suspicion)?;
+            Some(cost + slower_ms + cold + jitter(PREFILL_JITTER_MS))
         };
         let barred = keys(host, query.barred.iter());
         host.choose(&query.service, Some(Stage::Prefill), &barred, cost)?
@@ -737,7 +759,8 @@
     {
         return None;
     }
-    let time = backlog::read_time(query.run.held);
+    let pace = host.forecast.borrow().pace(now, key).unwrap_or(1.0);
+    let time = backlog::read_time(query.run.held).mul_f64(pace);
     host.backlogs.borrow_mut().add(now, key, time);
     Some(endpoint.id)
 }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -6,6 +6,7 @@
 
 use berylknot_coordination::clock::Instant;
 use berylknot_coordination::ending::{Ending, Framing, Step};
+use berylknot_coordination::forecast::{admitted_share, spread_ms};
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 
@@ -39,6 +40,9 @@
 /// Cost of an endpoint that limits its requests, as a share of its slots: it serves what would have to
 /// queue elsewhere.
 const LIMITED_COST: f64 = 1.0;
+/// Random cost in the choice of an endpoint whose end of a call is forecast, as a share of the spread that the
+/// forecast proposes for hosts that all have the same picture: each knows its own requests besides.
+const SPREAD_SHARE: f64 = 0.5;
 /// Maximum random cost in the choice of an endpoint, as a share of its slots.
 const COST_JITTER: f64 = 0.05;
 
@@ -98,6 +102,11 @@
     let mut last = None;
     let mut reason = Reason::NoEndpoint;
     let mut retry_after = RETRY_AFTER;
+    if let Some(excess) = excess(host, call) {
+        let after = jittered(RETRY_AFTER.max(excess));
+        let left = call.deadline().since(now());
+        return rejection(host, Reason::Overloaded, Some(after.min(left / 3)));
+    }
     for _ in 0..MAX_SENDS {
         let now = now();
         let left = call.deadline().since(now);
@@ -257,11 +266,81 @@
     choose(host, call, tried, false).ok_or(Unavailable::Limited(wait))
 }
 
+/// Whether a call is refused at arrival, since it would be late at every endpoint: the time by which it would be.
+/// Endpoints that do not state their pace are taken to have room.
+fn excess<D, S>(host: &Host<D, S>, call: &Call) -> Option<Duration> {
+    let now = now();
+    let usual = host.forecast.borrow().usual(&call.service)?;
+    let earliest = earliest_end(host, call, now, usual)?;
+    let objective = call.route().latency_target;
+    let precedence = precedence(call);
+    if jitter(1.0) < admitted_share(earliest, objective, precedence) {
+        return None;
+    }
+    tracing::info!(
+        id = call.head.id,
+        service = call.service,
+        earliest_ms = earliest.as_millis() as u64,
+        objective_ms = objective.as_millis() as u64,
+        usual_ms = usual.as_millis() as u64,
+        precedence,
+        "call: refused at arrival; it would be late at every endpoint"
+    );
+    Some(earliest.saturating_sub(objective))
+}
+
+/// Earliest time in which an endpoint would answer a call; `None` if one does not state its load.
+fn earliest_end<D, S>(
+    host: &Host<D, S>,
+    call: &Call,
+    now: Instant,
+    usual: Duration,
+) -> Option<Duration> {
+    let directory = host.directory.borrow();
+    let (forecast, health, ledger) = (
+        host.forecast.borrow(),
+        host.health.borrow(),
+        host.ledger.borrow(),
+    );
+    let places = host.places.borrow();
+    let mut earliest: Option<Duration> = None;
+    for (key, endpoint) in directory.ready(&call.service) {
+        let is_usable = health.notices().admits(now, key)
+            && health.suspicion(now, key, &Group::of(endpoint)).is_none()
+            && places.is_open(&endpoint.data_centre)
+            && places.is_home(call.homes(), &endpoint.data_centre);
+        if !is_usable {
+            continue;
+        }
+        let end = forecast.outlook(now, key, ledger.requests(key), usual)?.end;
+        earliest = Some(earliest.map_or(end, |earliest| earliest.min(end)));
+    }
+    earliest
+}
+
+/// How far a call yields to others of its service: 0 for the most urgent routes to it, 1 for the least urgent
+/// ones.
+fn precedence(call: &Call) -> f64 {
+    let routes = call.fleet.routes.iter();
+    let beside =
+        routes.filter(|route| route.services.iter().any(|(name, _)| *name == call.service));
+    let (mut first, mut last) = (call.priority(), call.priority());
+    for route in beside {
+        first = first.min(route.priority);
+        last = last.max(route.priority);
+    }
+    if last == first {
+        return 0.0;
+    }
+    f64::from(call.priority() - first) / f64::from(last - first)
+}
+
 /// Ready endpoints that limit their requests and are not suspected.
 fn limited<D, S>(host: &Host<D, S>, call: &Call, tried: &[Key]) -> Vec<(Key, Endpoint)> {
     let directory = host.directory.borrow();
     let limits = host.limits.borrow();
     let health = host.health.borrow();
+    let places = host.places.borrow();
     let now = now();
     let ready = directory.ready(&call.service);
     let limited = ready.filter(|(key, endpoint)| {
@@ -270,6 +349,8 @@
             && suspicion.is_none()
             && !tried.contains(key)
             && health.notices().admits(now, *key)
+            && places.is_open(&endpoint.data_centre)
+            && places.is_home(call.homes(), &endpoint.data_centre)
     });
     limited
         .map(|(key, endpoint)| (key, endpoint.clone()))
@@ -290,15 +371,30 @@
         && let Some(endpoint) = host.directory.borrow().get(key)
         && endpoint.state == crate::directory::State::Ready
         && host.admits(key)
+        && host.is_open(endpoint)
+        && host
+            .places
+            .borrow()
+            .is_home(call.homes(), &endpoint.data_centre)
     {
         return Some((key, endpoint.clone()));
     }
     peer::refresh_peer_load(host);
     let ledger = host.ledger.borrow();
     let limits = host.limits.borrow();
+    let forecast = host.forecast.borrow();
+    let usual = forecast.usual(&call.service);
+    let now = now();
     let cost = |key, endpoint: &Endpoint, suspicion: Option<Suspicion>| {
+        if !host
+            .places
+            .borrow()
+            .is_home(call.homes(), &endpoint.data_centre)
+        {
+            return None;
+        }
         let counted = f64::from(ledger.requests(key)) / f64::from(endpoint.slots.max(1));
-        let share = counted.max(host.health.borrow().reported_load(now(), key));
+        let share = counted.max(host.health.borrow().reported_load(now, key));
         let last = if suspicion.is_some() {
             LAST_RESORT_COST
         } else {
@@ -309,6 +405,19 @@
             Some(_) => return None,
             None => 0.0,
         };
+        let outlook = usual.and_then(|usual| {
+            Some((
+                usual,
+                forecast.outlook(now, key, ledger.requests(key), usual)?,
+            ))
+        });
+        if let Some((usual, outlook)) = outlook {
+            // In units of the usual time, so that an endpoint elsewhere weighs as it does without a forecast.
+            let usual_ms = (usual.as_secs_f64() * 1_000.0).max(1.0);
+            let late_by = outlook.end.as_secs_f64() * 1_000.0 / usual_ms;
+            let spread = spread_ms(jitter(1.0), usual) / usual_ms * SPREAD_SHARE;
+            return Some(late_by + host.distance_cost(endpoint) + last + limited + spread);
+        }
         Some(share + host.distance_cost(endpoint) + last + limited + jitter(COST_JITTER))
     };
     let fresh = host.choose(&call.service, None, tried, cost);
@@ -345,7 +454,9 @@
     match &attempt {
         Attempt::Answered { status, .. } if status.is_server_error() => host.server_error(key),
         Attempt::Answered { .. } => {
-            host.answered(key, now().since(started).as_secs_f64() * 1_000.0);
+            let took = now().since(started);
+            host.answered(key, took.as_secs_f64() * 1_000.0);
+            host.learn_usual_time(key, &call.service, took);
         }
         Attempt::Refused => {}
         Attempt::Lost(error) => {
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -423,7 +423,11 @@
         start_in_ms: millis_until(queried_at, demand.start_by),
         hopeless_in_ms: millis_until(queried_at, demand.hopeless_at),
         tried: tried.ids.clone(),
-        barred: host.barred(),
+        barred: {
+            let mut barred = host.barred();
+            barred.extend(host.misplaced(call));
+            barred
+        },
         doubtful: host.suspected(),
         failed: tried.failed.take(),
         refused: host.refused.take(),
@@ -474,6 +478,11 @@
             let (known, parts_at) = {
                 let directory = host.directory.borrow();
                 let parts_at = parts_at.and_then(|id| directory.find(&id));
+                let parts_at = parts_at.filter(|(_, endpoint)| {
+                    let places = host.places.borrow();
+                    places.is_open(&endpoint.data_centre)
+                        && places.is_home(call.homes(), &endpoint.data_centre)
+                });
                 let parts_at = parts_at.map(|(_, endpoint)| endpoint.address);
                 (directory.find(&endpoint), parts_at)
             };
@@ -526,7 +535,7 @@
             .directory
             .borrow()
             .get(key)
-            .is_some_and(|endpoint| endpoint.state == State::Ready)
+            .is_some_and(|endpoint| endpoint.state == State::Ready && host.is_open(endpoint))
 }
 
 /// Latest start for which the generation ends before its deadline and the first event arrives
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -123,6 +123,10 @@
     let mut engines = Vec::new();
     let mut changing = 0;
     for (key, endpoint) in directory.ready(service) {
+        // Engines that get no work serve no stage, and nothing is sent to them.
+        if !host.is_open(endpoint) {
+            continue;
+        }
         let order = orders.pending(now, endpoint);
         changing += usize::from(order.is_some());
         let Some(stage) = order.map(|order| order.stage).or(endpoint.stage) else {
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -67,6 +67,8 @@
     pub incarnation: u64,
     /// Version of the entry within the incarnation.
     pub sequence: u64,
+    /// Time for which it stays cold from the writing of the entry; `None` if the entry does not say.
+    pub cold: Option<Duration>,
 }
 
 impl Endpoint {
--- /dev/null
+++ b/crates/entry/src/extension.rs
@@ -0,0 +1,174 @@
+//! What hosts tell each other beyond their reports: loads of endpoints, cold endpoints and evacuations.
+//!
+//! It follows the report in the same datagram, so builds that do not know it, up to 8a62be6, read the report
+//! and leave it. It is left out where there is nothing to tell, so a deployment without these mechanisms sends
+//! what it did before.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use berylknot_coordination::clock::Instant;
+use berylknot_coordination::evacuation::{self, Notice};
+use berylknot_coordination::forecast;
+use serde::{Deserialize, Serialize};
+
+use crate::state::{Host, now};
+
+/// Most loads in a report: those of the endpoints that answered last.
+const MAX_LOADS: usize = 16;
+/// Most cold endpoints in a report.
+const MAX_COLD: usize = 64;
+/// Age up to which loads are reported: the forecast has forgotten half of them by then.
+const MAX_LOAD_AGE: Duration = Duration::from_millis(800);
+/// Longest time for which an endpoint is taken for cold on a peer's word.
+const MAX_COLD_TIME: Duration = Duration::from_secs(600);
+
+/// Load that an endpoint has stated, as hosts tell each other.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Load {
+    /// Id of the endpoint.
+    pub endpoint: String,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at a time.
+    pub slots: u32,
+    /// Time that work takes, in percent of the usual.
+    pub pace_percent: u32,
+    /// Time since the answer that stated it, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// An endpoint that is cold, as hosts tell each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Cold {
+    /// Id of the endpoint.
+    pub endpoint: String,
+    /// Time for which it stays cold, in milliseconds.
+    pub left_ms: u64,
+}
+
+/// Extension of a report.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Extension {
+    /// Evacuated data centres, once any was seen.
+    pub evacuations: Option<Notice>,
+    /// Endpoints that are cold.
+    pub cold: Vec<Cold>,
+    /// Loads that endpoints have stated to the sender.
+    pub loads: Vec<Load>,
+    /// Region of the sender, where the deployment has several.
+    pub region: Option<String>,
+}
+
+impl Extension {
+    /// Whether there is nothing to tell.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+
+    /// Decodes what follows a report; an empty extension if nothing does, or if it is malformed.
+    #[must_use]
+    pub fn decode(rest: &[u8]) -> Self {
+        if rest.is_empty() {
+            return Self::default();
+        }
+        rmp_serde::from_slice(rest).unwrap_or_else(|error| {
+            tracing::warn!(%error, "peer: malformed extension of a report ignored");
+            Self::default()
+        })
+    }
+}
+
+/// The extension of this host's next report.
+pub(crate) fn current<D, S>(host: &Host<D, S>) -> Extension {
+    let now = now();
+    let directory = host.directory.borrow();
+    let since = Instant::from_millis(
+        now.as_millis()
+            .saturating_sub(MAX_LOAD_AGE.as_millis() as u64),
+    );
+    let own = host.forecast.borrow().own_since(since);
+    let loads = own.into_iter().filter_map(|(key, load, at)| {
+        Some(Load {
+            endpoint: directory.get(key)?.id.clone(),
+            running: load.running,
+            waiting: load.waiting,
+            slots: load.slots,
+            pace_percent: (load.pace * 100.0) as u32,
+            age_ms: now.since(at).as_millis() as u64,
+        })
+    });
+    let limits = host.limits.borrow();
+    let cold = limits.cold(now).map(|(endpoint, left)| Cold {
+        endpoint: endpoint.to_owned(),
+        left_ms: left.as_millis() as u64,
+    });
+    let places = host.places.borrow();
+    Extension {
+        evacuations: places.evacuations().notice(),
+        cold: cold.take(MAX_COLD).collect(),
+        loads: loads.take(MAX_LOADS).collect(),
+        region: places.told_region().map(str::to_owned),
+    }
+}
+
+/// Applies the extension of a peer's report.
+pub(crate) fn apply<D, S>(host: &Rc<Host<D, S>>, from: SocketAddr, extension: Extension) {
+    let now = now();
+    if let Some(notice) = &extension.evacuations {
+        let change = host.places.borrow_mut().evacuations_mut().adopt(notice);
+        host.evacuations_changed(change, "peer");
+    }
+    if let Some(region) = extension.region {
+        host.places.borrow_mut().add_host(from, region);
+    }
+    for cold in extension.cold {
+        let known = host.directory.borrow().find(&cold.endpoint);
+        if let Some((_, endpoint)) = known {
+            let left = Duration::from_millis(cold.left_ms).min(MAX_COLD_TIME);
+            host.note_cold(&endpoint, left, "peer");
+        }
+    }
+    let directory = host.directory.borrow();
+    let mut forecast = host.forecast.borrow_mut();
+    for load in extension.loads {
+        let stated = forecast::Load {
+            running: load.running,
+            waiting: load.waiting,
+            slots: load.slots,
+            pace: f64::from(load.pace_percent) / 100.0,
+        };
+        let at = now.as_millis().saturating_sub(load.age_ms);
+        if let (Some(key), Some(stated)) = (directory.key(&load.endpoint), stated.checked()) {
+            forecast.stated(key, stated, Instant::from_millis(at), false);
+        }
+    }
+}
+
+impl<D, S> Host<D, S> {
+    /// Logs a change of the evacuated data centres.
+    pub(crate) fn evacuations_changed(&self, change: evacuation::Change, source: &str) {
+        match change {
+            evacuation::Change::None => {}
+            evacuation::Change::Changed => {
+                let places = self.places.borrow();
+                let evacuated: Vec<&str> = places.evacuations().iter().collect();
+                tracing::warn!(?evacuated, source, "places: evacuated data centres changed");
+                self.metrics.evacuated.set(evacuated.len() as i64);
+            }
+            evacuation::Change::Ignored => {
+                tracing::warn!(
+                    source,
+                    "places: evacuation ignored; too many data centres are evacuated"
+                );
+            }
+        }
+    }
+}
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -52,6 +52,8 @@
     pub public: bool,
     /// Whether a broken stream may resume at another endpoint.
     pub resumable: bool,
+    /// Regions in which requests may run; any if empty.
+    pub homes: Vec<String>,
 }
 
 /// A plain service or a group of model engines.
@@ -63,6 +65,10 @@
     pub health_path: Option<String>,
     /// Engine properties; `None` for plain services.
     pub engine: Option<Engine>,
+    /// Time for which an endpoint is cold after its start.
+    pub cold_start: Duration,
+    /// Requests a second that an endpoint tolerates while it is cold; 0 if endpoints are never cold.
+    pub cold_rate: f64,
 }
 
 /// Properties of the engines of a service.
@@ -93,6 +99,8 @@
     pub burst: u64,
     /// Tokens charged for a request that states no token count.
     pub plain_tokens: u64,
+    /// Regions in which its requests may run; any if empty.
+    pub homes: Vec<String>,
 }
 
 /// The operator's configuration.
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -5,10 +5,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use berylknot_coordination::evacuation;
 use berylknot_coordination::history::{Era, Position};
 use berylknot_coordination::poll;
 use bytes::Bytes;
 
+use crate::archive::Batch;
 use crate::directory;
 use crate::findings;
 use crate::platform::{Dialect, Error, Feed, Result, Store};
@@ -62,10 +64,19 @@
     match D::endpoint(&id, &value) {
         Ok(endpoint) => {
             let was_expiring = host.directory.borrow().is_expiring(&id);
-            let change = host.directory.borrow_mut().put(endpoint);
+            let is_complete = host.directory_known.get();
+            let change = host.directory.borrow_mut().put(endpoint.clone());
             host.directory_changed(change);
+            let has_started = is_complete && matches!(change, directory::Change::Started(_));
+            let left = match endpoint.cold {
+                None if has_started => {
+                    host.service(&endpoint.service, |service| service.cold_start)
+                }
+                left => left,
+            };
+            let is_chilled = left.is_some_and(|left| host.note_cold(&endpoint, left, "entry"));
             host.entries.borrow_mut().insert(id, value);
-            was_expiring || change != directory::Change::None
+            was_expiring || is_chilled || change != directory::Change::None
         }
         Err(error) => {
             // A malformed record is logged once per endpoint.
@@ -179,6 +190,7 @@
                 if batch.is_complete {
                     host.configuration_confirmed.set(Some(now()));
                 }
+                note_evacuations::<D, S>(&host, position, &batch);
                 for record in batch.records {
                     if let Some(document) = record.value.filter(|_| record.key == CONFIGURATION_KEY)
                     {
@@ -200,6 +212,57 @@
     }
 }
 
+/// Applies the requests for evacuations in a batch that was read from `position` on; `None` for a listing.
+fn note_evacuations<D: Dialect, S: Store>(
+    host: &Host<D, S>,
+    position: Option<Position>,
+    batch: &Batch,
+) {
+    let Some(start) = position else {
+        let listed = batch.records.iter().filter(|record| record.value.is_some());
+        let listed = listed.filter_map(|record| D::evacuated(&record.key).map(str::to_owned));
+        let change = host
+            .places
+            .borrow_mut()
+            .evacuations_mut()
+            .list(batch.next, listed);
+        host.evacuations_changed(change, "store");
+        return;
+    };
+    for (number, record) in (0..).zip(&batch.records) {
+        let Some(data_centre) = D::evacuated(&record.key) else {
+            continue;
+        };
+        let is_known = {
+            let directory = host.directory.borrow();
+            directory
+                .iter()
+                .any(|(_, endpoint)| endpoint.data_centre == data_centre)
+        };
+        if !is_known {
+            tracing::info!(
+                data_centre,
+                "places: no endpoint in the data centre of an evacuation"
+            );
+        }
+        let change = host.places.borrow_mut().evacuations_mut().apply(
+            start.after(number),
+            data_centre,
+            record.value.is_some(),
+        );
+        host.evacuations_changed(change, "store");
+        if change == evacuation::Change::Changed {
+            // Queued generations move, and peers whose poll was lost hear of it.
+            host.capacity_freed.notify_one();
+            host.report_to_all();
+        }
+    }
+    host.places
+        .borrow_mut()
+        .evacuations_mut()
+        .read_to(batch.next);
+}
+
 /// Key of the configuration record.
 const CONFIGURATION_KEY: &str = "config";
 
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -5,6 +5,7 @@
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
+use std::io::Cursor;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -194,16 +195,27 @@
     }
 }
 
+impl Report {
+    /// Decodes the report at the start of a datagram; returns what follows it too.
+    ///
+    /// # Errors
+    /// Fails when the datagram does not begin with a report of the current format version.
+    pub fn split(bytes: &[u8]) -> Result<(Self, &[u8]), Malformed> {
+        let mut cursor = Cursor::new(bytes);
+        let report: Self = rmp_serde::from_read(&mut cursor).map_err(|_| Malformed)?;
+        if report.version != VERSION {
+            return Err(Malformed);
+        }
+        let end = usize::try_from(cursor.position()).map_err(|_| Malformed)?;
+        Ok((report, bytes.get(end..).unwrap_or_default()))
+    }
+}
+
 impl TryFrom<&[u8]> for Report {
     type Error = Malformed;
 
     fn try_from(bytes: &[u8]) -> Result<Self, Malformed> {
-        let report: Self = rmp_serde::from_slice(bytes).map_err(|_| Malformed)?;
-        if report.version == VERSION {
-            Ok(report)
-        } else {
-            Err(Malformed)
-        }
+        Ok(Self::split(bytes)?.0)
     }
 }
 
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -4,6 +4,9 @@
 //! number, and equal shares of one request a second are useless at hundreds of hosts. So one host, the
 //! leader, counts the sends to such endpoints for all: a token bucket per endpoint. A host that has
 //! lost contact with others uses the share of those that it hears.
+//!
+//! An endpoint that has just started is cold for a time and crashes if it gets many more requests than it
+//! tolerates. That is a limit too, with a smaller bucket, since it holds in each second.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -16,6 +19,12 @@
 /// five requests in 4 s.
 const BURST_REQUESTS: f64 = 2.0;
 const BURST_SECONDS: f64 = 1.0;
+/// Share of what a cold endpoint tolerates that is granted, and the burst of its bucket as a number of requests
+/// and in seconds of that rate. Two leaders that both grant all of it for a second, and requests that a prefill
+/// has delayed by another second, stay below one and a half times what the endpoint tolerates.
+const COLD_SHARE: f64 = 0.35;
+const COLD_BURST_REQUESTS: f64 = 1.0;
+const COLD_BURST_SECONDS: f64 = 0.1;
 /// Smallest rate in requests a second; without requests the end of a limit would not be noticed.
 const MIN_RATE: f64 = 0.1;
 /// Time in which an own finding is repeated in reports, so that a lost report does no harm.
@@ -60,6 +69,8 @@
     own: bool,
     tokens: f64,
     refilled_at: Instant,
+    /// Requests a second that the endpoint tolerates while it is cold, and the end of that time.
+    cold: Option<(f64, Instant)>,
 }
 
 impl Known {
@@ -70,17 +81,32 @@
             own,
             tokens: 0.0,
             refilled_at: now,
+            cold: None,
+        }
+    }
+
+    /// The limit in force: what the endpoint states, or what it tolerates while it is cold.
+    fn limit(&self) -> Option<f64> {
+        let cold = self.cold.map(|(rate, _)| rate * COLD_SHARE);
+        match (self.rate, cold) {
+            (Some(rate), Some(cold)) => Some(rate.min(cold)),
+            (rate, cold) => rate.or(cold),
         }
     }
 
     /// Rate that the bucket refills with, for a host that may use `share` of the limit.
     fn refill_rate(&self, share: f64) -> Option<f64> {
-        Some(self.rate?.max(MIN_RATE) * share)
+        Some(self.limit()?.max(MIN_RATE) * share)
     }
 
     fn tokens_at(&self, now: Instant, rate: f64) -> f64 {
         let elapsed = now.since(self.refilled_at).as_secs_f64();
-        (self.tokens + elapsed * rate).min(BURST_REQUESTS + rate * BURST_SECONDS)
+        let size = if self.cold.is_some() {
+            COLD_BURST_REQUESTS + rate * COLD_BURST_SECONDS
+        } else {
+            BURST_REQUESTS + rate * BURST_SECONDS
+        };
+        (self.tokens + elapsed * rate).min(size)
     }
 }
 
@@ -138,10 +164,44 @@
         has_changed
     }
 
+    /// Records that an endpoint which tolerates `rate` requests a second is cold for `left`; an earlier end is
+    /// ignored, since entries are late. Returns whether it was not known to be cold.
+    pub fn chill(&mut self, now: Instant, endpoint: &str, rate: f64, left: Duration) -> bool {
+        if left.is_zero() || !rate.is_finite() || rate <= 0.0 {
+            return false;
+        }
+        let known = self.known.entry(endpoint.to_owned());
+        let known = known.or_insert_with(|| Known::new(now, None, Instant::default(), false));
+        let until = now + left;
+        let was_cold = known.cold.is_some_and(|(_, until)| until > now);
+        let known_until = known.cold.map_or(until, |(_, known)| known.max(until));
+        known.cold = Some((rate, known_until));
+        if !was_cold {
+            known.tokens = known.tokens.min(0.0);
+            known.refilled_at = now;
+        }
+        !was_cold
+    }
+
+    /// Endpoints that are cold, and the time left.
+    pub fn cold(&self, now: Instant) -> impl Iterator<Item = (&str, Duration)> {
+        self.known.iter().filter_map(move |(endpoint, known)| {
+            let (_, until) = known.cold.filter(|(_, until)| *until > now)?;
+            Some((endpoint.as_str(), until.since(now)))
+        })
+    }
+
+    /// Whether an endpoint is cold.
+    #[must_use]
+    pub fn is_cold(&self, now: Instant, endpoint: &str) -> bool {
+        let cold = self.known.get(endpoint).and_then(|known| known.cold);
+        cold.is_some_and(|(_, until)| until > now)
+    }
+
     /// The limit of an endpoint, if it has one.
     #[must_use]
     pub fn rate(&self, endpoint: &str) -> Option<f64> {
-        self.known.get(endpoint)?.rate
+        self.known.get(endpoint)?.limit()
     }
 
     /// Time until an endpoint takes a request, for a host that may use `share` of its limit.
@@ -159,7 +219,7 @@
     /// Whether no endpoint has a limit.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.known.values().all(|known| known.rate.is_none())
+        self.known.values().all(|known| known.limit().is_none())
     }
 
     /// Whether an endpoint takes a request now, for a host that may use `share` of its limit.
@@ -210,7 +270,8 @@
     /// Forgets the endpoints for which `is_known` does not hold, and the limits that ended long ago.
     pub fn expire(&mut self, now: Instant, is_known: impl Fn(&str) -> bool) {
         self.known.retain(|endpoint, known| {
-            let is_due = known.rate.is_some() || now.since(known.heard_at) < REPORT_DURATION;
+            known.cold = known.cold.filter(|(_, until)| *until > now);
+            let is_due = known.limit().is_some() || now.since(known.heard_at) < REPORT_DURATION;
             is_due && is_known(endpoint)
         });
     }
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -94,7 +94,7 @@
         };
         let mut endpoints: Vec<&Endpoint> = directory
             .ready(name)
-            .filter(|(key, _)| host.admits(*key))
+            .filter(|(key, endpoint)| host.admits(*key) && host.is_open(endpoint))
             .map(|(_, endpoint)| endpoint)
             .collect();
         endpoints.shuffle(&mut rng);
--- a/crates/entry/src/locate.rs
+++ b/crates/entry/src/locate.rs
@@ -37,7 +37,7 @@
                 .ready(service)
                 .filter(|(_, endpoint)| endpoint.stage == Some(Stage::Decode))
                 .filter(|(_, endpoint)| limits.rate(&endpoint.id).is_none())
-                .filter(|(key, _)| host.admits(*key))
+                .filter(|(key, endpoint)| host.admits(*key) && host.is_open(endpoint))
                 .map(|(key, endpoint)| (key, endpoint.clone()))
                 .collect()
         };
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -4,6 +4,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
@@ -38,6 +39,8 @@
     pub(crate) crashes: Counter,
     pub(crate) link_losses: Counter,
     pub(crate) relayed: Counter,
+    pub(crate) evacuated: Gauge,
+    pub(crate) cold: Counter,
     dropped_lines: Counter,
     dropped: Dropped,
 }
@@ -55,6 +58,8 @@
         let crashes = Counter::default();
         let link_losses = Counter::default();
         let relayed = Counter::default();
+        let evacuated = Gauge::default();
+        let cold = Counter::default();
         let dropped_lines = Counter::default();
         registry.register(
             "refusals",
@@ -93,6 +98,16 @@
             "Connections to endpoints relayed for other hosts",
             relayed.clone(),
         );
+        registry.register(
+            "evacuated_data_centres",
+            "Data centres that the operator evacuates, as this host knows",
+            evacuated.clone(),
+        );
+        registry.register(
+            "cold_endpoints",
+            "Endpoints that this host has learned to be cold",
+            cold.clone(),
+        );
         registry.register(
             "dropped_log_lines",
             "Log lines that were not written",
@@ -109,6 +124,8 @@
             crashes,
             link_losses,
             relayed,
+            evacuated,
+            cold,
             dropped_lines,
             dropped,
         }
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -1,5 +1,6 @@
 //! Settings of the entry daemon's process, one struct per section.
 
+use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::time::Duration;
@@ -17,6 +18,9 @@
     pub host: String,
     /// Data centre of the host.
     pub data_centre: String,
+    /// Region of each data centre; homes of routes and customers name regions.
+    #[serde(default)]
+    pub regions: HashMap<String, String>,
     /// Address of the host.
     pub address: IpAddr,
     /// Whether the whole deployment starts for the first time.
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -11,6 +11,7 @@
 use tokio::net::UdpSocket;
 
 use crate::contact::is_overdue;
+use crate::extension::{self, Extension};
 use crate::gossip::{MIN_REPORT_INTERVAL, Report, next_report, report_interval};
 use crate::ledger::{Grant, Run};
 use crate::platform::{Dialect, Store};
@@ -49,11 +50,16 @@
                 continue;
             }
         };
-        let Ok(report) = Report::try_from(&buffer[..length]) else {
+        let Ok((report, rest)) = Report::split(&buffer[..length]) else {
             tracing::warn!(%from, "peer: malformed report dropped");
             continue;
         };
         let is_new = !host.view.borrow().knows(from, report.incarnation);
+        if report.incarnation != host.incarnation {
+            // What it says is ordered by positions and ages of its own, so a report that was overtaken does
+            // no harm.
+            extension::apply(&host, from, Extension::decode(rest));
+        }
         apply_report(&host, from, report);
         // The newcomer may have started after this host introduced itself, and would otherwise not hear
         // from it for a whole report interval.
@@ -72,7 +78,12 @@
 fn encode<D, S>(host: &Host<D, S>, full: bool) -> Result<Vec<u8>, rmp_serde::encode::Error> {
     let sequence = host.report_sequence.get() + 1;
     host.report_sequence.set(sequence);
-    rmp_serde::to_vec(&current_report(host, sequence, full))
+    let mut bytes = rmp_serde::to_vec(&current_report(host, sequence, full))?;
+    let extension = extension::current(host);
+    if !extension.is_empty() {
+        bytes.extend(rmp_serde::to_vec(&extension)?);
+    }
+    Ok(bytes)
 }
 
 /// Applies the report of a peer; reports of this host itself are ignored.
@@ -294,7 +305,11 @@
     let mut relays: Vec<SocketAddr> = {
         let view = host.view.borrow();
         let live = view.live(now()).filter(|(_, report)| !report.leaving);
-        live.map(|(address, _)| address).collect()
+        let places = host.places.borrow();
+        let relays = live.map(|(address, _)| address);
+        relays
+            .filter(|address| places.may_relay(*address))
+            .collect()
     };
     relays.shuffle(&mut rand::rng());
     host.pool.paths().replace_relays(relays);
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -139,6 +139,10 @@
     pub is_signed: bool,
     /// Running requests, waiting requests and slots of the endpoint.
     pub load: Option<(u32, u32, u32)>,
+    /// Time that work takes at the endpoint at this moment, as a multiple of the usual; not checked.
+    pub pace: Option<f64>,
+    /// Time for which the endpoint stays cold.
+    pub cold: Option<Duration>,
     /// Requests a second that the endpoint takes from all hosts together.
     pub limit: Option<f64>,
     /// Whether the endpoint states that it leaves.
@@ -192,6 +196,8 @@
     /// # Errors
     /// Fails when the record is malformed, so that it describes no endpoint.
     fn endpoint(id: &str, value: &[u8]) -> Result<Endpoint>;
+    /// The data centre that a record of the operator's feed asks to evacuate, by its key.
+    fn evacuated(key: &str) -> Option<&str>;
 }
 
 /// Order to an engine to change its stage.
--- a/crates/entry/src/prefill.rs
+++ b/crates/entry/src/prefill.rs
@@ -55,7 +55,12 @@
 
 impl<D: Dialect, S: Store> Drop for KvHandle<D, S> {
     fn drop(&mut self) {
-        if self.consumed || now() >= self.expires_at {
+        let is_open = || {
+            let directory = self.host.directory.borrow();
+            let endpoint = directory.get(self.key);
+            endpoint.is_some_and(|endpoint| self.host.is_open(endpoint))
+        };
+        if self.consumed || now() >= self.expires_at || !is_open() {
             return;
         }
         let release = D::release(&self.cache.handle);
@@ -87,7 +92,11 @@
 ) -> Option<KvHandle<D, S>> {
     let kv_retention = engine(host, &call.service)?.kv_retention;
     let (key, endpoint) = host.directory.borrow().find(engine_id)?;
-    if !host.admits(key) {
+    let is_home = host
+        .places
+        .borrow()
+        .is_home(call.homes(), &endpoint.data_centre);
+    if !host.admits(key) || !host.is_open(&endpoint) || !is_home {
         return None;
     }
     let reservation = Reservation::acquire(
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -35,6 +35,8 @@
     EndpointsRefused,
     EndpointsLimited,
     LinksLost,
+    NoPlace,
+    Overloaded,
     EndpointLost,
     TimedOut,
     Interrupted,
@@ -65,6 +67,8 @@
             Self::EndpointsRefused => "endpoints_refused",
             Self::EndpointsLimited => "endpoints_limited",
             Self::LinksLost => "links_lost",
+            Self::NoPlace => "no_place",
+            Self::Overloaded => "overloaded",
             Self::EndpointLost => "endpoint_lost",
             Self::TimedOut => "timed_out",
             Self::Interrupted => "interrupted",
@@ -94,7 +98,9 @@
             | Self::StoreAway
             | Self::EndpointsRefused
             | Self::EndpointsLimited
-            | Self::LinksLost => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::LinksLost
+            | Self::NoPlace
+            | Self::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
             Self::EndpointLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut | Self::Interrupted => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -88,6 +88,13 @@
         Some(&self.fleet.customers[self.customer?].name)
     }
 
+    /// Regions in which the request may run: those of its route and those of its customer.
+    pub(crate) fn homes(&self) -> [&[String]; 2] {
+        let customer = self.customer.map(|index| &self.fleet.customers[index]);
+        let customer = customer.map_or(&[][..], |customer| &customer.homes);
+        [&self.route().homes, customer]
+    }
+
     /// Ids of the prompt's parts, for log lines.
     pub(crate) fn parts(&self) -> String {
         let ids: Vec<String> = self.head.parts.iter().map(Part::to_string).collect();
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -388,6 +388,10 @@
 /// lead to another host.
 const LINKS_LOST_RETRY_AFTER: Duration = Duration::from_millis(150);
 
+/// Mean `Retry-After` of a request all of whose endpoints are evacuated or outside of its homes. Evacuations last
+/// for seconds or longer, and callers return after a third of their time at the latest.
+const NO_PLACE_RETRY_AFTER: Duration = Duration::from_secs(2);
+
 async fn serve<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, request: Request) -> Answered {
     let arrived = now();
     let accepted = accept_call(host, request, arrived);
@@ -498,6 +502,11 @@
         let after = call::jittered(LINKS_LOST_RETRY_AFTER);
         return Err(reject(Reason::LinksLost, Some(after)));
     }
+    let homes = customer.map_or(&[][..], |index| &fleet.customers[index].homes);
+    if host.has_no_place(&service, [&route.homes, homes]) {
+        let after = call::jittered(NO_PLACE_RETRY_AFTER);
+        return Err(reject(Reason::NoPlace, Some(after)));
+    }
     let timeout = route.timeout;
     let wait = head.deadline.unwrap_or(timeout);
     let deadline = arrived + wait.min(timeout);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -10,6 +10,7 @@
 use berylknot_coordination::clock::Instant;
 use berylknot_coordination::eject::Change;
 use berylknot_coordination::ending::Framing;
+use berylknot_coordination::forecast::{self, Forecast};
 use rand::Rng;
 use tokio::sync::{Mutex, Notify};
 
@@ -19,7 +20,7 @@
 use crate::budget::Budgets;
 use crate::contact::Outage;
 use crate::directory::{self, Directory, Endpoint, Key, Stage};
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, Service};
 use crate::gossip::{INTRODUCTION_TIME, Rank, View};
 use crate::health::{Group, Health, Suspicion};
 use crate::http::Pool;
@@ -31,6 +32,7 @@
 use crate::options::Options;
 use crate::orders::{self, Orders};
 use crate::parts::Parts;
+use crate::places::Places;
 use crate::platform::{AnswerHead, Store};
 use crate::quota::{self, Class, Quotas};
 use crate::readers::Changes;
@@ -81,8 +83,12 @@
     pub(crate) view: RefCell<View>,
     pub(crate) strikes: RefCell<Strikes>,
     pub(crate) suspects: RefCell<Suspects>,
-    /// Limits that endpoints state.
+    /// Limits that endpoints state, and those of cold endpoints.
     pub(crate) limits: RefCell<Limits>,
+    /// Loads that endpoints of services with a pace state.
+    pub(crate) forecast: RefCell<Forecast<Key, String>>,
+    /// Regions and evacuations.
+    pub(crate) places: RefCell<Places>,
     /// Services whose limited endpoints take no call of this host until the given time.
     pub(crate) denials: RefCell<HashMap<String, Instant>>,
     pub(crate) waitlists: RefCell<HashMap<Line, Waitlist>>,
@@ -152,6 +158,7 @@
             (bounds.retry_window_s * 1_000.0) as u64,
         );
         let refresh = Refresh::new(bounds.drain());
+        let places = Places::new(options.regions.clone(), &options.data_centre);
         let mut ledger = Ledger::default();
         ledger.number_grants_from(incarnation);
         Self {
@@ -173,6 +180,8 @@
             strikes: RefCell::default(),
             suspects: RefCell::default(),
             limits: RefCell::default(),
+            forecast: RefCell::default(),
+            places: RefCell::new(places),
             denials: RefCell::default(),
             waitlists: RefCell::default(),
             health: RefCell::default(),
@@ -374,6 +383,7 @@
                     health.restarted(key);
                     self.saturation.borrow_mut().remove(key);
                     self.limits.borrow_mut().remove(&endpoint.id);
+                    self.forecast.borrow_mut().remove(key);
                 }
                 self.orders.borrow_mut().observe(endpoint);
                 health.add(key, Group::of(endpoint));
@@ -392,10 +402,69 @@
                 tracing::info!(?key, "directory: endpoint gone");
                 self.health.borrow_mut().remove(key);
                 self.saturation.borrow_mut().remove(key);
+                self.forecast.borrow_mut().remove(key);
             }
         }
     }
 
+    /// Records that an endpoint stays cold for `left`. Returns whether it was not known to be cold.
+    pub(crate) fn note_cold(&self, endpoint: &Endpoint, left: Duration, source: &str) -> bool {
+        let rate = self.service(&endpoint.service, |service| service.cold_rate);
+        let rate = rate.unwrap_or_default();
+        let mut limits = self.limits.borrow_mut();
+        if !limits.chill(now(), &endpoint.id, rate, left) {
+            return false;
+        }
+        self.metrics.cold.inc();
+        tracing::info!(
+            endpoint = endpoint.id,
+            service = endpoint.service,
+            left_ms = left.as_millis() as u64,
+            tolerated_per_s = rate,
+            source,
+            "cold: endpoint gets few requests"
+        );
+        true
+    }
+
+    /// A property of a service in the configuration in force.
+    pub(crate) fn service<T>(&self, name: &str, read: impl FnOnce(&Service) -> T) -> Option<T> {
+        let fleet = self.fleet.borrow();
+        fleet.as_ref()?.services.get(name).map(read)
+    }
+
+    /// Ids of the endpoints of a service in data centres that are evacuated, or no home of a request, for the
+    /// leader, which may not have heard of an evacuation yet.
+    pub(crate) fn misplaced(&self, call: &Call) -> Vec<String> {
+        let places = self.places.borrow();
+        let homes = call.homes();
+        if places.evacuations().is_empty() && homes.iter().all(|homes| homes.is_empty()) {
+            return Vec::new();
+        }
+        let directory = self.directory.borrow();
+        let misplaced = directory.ready(&call.service).filter(|(_, endpoint)| {
+            !places.is_open(&endpoint.data_centre) || !places.is_home(homes, &endpoint.data_centre)
+        });
+        misplaced.map(|(_, endpoint)| endpoint.id.clone()).collect()
+    }
+
+    /// Whether all ready endpoints of a request's service are in places where it may not run.
+    pub(crate) fn has_no_place(&self, service: &str, homes: [&[String]; 2]) -> bool {
+        let directory = self.directory.borrow();
+        let places = self.places.borrow();
+        let mut data_centres = directory
+            .ready(service)
+            .map(|(_, endpoint)| &endpoint.data_centre)
+            .peekable();
+        data_centres.peek().is_some()
+            && data_centres.all(|at| !places.is_open(at) || !places.is_home(homes, at))
+    }
+
+    /// Whether new work may go to an endpoint: its data centre is not evacuated.
+    pub(crate) fn is_open(&self, endpoint: &Endpoint) -> bool {
+        self.places.borrow().is_open(&endpoint.data_centre)
+    }
+
     /// Suspects an endpoint for a short time.
     pub(crate) fn suspect(&self, key: Key, suspicion: Suspicion) {
         self.health.borrow_mut().suspect(now(), key, suspicion);
@@ -478,6 +547,7 @@
             return;
         }
         self.note_limit(key, answer, sent_at);
+        self.note_load(key, answer);
         let mut health = self.health.borrow_mut();
         if let Some(load) = answer.load {
             health.record_load(now(), key, load);
@@ -526,6 +596,41 @@
             .min()
     }
 
+    /// Learns the usual time of a call from one that an endpoint has answered in `took`.
+    pub(crate) fn learn_usual_time(&self, key: Key, service: &str, took: Duration) {
+        let mut forecast = self.forecast.borrow_mut();
+        if let Some(load) = forecast.own(now(), key) {
+            forecast.answered(&service.to_owned(), took, load);
+        }
+    }
+
+    /// Records the pace that an endpoint states with its load, and for how long it stays cold.
+    fn note_load(&self, key: Key, answer: &AnswerHead) {
+        if answer.misdirected {
+            return;
+        }
+        let load = answer.load.zip(answer.pace);
+        let load = load.and_then(|((running, waiting, slots), pace)| {
+            let load = forecast::Load {
+                running,
+                waiting,
+                slots,
+                pace,
+            };
+            load.checked()
+        });
+        if let Some(load) = load {
+            self.forecast.borrow_mut().stated(key, load, now(), true);
+        }
+        if let Some(left) = answer.cold {
+            let endpoint = self.directory.borrow().get(key).cloned();
+            let is_new = endpoint.is_some_and(|endpoint| self.note_cold(&endpoint, left, "answer"));
+            if is_new {
+                self.report_findings();
+            }
+        }
+    }
+
     fn note_limit(&self, key: Key, answer: &AnswerHead, sent_at: Instant) {
         let directory = self.directory.borrow();
         let Some(endpoint) = directory.get(key).filter(|_| !answer.misdirected) else {
@@ -613,9 +718,10 @@
         let directory = self.directory.borrow();
         let health = self.health.borrow();
         let orders = self.orders.borrow();
+        let places = self.places.borrow();
         let mut best: Option<(f64, Key, &Endpoint)> = None;
         for (key, endpoint) in directory.ready(service) {
-            if !health.notices().admits(now, key) {
+            if !health.notices().admits(now, key) || !places.is_open(&endpoint.data_centre) {
                 continue;
             }
             if tried.contains(&key) || stage.is_some() && endpoint.stage != stage {
--- a/crates/entry/tests/directory.rs
+++ b/crates/entry/tests/directory.rs
@@ -20,6 +20,7 @@
         version: "v1".to_owned(),
         incarnation,
         sequence,
+        cold: None,
     }
 }
 
--- a/crates/entry/tests/orders.rs
+++ b/crates/entry/tests/orders.rs
@@ -27,6 +27,7 @@
         version: "v1".to_owned(),
         incarnation,
         sequence: 1,
+        cold: None,
     }
 }
 
