--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -149,6 +149,7 @@
             id = call.head.id,
             endpoint = endpoint.id,
             entry = endpoint.sequence,
+            pace = host.forecast.borrow().pace(self::now(), key),
             left_ms = left.as_millis() as u64,
             outcome = attempt.name(),
             error = attempt.error(),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -321,6 +321,13 @@
         tracing::info!(version = fleet.version, before = known, "config: in force");
         *self.fleet.borrow_mut() = Some(Rc::new(fleet));
         *self.document.borrow_mut() = document;
+        // What cold endpoints tolerate may not have been known when their entries came.
+        let directory = self.directory.borrow();
+        for (_, endpoint) in directory.iter() {
+            if let Some(left) = endpoint.cold {
+                self.note_cold(endpoint, left, "configuration");
+            }
+        }
         true
     }
 
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -227,3 +227,74 @@
         "{queries} queries, {granted} granted"
     );
 }
+
+/// Requests a second that a cold endpoint tolerates, and the users' bound on them in one second.
+const TOLERATED: f64 = 34.0;
+const COLD_BOUND: f64 = TOLERATED * 1.5 + 5.0;
+
+/// Most requests that arrive within one second at a cold endpoint for which several leaders grant all that they
+/// may, `delay_ms` of jitter after the grant.
+fn most_in_a_second(leaders: usize, delay_ms: u64) -> usize {
+    let mut random = StdRng::seed_from_u64(1);
+    let mut limits: Vec<Limits> = (0..leaders).map(|_| Limits::default()).collect();
+    let mut arrivals = Vec::new();
+    for millis in 0..20_000 {
+        for limits in &mut limits {
+            // The endpoint says so again and again, and becomes cold anew after 10 s.
+            limits.chill(at(millis), ENDPOINT, TOLERATED, Duration::from_secs(3));
+            if limits.take(at(millis), ENDPOINT, 1.0).is_ok() {
+                arrivals.push(millis + random.random_range(0..=delay_ms));
+            }
+        }
+    }
+    arrivals.sort_unstable();
+    let within = |start: &u64| {
+        let end = arrivals.partition_point(|at| *at < start + 1_000);
+        end - arrivals.partition_point(|at| at < start)
+    };
+    arrivals.iter().map(within).max().unwrap_or_default()
+}
+
+#[parameterized(
+    one_leader = { 1, 3 },
+    one_leader_and_slow_prefills = { 1, 1_000 },
+    two_leaders = { 2, 1_000 },
+)]
+fn a_cold_endpoint_gets_no_more_than_it_bears(leaders: usize, delay_ms: u64) {
+    let most = most_in_a_second(leaders, delay_ms);
+    assert!((most as f64) < COLD_BOUND, "{most} in one second");
+    assert!(most > 8, "{most}: a cold endpoint warms up by small work");
+}
+
+#[test]
+fn an_endpoint_is_cold_until_the_latest_end_that_was_stated() {
+    let mut limits = Limits::default();
+    assert!(limits.chill(at(0), ENDPOINT, TOLERATED, Duration::from_secs(3)));
+    // An entry that was written before says less.
+    assert!(!limits.chill(at(100), ENDPOINT, TOLERATED, Duration::from_secs(1)));
+    assert!(limits.is_cold(at(2_900), ENDPOINT) && !limits.is_cold(at(3_000), ENDPOINT));
+    limits.expire(at(3_000), |_| true);
+    assert_eq!(limits.rate(ENDPOINT), None);
+    // It may become cold again at any moment.
+    assert!(limits.chill(at(9_000), ENDPOINT, TOLERATED, Duration::from_secs(3)));
+}
+
+#[test]
+fn a_service_whose_endpoints_are_never_cold_limits_nothing() {
+    let mut limits = Limits::default();
+    for rate in [0.0, -1.0, f64::NAN, f64::INFINITY] {
+        assert!(!limits.chill(at(0), ENDPOINT, rate, Duration::from_secs(3)));
+    }
+    assert!(!limits.chill(at(0), ENDPOINT, TOLERATED, Duration::ZERO));
+    assert!(limits.is_empty());
+}
+
+#[test]
+fn a_stated_limit_below_what_a_cold_endpoint_tolerates_stays_in_force() {
+    let mut limits = Limits::default();
+    limits.heard(at(0), ENDPOINT, Some(2.0), at(0));
+    limits.chill(at(0), ENDPOINT, TOLERATED, Duration::from_secs(3));
+    assert_eq!(limits.rate(ENDPOINT), Some(2.0));
+    limits.heard(at(10), ENDPOINT, None, at(5));
+    assert!(limits.rate(ENDPOINT).is_some_and(|rate| rate > 2.0));
+}
