Forecast calls without a stated pace where callers compete for room

The adapter derives the feature from the deployment's contracts, so other deployments are served as before.

--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -37,6 +37,12 @@
     /// Resources of the host.
     #[serde(default)]
     pub resources: Resources,
+    /// What the deployment's platform offers and asks for, in the platform's words.
+    #[serde(default)]
+    pub capabilities: Vec<String>,
+    /// Behaviour that these call for; the adapter to the platform translates them.
+    #[serde(skip)]
+    pub features: Features,
     /// Logging.
     #[serde(default)]
     pub log: Log,
@@ -57,6 +63,14 @@
     pub metrics_port: u16,
 }
 
+/// Behaviour that not every deployment calls for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Features {
+    /// Callers compete for too little room at times: calls that would be late everywhere are refused at arrival
+    /// also where endpoints state no pace, and customers share the queue for engines.
+    pub competing_callers: bool,
+}
+
 /// Resources of the host, which bound what it holds for clients.
 #[derive(Clone, Copy, Debug)]
 #[derive(Deserialize)]
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -11,6 +11,7 @@
 
 use crate::directory::Endpoint;
 use crate::fleet::Fleet;
+use crate::options::Features;
 use crate::parts::{CachedPart, Part};
 
 /// Error of a platform call or of a record that cannot be decoded.
@@ -196,6 +197,8 @@
     /// # Errors
     /// Fails when the record is malformed, so that it describes no endpoint.
     fn endpoint(id: &str, value: &[u8]) -> Result<Endpoint>;
+    /// Behaviour that the capabilities of a deployment call for.
+    fn features(capabilities: &[String]) -> Features;
     /// The data centre that a record of the operator's feed asks to evacuate, by its key.
     fn evacuated(key: &str) -> Option<&str>;
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -40,11 +40,12 @@
 }
 
 async fn serve<D: Dialect, S: Store>(
-    options: Options,
+    mut options: Options,
     settings: PathBuf,
     store: impl FnOnce(Pool, SocketAddr) -> S,
     dropped_lines: Dropped,
 ) -> eyre::Result<()> {
+    options.features = D::features(&options.capabilities);
     let pool = Pool::default();
     let store = store(pool.with_own_memory(), options.store.address);
     let host = Rc::new(Host::<D, S>::new(
@@ -79,6 +80,7 @@
         host = options.host,
         incarnation = host.incarnation,
         first_start = options.first_start,
+        features = ?options.features,
         "daemon: started"
     );
     actix_rt::spawn(follow::configuration(Rc::clone(&host)));
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -616,7 +616,15 @@
         if answer.misdirected {
             return;
         }
-        let load = answer.load.zip(answer.pace);
+        // A plain service without a pace has the usual one.
+        let is_plain = || {
+            let directory = self.directory.borrow();
+            directory
+                .get(key)
+                .is_some_and(|endpoint| endpoint.stage.is_none())
+        };
+        let usual = (self.options.features.competing_callers && is_plain()).then_some(1.0);
+        let load = answer.load.zip(answer.pace.or(usual));
         let load = load.and_then(|((running, waiting, slots), pace)| {
             let load = forecast::Load {
                 running,
