--- a/crates/coordination/src/forecast.rs
+++ b/crates/coordination/src/forecast.rs
@@ -25,7 +25,7 @@
 /// Share of the objective up to which a call is always admitted, and that from which none is. In between, the
 /// share of admitted calls falls, so that hosts with the same picture do not all refuse at once, and queues
 /// settle below the objective whatever the excess is.
-const ADMISSION_RANGE: (f64, f64) = (0.55, 1.05);
+const ADMISSION_RANGE: (f64, f64) = (0.45, 0.9);
 
 /// Load that an endpoint states.
 #[derive(Clone, Copy, Debug, PartialEq)]
