Send one request at a time to engines that hosts find silent

A suspicion only made an engine the last choice, and lapsed for a whole burst at a time.

coordination::trial is a circuit breaker at the leader: silent for two hosts, an engine gets nothing for 0.8 s and then one request as a trial; queued generations wait for the others. Ruled out: barring on the word of one host, since one with lost links finds all engines silent. At most 0.4 of the engines are barred.

In the play of trial.rs 60 requests go to dark endpoints, 350 without the breaker.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -41,3 +41,4 @@
 pub mod slot;
 pub mod snapshot;
 pub mod stream;
+pub mod trial;
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -287,6 +287,9 @@
         let key = host.directory.borrow().key(id);
         if let Some(key) = key {
             host.suspect(key, *suspicion);
+            if *suspicion == Suspicion::Silent {
+                host.found_silent(key, &query.host);
+            }
         }
     }
     let verdict = decide(host, &query).await;
@@ -662,7 +665,12 @@
     let share = host.limit_share();
     let limits = host.limits.borrow();
     let forecast = host.forecast.borrow();
+    let trials = host.trials.borrow();
+    let engines = count_stage(host, service, Stage::Decode);
     let cost = |key, endpoint: &Endpoint, suspicion| {
+        if trials.bars(now, key, engines) {
+            return None;
+        }
         let fault = match suspicion {
             None => 0.0,
             Some(Suspicion::Faulty) => FAULTY_COST,
@@ -705,11 +713,21 @@
         Some(share * pace + fault + failures + reading + cold + jitter - bonus)
     };
     let (key, endpoint) = host.choose(service, Some(Stage::Decode), tried, cost)?;
-    drop(limits);
+    drop((limits, trials));
     let taken = host.limits.borrow_mut().take(now, &endpoint.id, share);
+    host.trials.borrow_mut().assigned(now, key);
     taken.is_ok().then_some(key)
 }
 
+/// Ready engines of a service in a stage.
+fn count_stage<D, S>(host: &Host<D, S>, service: &str, stage: Stage) -> usize {
+    let directory = host.directory.borrow();
+    let ready = directory.ready(service);
+    ready
+        .filter(|(_, endpoint)| endpoint.stage == Some(stage))
+        .count()
+}
+
 /// Strictest objective for the gap between events of a service's streams.
 fn gap_target<D, S>(host: &Host<D, S>, service: &str) -> Duration {
     let fleet = host.fleet.borrow();
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -350,6 +350,7 @@
         let is_known = |id: &str| directory.key(id).is_some();
         host.limits.borrow_mut().expire(now, is_known);
     }
+    host.trials.borrow_mut().expire(now);
     host.denials.borrow_mut().retain(|_, until| *until > now);
     host.saturation.borrow_mut().expire(now);
     host.leader_cooldowns
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,6 +12,7 @@
 use berylknot_coordination::eject::Change;
 use berylknot_coordination::ending::Framing;
 use berylknot_coordination::forecast::{self, Forecast};
+use berylknot_coordination::trial::{Trials, Witness};
 use rand::Rng;
 use tokio::sync::{Mutex, Notify};
 
@@ -87,6 +89,8 @@
     pub(crate) limits: RefCell<Limits>,
     /// Loads that endpoints of services with a pace state.
     pub(crate) forecast: RefCell<Forecast<Key, String>>,
+    /// Endpoints that hosts have found silent.
+    pub(crate) trials: RefCell<Trials<Key>>,
     /// Regions and evacuations.
     pub(crate) places: RefCell<Places>,
     /// Services whose limited endpoints take no call of this host until the given time.
@@ -181,6 +185,7 @@
             suspects: RefCell::default(),
             limits: RefCell::default(),
             forecast: RefCell::default(),
+            trials: RefCell::default(),
             places: RefCell::new(places),
             denials: RefCell::default(),
             waitlists: RefCell::default(),
@@ -391,6 +396,7 @@
                     self.saturation.borrow_mut().remove(key);
                     self.limits.borrow_mut().remove(&endpoint.id);
                     self.forecast.borrow_mut().remove(key);
+                    self.trials.borrow_mut().remove(key);
                 }
                 self.orders.borrow_mut().observe(endpoint);
                 health.add(key, Group::of(endpoint));
@@ -410,6 +416,7 @@
                 self.health.borrow_mut().remove(key);
                 self.saturation.borrow_mut().remove(key);
                 self.forecast.borrow_mut().remove(key);
+                self.trials.borrow_mut().remove(key);
             }
         }
     }
@@ -472,6 +479,21 @@
         self.places.borrow().is_open(&endpoint.data_centre)
     }
 
+    /// Records that this host or a peer has found an endpoint silent.
+    pub(crate) fn found_silent(&self, key: Key, host: &str) {
+        let mut hasher = DefaultHasher::new();
+        host.hash(&mut hasher);
+        let witness = Witness(hasher.finish());
+        if self.trials.borrow_mut().silent(now(), key, witness) {
+            let directory = self.directory.borrow();
+            tracing::info!(
+                endpoint = directory.get(key).map(|endpoint| endpoint.id.as_str()),
+                host,
+                "trial: hosts find the endpoint silent; it gets one request at a time"
+            );
+        }
+    }
+
     /// Suspects an endpoint for a short time.
     pub(crate) fn suspect(&self, key: Key, suspicion: Suspicion) {
         self.health.borrow_mut().suspect(now(), key, suspicion);
@@ -695,6 +717,9 @@
 
     /// Records a request that failed at an endpoint, and suspects the endpoint.
     pub(crate) fn failed(&self, key: Key, suspicion: Suspicion) {
+        if suspicion == Suspicion::Silent {
+            self.found_silent(key, &self.options.host);
+        }
         self.record_outcome(key, |health, group| {
             health.failed(now(), key, group, suspicion)
         });
