Weigh the prompt parts that engines hold against the wait at them

Operators' wish: a server that still holds the beginning of a prompt answers sooner, but only while it has memory and room. The leader remembers which parts it has sent to which engine (coordination::prefix), takes those for held that the parts after them leave room for, and subtracts 0.8 of the saved reading from the cost of a prefill engine in milliseconds, beside its backlog and its pace. A decode engine that holds nearly all of a prompt reads the rest itself.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod origin;
 pub mod placement;
 pub mod poll;
+pub mod prefix;
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -7,12 +7,14 @@
 //! refusals by engines.
 
 use std::collections::HashMap;
+use std::io::Cursor;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
 use berylknot_coordination::origin::{Listing, Progress};
+use berylknot_coordination::prefix;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
@@ -25,6 +27,7 @@
 use crate::http::Timeouts;
 use crate::ledger::{Capacity, Grant, Run, peak};
 use crate::locate;
+use crate::mix::PREFILL_MS_PER_TOKEN;
 use crate::own;
 use crate::parts::Part;
 use crate::peer;
@@ -109,6 +112,15 @@
     pub(crate) part: Option<Part>,
 }
 
+/// What follows a [`Query`] in the same body. Builds up to 8a62be6 read the query and leave it, and it is left out
+/// where it is of no use.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Supplement {
+    /// Tokens of the parts of the prompt.
+    pub(crate) part_tokens: Vec<u32>,
+}
+
 /// Answer to a [`Query`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -215,6 +227,7 @@
 pub(crate) async fn admit<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     mut query: Query,
+    supplement: &Supplement,
     longest_run: impl Fn() -> Duration,
 ) -> Verdict {
     let started = now();
@@ -234,8 +247,8 @@
         let exit_in = latest_start.map_or(i64::MAX, |latest| millis_until(now(), latest));
         query.hopeless_in_ms = (hopeless_in - waited).min(exit_in);
         let verdict = match leader(host) {
-            None => decide(host, &query).await,
-            Some(leader) => match query_leader(host, leader, &query).await {
+            None => decide(host, &query, supplement).await,
+            Some(leader) => match query_leader(host, leader, &query, supplement).await {
                 Ok(verdict) => verdict,
                 Err(error) => {
                     tracing::info!(%leader, %error, "admission: leader lost");
@@ -264,14 +277,19 @@
     host: &Host<D, S>,
     leader: SocketAddr,
     query: &Query,
+    supplement: &Supplement,
 ) -> eyre::Result<Verdict> {
+    let mut body = rmp_serde::to_vec(query)?;
+    if *supplement != Supplement::default() {
+        body.extend(rmp_serde::to_vec(supplement)?);
+    }
     let timeouts = Timeouts {
         connect: ANSWER_TIMEOUT,
         head: LONG_POLL + ANSWER_TIMEOUT,
         max_idle: Duration::MAX,
     };
     let (read, limit) = (ANSWER_TIMEOUT, MAX_ANSWER_BYTES);
-    own::ask(&host.pool, leader, PATH, query, timeouts, read, limit).await
+    own::ask_with(&host.pool, leader, PATH, body, timeouts, read, limit).await
 }
 
 /// Path of admission queries between hosts.
@@ -282,7 +300,10 @@
     host: &Rc<Host<D, S>>,
     body: &[u8],
 ) -> Option<Bytes> {
-    let query: Query = rmp_serde::from_slice(body).ok()?;
+    let mut cursor = Cursor::new(body);
+    let query: Query = rmp_serde::from_read(&mut cursor).ok()?;
+    let rest = body.get(usize::try_from(cursor.position()).ok()?..)?;
+    let supplement: Supplement = rmp_serde::from_slice(rest).unwrap_or_default();
     for (id, suspicion) in &query.doubtful {
         let key = host.directory.borrow().key(id);
         if let Some(key) = key {
@@ -292,7 +313,7 @@
             }
         }
     }
-    let verdict = decide(host, &query).await;
+    let verdict = decide(host, &query, &supplement).await;
     tracing::info!(
         id = query.id,
         host = query.host,
@@ -304,7 +325,11 @@
 }
 
 /// Charges the customer and admits the generation; refunds the charge unless a grant results.
-async fn decide<D: Dialect, S: Store>(host: &Rc<Host<D, S>>, query: &Query) -> Verdict {
+async fn decide<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    query: &Query,
+    supplement: &Supplement,
+) -> Verdict {
     let now = now();
     let failed = query.failed.as_deref();
     if let Some(key) = failed.and_then(|id| host.directory.borrow().key(id)) {
@@ -363,7 +388,8 @@
         query,
         due: true,
     };
-    let mut verdict = grant_or_queue(host, query, version, now).await;
+    let prompt = prompt(query, supplement);
+    let mut verdict = grant_or_queue(host, query, &prompt, version, now).await;
     if let Verdict::Granted {
         endpoint, grant, ..
     } = &verdict
@@ -510,9 +536,55 @@
     ids.filter_map(|id| directory.key(id)).collect()
 }
 
+/// Parts of a prompt with their tokens; empty if the tokens are not known.
+fn prompt(query: &Query, supplement: &Supplement) -> Vec<prefix::Part<Part>> {
+    if query.prompt.len() != supplement.part_tokens.len() {
+        return Vec::new();
+    }
+    let parts = query.prompt.iter().zip(&supplement.part_tokens);
+    parts
+        .map(|(id, tokens)| prefix::Part {
+            id: *id,
+            tokens: *tokens,
+        })
+        .collect()
+}
+
+/// Tokens of a prompt that an engine need not read, where the wait at the engine is known, so that the saved
+/// reading can be weighed against it.
+fn held<D, S>(host: &Host<D, S>, now: Instant, key: Key, prompt: &[prefix::Part<Part>]) -> u32 {
+    let is_known =
+        host.options.features.competing_callers || host.forecast.borrow().pace(now, key).is_some();
+    if prompt.is_empty() || !is_known {
+        return 0;
+    }
+    host.prefixes.borrow().held(now, key, prompt)
+}
+
+/// The decode engine that holds most of a prompt, if that is nearly all of it: it needs no prefill elsewhere.
+fn holder<D, S>(
+    host: &Host<D, S>,
+    now: Instant,
+    query: &Query,
+    prompt: &[prefix::Part<Part>],
+) -> Option<Key> {
+    if prompt.is_empty() || !query.prefill {
+        return None;
+    }
+    let gap = gap_target(host, &query.service);
+    let directory = host.directory.borrow();
+    let ready = directory.ready(&query.service);
+    let decode = ready.filter(|(_, endpoint)| endpoint.stage == Some(Stage::Decode));
+    let held = decode.map(|(key, _)| (held(host, now, key, prompt), key));
+    let (most, key) = held.max_by_key(|(held, _)| *held)?;
+    let missing = query.run.held.saturating_sub(most);
+    (most > 0 && backlog::fits_decode(missing, gap)).then_some(key)
+}
+
 async fn grant_or_queue<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     query: &Query,
+    prompt: &[prefix::Part<Part>],
     version: Option<String>,
     now: Instant,
 ) -> Verdict {
@@ -531,20 +603,21 @@
         Some(part) => locate::find_engine(host, &query.service, part).await,
         None => None,
     };
+    let preferred = cached_at.or_else(|| holder(host, now, query, prompt));
     let free = if waiting && !is_retry {
         None
     } else {
-        best_decode(host, &line, query.run, &tried, cached_at, f64::INFINITY)
+        best_decode(host, &line, query.run, &tried, preferred, f64::INFINITY)
     };
     if let Some(key) = free {
         let grant = host
             .ledger
             .borrow_mut()
             .grant(key, query.run, now + GRANT_LIFETIME);
-        return grant_verdict(host, query, key, grant, cached_at);
+        return grant_verdict(host, query, prompt, key, grant, cached_at);
     }
-    match wait(host, query, line, tried, cached_at, now).await {
-        Ok((key, grant)) => grant_verdict(host, query, key, grant, cached_at),
+    match wait(host, query, line, tried, preferred, now).await {
+        Ok((key, grant)) => grant_verdict(host, query, prompt, key, grant, cached_at),
         Err(verdict) => verdict,
     }
 }
@@ -552,6 +625,7 @@
 fn grant_verdict<D, S>(
     host: &Host<D, S>,
     query: &Query,
+    prompt: &[prefix::Part<Part>],
     key: Key,
     grant: Grant,
     cached_at: Option<Key>,
@@ -567,11 +641,19 @@
     let parts_at = cached_at.map(|cached_at| cached_at.id.clone());
     drop(directory);
     let prefill = if query.prefill && parts_at.is_none() {
-        let prefill = best_prefill(host, query, &endpoint);
+        let prefill = best_prefill(host, query, prompt, key, &endpoint);
         if prefill.is_none() {
-            let time = backlog::decode_read_time(query.run.held);
+            let missing = query
+                .run
+                .held
+                .saturating_sub(held(host, now(), key, prompt));
+            let time = backlog::decode_read_time(missing);
             host.backlogs.borrow_mut().add(now(), key, time);
         }
+        if let Some(engine) = engine(host, &query.service) {
+            let mut prefixes = host.prefixes.borrow_mut();
+            prefixes.read(now(), key, prompt, engine.capacity);
+        }
         prefill
     } else {
         None
@@ -738,8 +820,24 @@
 }
 
 /// The prefill engine with the shortest backlog, preferably in the data centre of the decode engine.
-fn best_prefill<D, S>(host: &Host<D, S>, query: &Query, decode: &Endpoint) -> Option<String> {
+fn best_prefill<D, S>(
+    host: &Host<D, S>,
+    query: &Query,
+    prompt: &[prefix::Part<Part>],
+    decode_key: Key,
+    decode: &Endpoint,
+) -> Option<String> {
     let now = now();
+    let missing = query
+        .run
+        .held
+        .saturating_sub(held(host, now, decode_key, prompt));
+    let reads_itself =
+        missing < query.run.held && backlog::fits_decode(missing, gap_target(host, &query.service));
+    if reads_itself {
+        // Nearly all of the prompt is there: shorter than a prefill elsewhere and the transfer of its result.
+        return None;
+    }
     let share = host.limit_share();
     let is_short = backlog::fits_decode(query.run.held, gap_target(host, &query.service));
     let (key, endpoint) = {
@@ -763,8 +861,9 @@
             } else {
                 0.0
             };
+            let saved = prefix::saved_ms(held(host, now, key, prompt), PREFILL_MS_PER_TOKEN * pace);
             let cost = backlogs.cost(now, key, is_near, suspicion)?;
-            Some(cost + slower_ms + cold + jitter(PREFILL_JITTER_MS))
+            Some(cost + slower_ms + cold + jitter(PREFILL_JITTER_MS) - saved)
         };
         let barred = keys(host, query.barred.iter());
         host.choose(&query.service, Some(Stage::Prefill), &barred, cost)?
@@ -778,8 +877,22 @@
         return None;
     }
     let pace = host.forecast.borrow().pace(now, key).unwrap_or(1.0);
-    let time = backlog::read_time(query.run.held).mul_f64(pace);
+    let held = held(host, now, key, prompt);
+    let time = backlog::read_time(query.run.held.saturating_sub(held)).mul_f64(pace);
     host.backlogs.borrow_mut().add(now, key, time);
+    if held > 0 {
+        host.metrics.saved_tokens.inc_by(u64::from(held));
+        tracing::info!(
+            id = query.id,
+            endpoint = endpoint.id,
+            held,
+            "prefix: engine probably holds a part of the prompt"
+        );
+    }
+    if let Some(engine) = engine(host, &query.service) {
+        let mut prefixes = host.prefixes.borrow_mut();
+        prefixes.read(now, key, prompt, engine.capacity);
+    }
     Some(endpoint.id)
 }
 
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc;
 
 use crate::aborts;
-use crate::admission::{self, Query, Verdict, millis_until};
+use crate::admission::{self, Query, Supplement, Verdict, millis_until};
 use crate::call::{CONNECT_TIMEOUT, jittered_after, rejection};
 use crate::directory::{Endpoint, Key, State};
 use crate::fleet::{Kind, Route};
@@ -452,7 +452,14 @@
             longest_run(host, call)
         }
     };
-    let verdict = admission::admit(host, query, longest_run).await;
+    let supplement = Supplement {
+        part_tokens: if demand.is_first {
+            call.head.part_tokens.clone()
+        } else {
+            Vec::new()
+        },
+    };
+    let verdict = admission::admit(host, query, &supplement, longest_run).await;
     tracing::info!(
         id = call.head.id,
         resumes = call.head.resumes,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -41,6 +41,7 @@
     pub(crate) relayed: Counter,
     pub(crate) evacuated: Gauge,
     pub(crate) cold: Counter,
+    pub(crate) saved_tokens: Counter,
     dropped_lines: Counter,
     dropped: Dropped,
 }
@@ -60,6 +61,7 @@
         let relayed = Counter::default();
         let evacuated = Gauge::default();
         let cold = Counter::default();
+        let saved_tokens = Counter::default();
         let dropped_lines = Counter::default();
         registry.register(
             "refusals",
@@ -108,6 +110,11 @@
             "Endpoints that this host has learned to be cold",
             cold.clone(),
         );
+        registry.register(
+            "saved_prompt_tokens",
+            "Prompt tokens that the chosen prefill engines probably held",
+            saved_tokens.clone(),
+        );
         registry.register(
             "dropped_log_lines",
             "Log lines that were not written",
@@ -126,6 +133,7 @@
             relayed,
             evacuated,
             cold,
+            saved_tokens,
             dropped_lines,
             dropped,
         }
--- a/crates/entry/src/own.rs
+++ b/crates/entry/src/own.rs
@@ -79,10 +79,32 @@
     read_timeout: Duration,
     max_answer_bytes: usize,
 ) -> eyre::Result<A> {
-    let body = Bytes::from(rmp_serde::to_vec(query)?);
+    let body = rmp_serde::to_vec(query)?;
+    ask_with(
+        pool,
+        host,
+        path,
+        body,
+        timeouts,
+        read_timeout,
+        max_answer_bytes,
+    )
+    .await
+}
+
+/// Sends an encoded query to another host, as [`ask`] does.
+pub(crate) async fn ask_with<A: DeserializeOwned>(
+    pool: &Pool,
+    host: SocketAddr,
+    path: &str,
+    body: Vec<u8>,
+    timeouts: Timeouts,
+    read_timeout: Duration,
+    max_answer_bytes: usize,
+) -> eyre::Result<A> {
     let request = http::Request::post(path)
         .header(http::header::HOST, "peer")
-        .body(http_body_util::Full::new(body))?;
+        .body(http_body_util::Full::new(Bytes::from(body)))?;
     let mut exchange = pool.send(host, request, timeouts).await?;
     let body = exchange.read(max_answer_bytes, read_timeout).await?;
     if !exchange.status.is_success() {
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -351,6 +351,7 @@
         host.limits.borrow_mut().expire(now, is_known);
     }
     host.trials.borrow_mut().expire(now);
+    host.prefixes.borrow_mut().expire(now);
     host.denials.borrow_mut().retain(|_, until| *until > now);
     host.saturation.borrow_mut().expire(now);
     host.leader_cooldowns
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -73,6 +73,8 @@
     pub resumes: Option<String>,
     /// Parts of the prompt in order, empty if they are not stated or malformed; only the last one belongs to this request or its session alone.
     pub parts: Vec<Part>,
+    /// Tokens of these parts; empty if not all are stated.
+    pub part_tokens: Vec<u32>,
 }
 
 /// A control request from the router to an endpoint.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -12,6 +12,7 @@
 use berylknot_coordination::eject::Change;
 use berylknot_coordination::ending::Framing;
 use berylknot_coordination::forecast::{self, Forecast};
+use berylknot_coordination::prefix::Prefixes;
 use berylknot_coordination::trial::{Trials, Witness};
 use rand::Rng;
 use tokio::sync::{Mutex, Notify};
@@ -33,7 +34,7 @@
 use crate::mix::Mix;
 use crate::options::Options;
 use crate::orders::{self, Orders};
-use crate::parts::Parts;
+use crate::parts::{Part, Parts};
 use crate::places::Places;
 use crate::platform::{AnswerHead, Store};
 use crate::quota::{self, Class, Quotas};
@@ -89,6 +90,8 @@
     pub(crate) limits: RefCell<Limits>,
     /// Loads that endpoints of services with a pace state.
     pub(crate) forecast: RefCell<Forecast<Key, String>>,
+    /// Prompt parts that engines probably hold.
+    pub(crate) prefixes: RefCell<Prefixes<Key, Part>>,
     /// Endpoints that hosts have found silent.
     pub(crate) trials: RefCell<Trials<Key>>,
     /// Regions and evacuations.
@@ -185,6 +188,7 @@
             suspects: RefCell::default(),
             limits: RefCell::default(),
             forecast: RefCell::default(),
+            prefixes: RefCell::default(),
             trials: RefCell::default(),
             places: RefCell::new(places),
             denials: RefCell::default(),
@@ -390,6 +394,7 @@
                     return;
                 };
                 let mut health = self.health.borrow_mut();
+                self.prefixes.borrow_mut().remove(key);
                 if matches!(change, directory::Change::Started(_)) {
                     self.pool.close_idle(endpoint.address);
                     health.restarted(key);
@@ -417,6 +422,7 @@
                 self.saturation.borrow_mut().remove(key);
                 self.forecast.borrow_mut().remove(key);
                 self.trials.borrow_mut().remove(key);
+                self.prefixes.borrow_mut().remove(key);
             }
         }
     }
