Give customers their shares of the queue for engines where callers compete

Cause: the queue for engines went by priority and latest start alone, so a customer with a burst delayed all others. With start-time fair queuing (coordination::share, weighed by the customers' quotas) generations of one priority start in the order of their customers' shares; a generation keeps its turn over repeated queries, and a caller that repeats at once gets a later one.

The bound of 60 ms follows from the number of customers. Also: a decode engine reads a prompt itself only if it lacks less than a quarter of the reading.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -15,6 +15,7 @@
 use berylknot_coordination::clock::Instant;
 use berylknot_coordination::origin::{Listing, Progress};
 use berylknot_coordination::prefix;
+use berylknot_coordination::share::{Shares, Tag};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
@@ -171,6 +172,8 @@
 pub(crate) struct Waitlist {
     queue: Queue,
     entries: HashMap<Ticket, Entry>,
+    /// Shares of the customers, by request id.
+    shares: Shares<String, String>,
 }
 
 /// Queue entry: the task that waits for the generation, and the constraints on its engine.
@@ -188,6 +191,7 @@
         Self {
             queue: Queue::new(QUEUE_LIMIT),
             entries: HashMap::new(),
+            shares: Shares::default(),
         }
     }
 
@@ -201,12 +205,16 @@
     host: &'a Rc<Host<D, S>>,
     line: Line,
     ticket: Ticket,
+    request: String,
 }
 
 impl<D, S> Drop for QueueGuard<'_, D, S> {
     fn drop(&mut self) {
         if let Some(waitlist) = self.host.waitlists.borrow_mut().get_mut(&self.line) {
-            waitlist.queue.remove(self.ticket);
+            if let Some(waiter) = waitlist.queue.remove(self.ticket) {
+                let request = std::mem::take(&mut self.request);
+                waitlist.shares.park(now(), request, waiter.turn);
+            }
             waitlist.entries.remove(&self.ticket);
         }
     }
@@ -571,14 +579,13 @@
     if prompt.is_empty() || !query.prefill {
         return None;
     }
-    let gap = gap_target(host, &query.service);
     let directory = host.directory.borrow();
     let ready = directory.ready(&query.service);
     let decode = ready.filter(|(_, endpoint)| endpoint.stage == Some(Stage::Decode));
     let held = decode.map(|(key, _)| (held(host, now, key, prompt), key));
     let (most, key) = held.max_by_key(|(held, _)| *held)?;
     let missing = query.run.held.saturating_sub(most);
-    (most > 0 && backlog::fits_decode(missing, gap)).then_some(key)
+    backlog::is_nearly_held(missing, query.run.held).then_some(key)
 }
 
 async fn grant_or_queue<D: Dialect, S: Store>(
@@ -666,6 +673,27 @@
     }
 }
 
+/// Turn of a generation among those that wait, by the share of its customer; the same for all where customers do
+/// not share the queue.
+fn turn<D, S>(host: &Host<D, S>, waitlist: &mut Waitlist, query: &Query, now: Instant) -> Tag {
+    let Some(customer) = query.customer.as_deref() else {
+        return Tag::default();
+    };
+    if !host.options.features.competing_callers {
+        return Tag::default();
+    }
+    if waitlist.is_empty() {
+        waitlist.shares.clear();
+    }
+    let fleet = host.fleet.borrow();
+    let mut customers = fleet.iter().flat_map(|fleet| &fleet.customers);
+    let known = customers.find(|known| known.name == customer);
+    let weight = known.map_or(0.0, |customer| customer.rate as f64);
+    let cost = f64::from(query.run.held) + f64::from(query.run.left);
+    let customer = customer.to_owned();
+    waitlist.shares.tag(now, &query.id, customer, cost, weight)
+}
+
 /// Queues the generation and waits for a grant, until the long poll ends.
 async fn wait<D, S>(
     host: &Rc<Host<D, S>>,
@@ -676,6 +704,7 @@
     now: Instant,
 ) -> Result<(Key, Grant), Verdict> {
     let waiter = Waiter {
+        turn: Tag::default(),
         priority: query.priority,
         start_by: shifted(now, query.start_in_ms),
         hopeless_at: shifted(now, query.hopeless_in_ms),
@@ -685,6 +714,10 @@
     let ticket = {
         let mut waitlists = host.waitlists.borrow_mut();
         let waitlist = waitlists.entry(line.clone()).or_insert_with(Waitlist::new);
+        let waiter = Waiter {
+            turn: turn(host, waitlist, query, now),
+            ..waiter
+        };
         let ticket = waitlist
             .queue
             .push(now, waiter)
@@ -702,7 +735,12 @@
         waitlist.entries.insert(ticket, entry);
         ticket
     };
-    let _guard = QueueGuard { host, line, ticket };
+    let _guard = QueueGuard {
+        host,
+        line,
+        ticket,
+        request: query.id.clone(),
+    };
     host.capacity_freed.notify_one();
     let left = (now + LONG_POLL).since(self::now());
     match timeout(left, receiver).await {
@@ -832,10 +870,7 @@
         .run
         .held
         .saturating_sub(held(host, now, decode_key, prompt));
-    let reads_itself =
-        missing < query.run.held && backlog::fits_decode(missing, gap_target(host, &query.service));
-    if reads_itself {
-        // Nearly all of the prompt is there: shorter than a prefill elsewhere and the transfer of its result.
+    if backlog::is_nearly_held(missing, query.run.held) {
         return None;
     }
     let share = host.limit_share();
@@ -922,6 +957,7 @@
                 break;
             };
             waitlist.queue.start(now, ticket);
+            waitlist.shares.started(waiter.turn);
             let Some(entry) = waitlist.entries.remove(&ticket) else {
                 continue;
             };
--- a/crates/entry/src/backlog.rs
+++ b/crates/entry/src/backlog.rs
@@ -49,6 +49,16 @@
     decode_read_time(tokens) <= gap_target.mul_f64(MAX_GAP_SHARE)
 }
 
+/// Share of the time in which a prefill engine reads a whole prompt, up to which a decode engine reads the missing
+/// part of a prompt that it holds: the prefill elsewhere would have to be transferred as well.
+const MAX_MISSING_SHARE: f64 = 0.25;
+
+/// Whether a decode engine lacks so little of a prompt that it reads the rest itself.
+#[must_use]
+pub fn is_nearly_held(missing: u32, whole: u32) -> bool {
+    decode_read_time(missing) <= read_time(whole).mul_f64(MAX_MISSING_SHARE)
+}
+
 /// Estimated end of each prefill engine's backlog.
 #[derive(Debug, Default)]
 pub struct Backlogs {
--- a/crates/entry/src/waiting.rs
+++ b/crates/entry/src/waiting.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
+use berylknot_coordination::share::Tag;
 
 use crate::ledger::Run;
 
@@ -27,6 +28,8 @@
 /// A queued generation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Waiter {
+    /// Turn by the share of its customer, among those of its priority.
+    pub turn: Tag,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Latest start that meets the latency objective.
@@ -132,8 +135,8 @@
     }
 
     /// Removes a generation whose caller has disconnected.
-    pub fn remove(&mut self, ticket: Ticket) {
-        self.waiters.remove(&ticket);
+    pub fn remove(&mut self, ticket: Ticket) -> Option<Waiter> {
+        self.waiters.remove(&ticket)
     }
 
     /// Removes and returns the generations that can no longer finish before their deadline.
@@ -172,8 +175,9 @@
     }
 }
 
-/// Queue order: generations that can still meet their objective first, then by priority and latest
-/// start.
-fn rank(now: Instant, waiter: &Waiter) -> (bool, u8, Instant) {
-    (waiter.start_by < now, waiter.priority, waiter.start_by)
+/// Queue order: generations that can still meet their objective first, then by priority, the share of the
+/// customer and latest start.
+fn rank(now: Instant, waiter: &Waiter) -> (bool, u8, Tag, Instant) {
+    let is_late = waiter.start_by < now;
+    (is_late, waiter.priority, waiter.turn, waiter.start_by)
 }
--- a/crates/entry/tests/waiting.rs
+++ b/crates/entry/tests/waiting.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
+use berylknot_coordination::share::{Shares, Tag};
 use berylknot_entry::ledger::Run;
 use berylknot_entry::waiting::{Queue, Refusal, Waiter, max_fill};
 
@@ -17,6 +18,7 @@
 
 fn waiter(arrived: u64, priority: u8) -> Waiter {
     Waiter {
+        turn: Tag::default(),
         priority,
         start_by: at(arrived + OBJECTIVE_MS),
         hopeless_at: at(arrived + LATEST_START_MS),
@@ -229,3 +231,81 @@
     assert!(returned < begun / 2.0, "{returned} against {begun}");
     assert!(max_fill(None, false).is_infinite(), "first start");
 }
+
+/// A customer that sends ten times as much as the two others together, at engines that start one generation every
+/// 20 ms. Returns the longest wait of the others in milliseconds, and how many of their generations were served.
+fn play_hot_customer(shares_queue: bool) -> (u64, u32) {
+    let mut queue = Queue::new(1_024);
+    let mut shares: Shares<u32, u64> = Shares::default();
+    let mut waiting = Vec::new();
+    let (mut longest, mut served, mut number) = (0, 0, 0);
+    for millis in (0..4_000).step_by(2) {
+        // 250 a second of the hot customer, 12 of each of the others.
+        let others = millis % 80 == 0;
+        let arrivals = [(0, millis % 4 == 0), (1, others), (2, others)];
+        for (customer, arrives) in arrivals {
+            if !arrives {
+                continue;
+            }
+            number += 1;
+            let turn = if shares_queue {
+                shares.tag(at(millis), &number, customer, 5_000.0, 1_000.0)
+            } else {
+                Tag::default()
+            };
+            let waiter = Waiter {
+                turn,
+                priority: 0,
+                start_by: at(millis + 900),
+                hopeless_at: at(millis + 2_800),
+                run: Run::default(),
+            };
+            if let Ok(ticket) = queue.push(at(millis), waiter) {
+                waiting.push((ticket, customer, millis));
+            }
+        }
+        for expired in queue.expire(at(millis)) {
+            waiting.retain(|(ticket, ..)| *ticket != expired);
+        }
+        if millis % 20 == 0
+            && let Some((ticket, waiter, _)) = queue.first(at(millis))
+        {
+            queue.start(at(millis), ticket);
+            shares.started(waiter.turn);
+            let index = waiting.iter().position(|(known, ..)| *known == ticket);
+            let (_, customer, arrived) = waiting.remove(index.expect("it waits"));
+            if customer > 0 {
+                longest = longest.max(millis - arrived);
+                served += 1;
+            }
+        }
+    }
+    (longest, served)
+}
+
+/// In the order of arrival one customer with a burst delays all others until their callers leave.
+#[test]
+fn a_customer_with_a_burst_delays_itself_and_not_the_others() {
+    let (wait, served) = play_hot_customer(true);
+    let (wait_before, served_before) = play_hot_customer(false);
+    println!(
+        "others: {served} served within {wait} ms; in order of arrival {served_before} within {wait_before} ms"
+    );
+    // One generation of each other customer that came before, and the one that starts: bound 3 x 20 ms.
+    assert!(wait <= 60, "{wait} ms");
+    assert_eq!(served, 100, "all of them");
+    assert!(served_before < served && wait_before > 500);
+}
+
+/// A query is repeated after each long poll, and a caller that repeats at once would gain a place with a new turn.
+#[test]
+fn a_generation_that_asks_again_keeps_its_turn() {
+    let mut shares: Shares<u32, u64> = Shares::default();
+    let first = shares.tag(at(0), &1, 7, 5_000.0, 1_000.0);
+    let second = shares.tag(at(0), &2, 7, 5_000.0, 1_000.0);
+    assert!(first < second);
+    shares.park(at(350), 1, first);
+    assert_eq!(shares.tag(at(360), &1, 7, 5_000.0, 1_000.0), first);
+    // A new request of the same caller comes after those that wait.
+    assert!(shares.tag(at(360), &3, 7, 5_000.0, 1_000.0) > second);
+}
