Tell peers only of cold endpoints that an entry or an answer of their own named

Cause, found by reading: each host repeated what peers said of cold endpoints, and added the delay of the report, so endpoints could stay cold for as long as reports are late; and each new configuration took the cold time of entries that hosts behind a reader had read long ago. what_a_peer_says_of_a_cold_endpoint_is_not_repeated fails with the repetition. Only deployments whose services have a cold rate are affected.

--- a/crates/entry/src/extension.rs
+++ b/crates/entry/src/extension.rs
@@ -13,7 +13,7 @@
 use berylknot_coordination::forecast;
 use serde::{Deserialize, Serialize};
 
-use crate::state::{Host, now};
+use crate::state::{ColdSource, Host, now};
 
 /// Most loads in a report: those of the endpoints that answered last.
 const MAX_LOADS: usize = 16;
@@ -58,7 +58,7 @@
 pub struct Extension {
     /// Evacuated data centres, once any was seen.
     pub evacuations: Option<Notice>,
-    /// Endpoints that are cold.
+    /// Endpoints that have told the sender that they are cold.
     pub cold: Vec<Cold>,
     /// Loads that endpoints have stated to the sender.
     pub loads: Vec<Load>,
@@ -106,7 +106,7 @@
         })
     });
     let limits = host.limits.borrow();
-    let cold = limits.cold(now).map(|(endpoint, left)| Cold {
+    let cold = limits.told_cold(now).map(|(endpoint, left)| Cold {
         endpoint: endpoint.to_owned(),
         left_ms: left.as_millis() as u64,
     });
@@ -133,7 +133,7 @@
         let known = host.directory.borrow().find(&cold.endpoint);
         if let Some((_, endpoint)) = known {
             let left = Duration::from_millis(cold.left_ms).min(MAX_COLD_TIME);
-            host.note_cold(&endpoint, left, "peer");
+            host.note_cold(&endpoint, left, ColdSource::Peer);
         }
     }
     let directory = host.directory.borrow();
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -16,7 +16,7 @@
 use crate::platform::{Dialect, Error, Feed, Result, Store};
 use crate::readers::{Change, Changes};
 use crate::records;
-use crate::state::{Host, jitter, now};
+use crate::state::{ColdSource, Host, jitter, now};
 use crate::versions;
 
 /// Longest wait of a poll at a host whose reader tells it of new configurations as well.
@@ -74,7 +74,8 @@
                 }
                 left => left,
             };
-            let is_chilled = left.is_some_and(|left| host.note_cold(&endpoint, left, "entry"));
+            let is_chilled =
+                left.is_some_and(|left| host.note_cold(&endpoint, left, ColdSource::Entry));
             host.entries.borrow_mut().insert(id, value);
             was_expiring || is_chilled || change != directory::Change::None
         }
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -69,8 +69,18 @@
     own: bool,
     tokens: f64,
     refilled_at: Instant,
-    /// Requests a second that the endpoint tolerates while it is cold, and the end of that time.
-    cold: Option<(f64, Instant)>,
+    cold: Option<Cold>,
+}
+
+/// Coldness of an endpoint.
+#[derive(Clone, Copy, Debug)]
+struct Cold {
+    /// Requests a second that the endpoint tolerates meanwhile.
+    rate: f64,
+    until: Instant,
+    /// End that the endpoint has told this host. Only that is told to peers: hosts that repeated each other's
+    /// word would add the delay of each report to it.
+    told_until: Option<Instant>,
 }
 
 impl Known {
@@ -87,7 +97,7 @@
 
     /// The limit in force: what the endpoint states, or what it tolerates while it is cold.
     fn limit(&self) -> Option<f64> {
-        let cold = self.cold.map(|(rate, _)| rate * COLD_SHARE);
+        let cold = self.cold.map(|cold| cold.rate * COLD_SHARE);
         match (self.rate, cold) {
             (Some(rate), Some(cold)) => Some(rate.min(cold)),
             (rate, cold) => rate.or(cold),
@@ -165,17 +175,30 @@
     }
 
     /// Records that an endpoint which tolerates `rate` requests a second is cold for `left`; an earlier end is
-    /// ignored, since entries are late. Returns whether it was not known to be cold.
-    pub fn chill(&mut self, now: Instant, endpoint: &str, rate: f64, left: Duration) -> bool {
+    /// ignored, since entries are late. `is_own` is whether the endpoint has told this host and not a peer. Returns
+    /// whether it was not known to be cold.
+    pub fn chill(
+        &mut self,
+        now: Instant,
+        endpoint: &str,
+        rate: f64,
+        left: Duration,
+        is_own: bool,
+    ) -> bool {
         if left.is_zero() || !rate.is_finite() || rate <= 0.0 {
             return false;
         }
         let known = self.known.entry(endpoint.to_owned());
         let known = known.or_insert_with(|| Known::new(now, None, Instant::default(), false));
         let until = now + left;
-        let was_cold = known.cold.is_some_and(|(_, until)| until > now);
-        let known_until = known.cold.map_or(until, |(_, known)| known.max(until));
-        known.cold = Some((rate, known_until));
+        let before = known.cold.filter(|cold| cold.until > now);
+        let was_cold = before.is_some();
+        let told_before = before.and_then(|cold| cold.told_until);
+        known.cold = Some(Cold {
+            rate,
+            until: before.map_or(until, |cold| cold.until.max(until)),
+            told_until: told_before.max(is_own.then_some(until)),
+        });
         if !was_cold {
             known.tokens = known.tokens.min(0.0);
             known.refilled_at = now;
@@ -183,10 +206,10 @@
         !was_cold
     }
 
-    /// Endpoints that are cold, and the time left.
-    pub fn cold(&self, now: Instant) -> impl Iterator<Item = (&str, Duration)> {
+    /// Endpoints that have told this host that they are cold, and the time left.
+    pub fn told_cold(&self, now: Instant) -> impl Iterator<Item = (&str, Duration)> {
         self.known.iter().filter_map(move |(endpoint, known)| {
-            let (_, until) = known.cold.filter(|(_, until)| *until > now)?;
+            let until = known.cold?.told_until.filter(|until| *until > now)?;
             Some((endpoint.as_str(), until.since(now)))
         })
     }
@@ -195,7 +218,7 @@
     #[must_use]
     pub fn is_cold(&self, now: Instant, endpoint: &str) -> bool {
         let cold = self.known.get(endpoint).and_then(|known| known.cold);
-        cold.is_some_and(|(_, until)| until > now)
+        cold.is_some_and(|cold| cold.until > now)
     }
 
     /// The limit of an endpoint, if it has one.
@@ -270,7 +293,7 @@
     /// Forgets the endpoints for which `is_known` does not hold, and the limits that ended long ago.
     pub fn expire(&mut self, now: Instant, is_known: impl Fn(&str) -> bool) {
         self.known.retain(|endpoint, known| {
-            known.cold = known.cold.filter(|(_, until)| *until > now);
+            known.cold = known.cold.filter(|cold| cold.until > now);
             let is_due = known.limit().is_some() || now.since(known.heard_at) < REPORT_DURATION;
             is_due && is_known(endpoint)
         });
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -55,6 +55,14 @@
 /// 5.7).
 const MAX_CONFIGURATION_AGE: Duration = Duration::from_secs(10);
 
+/// Where this host has learned that an endpoint is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ColdSource {
+    Entry,
+    Answer,
+    Peer,
+}
+
 /// Grant number of a reservation without a grant of a leader.
 pub(crate) const NO_GRANT: Grant = 0;
 
@@ -330,11 +338,14 @@
         tracing::info!(version = fleet.version, before = known, "config: in force");
         *self.fleet.borrow_mut() = Some(Rc::new(fleet));
         *self.document.borrow_mut() = document;
-        // What cold endpoints tolerate may not have been known when their entries came.
-        let directory = self.directory.borrow();
-        for (_, endpoint) in directory.iter() {
-            if let Some(left) = endpoint.cold {
-                self.note_cold(endpoint, left, "configuration");
+        if known.is_none() {
+            // What cold endpoints tolerate was not known when their entries came. Later the entries may be old:
+            // readers do not pass on heartbeats.
+            let directory = self.directory.borrow();
+            for (_, endpoint) in directory.iter() {
+                if let Some(left) = endpoint.cold {
+                    self.note_cold(endpoint, left, ColdSource::Entry);
+                }
             }
         }
         true
@@ -428,11 +439,17 @@
     }
 
     /// Records that an endpoint stays cold for `left`. Returns whether it was not known to be cold.
-    pub(crate) fn note_cold(&self, endpoint: &Endpoint, left: Duration, source: &str) -> bool {
+    pub(crate) fn note_cold(
+        &self,
+        endpoint: &Endpoint,
+        left: Duration,
+        source: ColdSource,
+    ) -> bool {
         let rate = self.service(&endpoint.service, |service| service.cold_rate);
         let rate = rate.unwrap_or_default();
         let mut limits = self.limits.borrow_mut();
-        if !limits.chill(now(), &endpoint.id, rate, left) {
+        let is_own = source != ColdSource::Peer;
+        if !limits.chill(now(), &endpoint.id, rate, left, is_own) {
             return false;
         }
         self.metrics.cold.inc();
@@ -441,7 +458,7 @@
             service = endpoint.service,
             left_ms = left.as_millis() as u64,
             tolerated_per_s = rate,
-            source,
+            ?source,
             "cold: endpoint gets few requests"
         );
         true
@@ -667,7 +684,8 @@
         }
         if let Some(left) = answer.cold {
             let endpoint = self.directory.borrow().get(key).cloned();
-            let is_new = endpoint.is_some_and(|endpoint| self.note_cold(&endpoint, left, "answer"));
+            let is_new = endpoint
+                .is_some_and(|endpoint| self.note_cold(&endpoint, left, ColdSource::Answer));
             if is_new {
                 self.report_findings();
             }
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -241,7 +241,13 @@
     for millis in 0..20_000 {
         for limits in &mut limits {
             // The endpoint says so again and again, and becomes cold anew after 10 s.
-            limits.chill(at(millis), ENDPOINT, TOLERATED, Duration::from_secs(3));
+            limits.chill(
+                at(millis),
+                ENDPOINT,
+                TOLERATED,
+                Duration::from_secs(3),
+                true,
+            );
             if limits.take(at(millis), ENDPOINT, 1.0).is_ok() {
                 arrivals.push(millis + random.random_range(0..=delay_ms));
             }
@@ -269,23 +275,23 @@
 #[test]
 fn an_endpoint_is_cold_until_the_latest_end_that_was_stated() {
     let mut limits = Limits::default();
-    assert!(limits.chill(at(0), ENDPOINT, TOLERATED, Duration::from_secs(3)));
+    assert!(limits.chill(at(0), ENDPOINT, TOLERATED, Duration::from_secs(3), true));
     // An entry that was written before says less.
-    assert!(!limits.chill(at(100), ENDPOINT, TOLERATED, Duration::from_secs(1)));
+    assert!(!limits.chill(at(100), ENDPOINT, TOLERATED, Duration::from_secs(1), true));
     assert!(limits.is_cold(at(2_900), ENDPOINT) && !limits.is_cold(at(3_000), ENDPOINT));
     limits.expire(at(3_000), |_| true);
     assert_eq!(limits.rate(ENDPOINT), None);
     // It may become cold again at any moment.
-    assert!(limits.chill(at(9_000), ENDPOINT, TOLERATED, Duration::from_secs(3)));
+    assert!(limits.chill(at(9_000), ENDPOINT, TOLERATED, Duration::from_secs(3), true));
 }
 
 #[test]
 fn a_service_whose_endpoints_are_never_cold_limits_nothing() {
     let mut limits = Limits::default();
     for rate in [0.0, -1.0, f64::NAN, f64::INFINITY] {
-        assert!(!limits.chill(at(0), ENDPOINT, rate, Duration::from_secs(3)));
+        assert!(!limits.chill(at(0), ENDPOINT, rate, Duration::from_secs(3), true));
     }
-    assert!(!limits.chill(at(0), ENDPOINT, TOLERATED, Duration::ZERO));
+    assert!(!limits.chill(at(0), ENDPOINT, TOLERATED, Duration::ZERO, true));
     assert!(limits.is_empty());
 }
 
@@ -293,8 +299,33 @@
 fn a_stated_limit_below_what_a_cold_endpoint_tolerates_stays_in_force() {
     let mut limits = Limits::default();
     limits.heard(at(0), ENDPOINT, Some(2.0), at(0));
-    limits.chill(at(0), ENDPOINT, TOLERATED, Duration::from_secs(3));
+    limits.chill(at(0), ENDPOINT, TOLERATED, Duration::from_secs(3), true);
     assert_eq!(limits.rate(ENDPOINT), Some(2.0));
     limits.heard(at(10), ENDPOINT, None, at(5));
     assert!(limits.rate(ENDPOINT).is_some_and(|rate| rate > 2.0));
 }
+
+/// Hosts that repeated each other's word would add the delay of each report to it, and an endpoint would stay cold
+/// for as long as reports are late.
+#[test]
+fn what_a_peer_says_of_a_cold_endpoint_is_not_repeated() {
+    let mut hosts = [Limits::default(), Limits::default()];
+    hosts[0].chill(at(0), ENDPOINT, TOLERATED, Duration::from_secs(1), true);
+    for millis in (0..3_000).step_by(300) {
+        for (from, to) in [(0, 1), (1, 0)] {
+            let told: Vec<Duration> = hosts[from]
+                .told_cold(at(millis))
+                .map(|(_, left)| left)
+                .collect();
+            for left in told {
+                let arrived = at(millis + 250);
+                hosts[to].chill(arrived, ENDPOINT, TOLERATED, left, false);
+            }
+        }
+    }
+    assert!(
+        hosts
+            .iter()
+            .all(|limits| !limits.is_cold(at(1_300), ENDPOINT))
+    );
+}
