Refuse calls at arrival only where their callers would have left

Cause: calls that would be late at every endpoint were refused. Now a call is refused only when the earliest end comes near the time at which its caller leaves; calls still go where they end first.

--- a/crates/coordination/src/forecast.rs
+++ b/crates/coordination/src/forecast.rs
@@ -1,9 +1,9 @@
 //! Forecast of the time in which an endpoint answers a call, from the load that it states.
 //!
 //! The load is a burst of calls at endpoints whose machines run at different and changing speeds. Endpoints
-//! take a call until their queue is full, so without a forecast every call waits for as long as the slowest
-//! queue is, and all of them are late. With it calls go where they end first, and the part that would be late
-//! everywhere is refused at arrival, so that the rest is in time.
+//! take a call until their queue is full, so without a forecast calls wait for as long as the slowest queue is.
+//! With it calls go where they end first, and the part that would end too late everywhere is refused at arrival,
+//! so that the rest is not.
 
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -22,9 +22,9 @@
 const MAX_REQUESTS: u32 = 100_000;
 /// Weight of a new answer in the moving average of the usual time.
 const AVERAGE_WEIGHT: f64 = 1.0 / 16.0;
-/// Share of the objective up to which a call is always admitted, and that from which none is. In between, the
-/// share of admitted calls falls, so that hosts with the same picture do not all refuse at once, and queues
-/// settle below the objective whatever the excess is.
+/// Share of the time for which a call is useful up to which it is always admitted, and that from which none is. In
+/// between, the share of admitted calls falls, so that hosts with the same picture do not all refuse at once, and
+/// queues settle below that time whatever the excess is.
 const ADMISSION_RANGE: (f64, f64) = (0.45, 0.9);
 
 /// Load that an endpoint states.
@@ -190,13 +190,13 @@
     usual.as_secs_f64() * 1_000.0 * (-draw.ln()).ln()
 }
 
-/// Share of the calls that are admitted where the earliest end is `end`, and that are useful until
-/// `objective`. `precedence` moves the bounds: 0 for the most urgent calls, up to 1 for the least urgent ones.
+/// Share of the calls that are admitted where the earliest end is `end`, and that are useful for
+/// `useful`. `precedence` moves the bounds: 0 for the most urgent calls, up to 1 for the least urgent ones.
 #[must_use]
-pub fn admitted_share(end: Duration, objective: Duration, precedence: f64) -> f64 {
+pub fn admitted_share(end: Duration, useful: Duration, precedence: f64) -> f64 {
     let (all, none) = ADMISSION_RANGE;
     let shift = precedence.clamp(0.0, 1.0) * (none - all) / 2.0;
     let (all, none) = (all - shift, none - shift);
-    let position = end.as_secs_f64() / objective.as_secs_f64().max(0.001);
+    let position = end.as_secs_f64() / useful.as_secs_f64().max(0.001);
     ((none - position) / (none - all)).clamp(0.0, 1.0)
 }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -267,27 +267,28 @@
     choose(host, call, tried, false).ok_or(Unavailable::Limited(wait))
 }
 
-/// Whether a call is refused at arrival, since it would be late at every endpoint: the time by which it would be.
-/// Endpoints that do not state their pace are taken to have room.
+/// Whether a call is refused at arrival, since every endpoint would answer it only when its caller is about to
+/// leave: the time by which it would be too late. A call that is merely late is served, since its caller gains
+/// nothing by returning. Endpoints that do not state their load are taken to have room.
 fn excess<D, S>(host: &Host<D, S>, call: &Call) -> Option<Duration> {
     let now = now();
     let usual = host.forecast.borrow().usual(&call.service)?;
     let earliest = earliest_end(host, call, now, usual)?;
-    let objective = call.route().latency_target;
+    let left = call.deadline().since(now);
     let precedence = precedence(call);
-    if jitter(1.0) < admitted_share(earliest, objective, precedence) {
+    if jitter(1.0) < admitted_share(earliest, left, precedence) {
         return None;
     }
     tracing::info!(
         id = call.head.id,
         service = call.service,
         earliest_ms = earliest.as_millis() as u64,
-        objective_ms = objective.as_millis() as u64,
+        left_ms = left.as_millis() as u64,
         usual_ms = usual.as_millis() as u64,
         precedence,
-        "call: refused at arrival; it would be late at every endpoint"
+        "call: refused at arrival; no endpoint would answer it before its caller leaves"
     );
-    Some(earliest.saturating_sub(objective))
+    Some(earliest.saturating_sub(left))
 }
 
 /// Earliest time in which an endpoint would answer a call; `None` if one does not state its load.
