--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -66,8 +66,8 @@
 /// Behaviour that not every deployment calls for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Features {
-    /// Callers compete for too little room at times: calls that would be late everywhere are refused at arrival
-    /// also where endpoints state no pace, and customers share the queue for engines.
+    /// Callers compete for too little room at times: the end of calls is forecast also where endpoints state no
+    /// pace, prompts go to engines that hold them, and customers share the queue for engines.
     pub competing_callers: bool,
 }
 
