--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -113,8 +113,7 @@
     pub(crate) part: Option<Part>,
 }
 
-/// What follows a [`Query`] in the same body. Builds up to 8a62be6 read the query and leave it, and it is left out
-/// where it is of no use.
+/// What follows a [`Query`] in the same body, unless it is empty. Builds up to 8a62be6 read the query and leave it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub(crate) struct Supplement {
--- a/crates/entry/src/extension.rs
+++ b/crates/entry/src/extension.rs
@@ -19,7 +19,7 @@
 const MAX_LOADS: usize = 16;
 /// Most cold endpoints in a report.
 const MAX_COLD: usize = 64;
-/// Age up to which loads are reported: the forecast has forgotten half of them by then.
+/// Age up to which loads are reported: the forecast counts an eighth of them by then.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(800);
 /// Longest time for which an endpoint is taken for cold on a peer's word.
 const MAX_COLD_TIME: Duration = Duration::from_secs(600);
