--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,36 +13,13 @@
 EVENTS = 24
 GAP_S = 0.1
 
-CONFIGURATION = {
-    "version": 3,
-    "routes": [
-        {
-            "name": "draft", "host": "h.example", "pathPrefix": "/draft/", "kind": "streaming",
-            "timeoutMs": 14000, "targetLatencyMs": 900, "gapTargetMs": 300, "priority": 1,
-            "service": "writers", "maxAttempts": 2, "public": False, "sticky": True, "resumable": True,
-        }
-    ],
-    "services": [
-        {
-            "name": "writers", "healthPath": "/healthz", "maxConnections": 150, "protocol": "h1", "tls": False,
-            "engine": {
-                "slots": 12, "kvCapacity": 135015, "kvTokenBytes": 18432, "linkMbps": 2200000.0, "stride": 1,
-                "most": 12, "kvHoldS": 0.5, "roleSwitchS": 6.0, "models": [{"name": "m"}],
-            },
-        }
-    ],
-    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-    "tenants": [
-        {"name": "t", "apiKeys": ["k1"], "priority": 1, "unit": "token_stream", "plainTokens": 200,
-         "ratePerS": 200000, "burst": 200000}
-    ],
-}
+CONFIGURATION = kit.streams_configuration()
 
 
 async def engine(server, request, writer, reader):
     """Generates a stream that ends with its channel; the same request may go on after an event."""
     if request.get("stage") == "prefill":
-        writer.write(server.whole(request, "200 OK", b'{"kvHandle":"%x","tokens":1000,"version":1}' % len(server.received)))
+        writer.write(kit.prefilled(server, request))
         await writer.drain()
         return None
     after = int(request.get("last-event-id", "0"))
@@ -56,31 +33,9 @@
     return False
 
 
-def generation(number):
-    return (
-        f"POST /draft/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {number:016x}\r\nModel: m\r\n"
-        f"Token-Count: 1000,{EVENTS}\r\nPrefix-Hash: aa:200,{number:x}:800\r\nDeadline-Ms: 14000\r\n"
-        f"Authorization: Bearer k1\r\nContent-Length: 0\r\n\r\n"
-    ).encode()
-
-
 async def caller(deployment, number):
     """Returns whether the answer was whole."""
-    host = deployment.hosts[0]
-    reader, writer = await asyncio.open_connection(host.ip, host.callers)
-    writer.write(generation(number))
-    deployment.record(f"caller sends {number:016x}")
-    try:
-        status, _, body = await kit.read_answer(reader)
-        events = body.count(b"id: ")
-        deployment.record(f"caller got {number:016x}: {status}, {events} events, whole answer")
-        return status == 200 and events == EVENTS
-    except (asyncio.IncompleteReadError, ConnectionError) as error:
-        rest = getattr(error, "partial", b"")
-        deployment.record(f"caller got {number:016x}: channel ended without the end of the answer, {error!r:.60}")
-        return False
-    finally:
-        writer.close()
+    return await kit.stream(deployment, number, EVENTS) == (EVENTS, True)
 
 
 async def main(deployment):
@@ -89,8 +44,7 @@
     warm = await caller(deployment, 0x1000)
     if not warm:
         raise RuntimeError("the first stream was not served")
-    if kit.TROUBLE:
-        deployment.hosts[0].signal(signal.SIGHUP)
+    deployment.hosts[0].signal(signal.SIGHUP)
     streams = [asyncio.ensure_future(caller(deployment, 0x2000 + number)) for number in range(STREAMS)]
     await asyncio.sleep(0.5)
     if kit.TROUBLE:
--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -524,6 +524,70 @@
     return status, headers, await read_body(reader, headers)
 
 
+def streams_configuration(target_ms=900, gap_ms=300):
+    """The configuration of a deployment with one service of engines and one resumable route."""
+    route = {
+        "name": "draft", "host": "h.example", "pathPrefix": "/draft/", "kind": "streaming",
+        "timeoutMs": 14000, "targetLatencyMs": target_ms, "gapTargetMs": gap_ms, "priority": 1,
+        "service": "writers", "maxAttempts": 2, "public": False, "sticky": True, "resumable": True,
+    }
+    engine = {
+        "slots": 12, "kvCapacity": 135015, "kvTokenBytes": 18432, "linkMbps": 2200000.0, "stride": 1,
+        "most": 12, "kvHoldS": 0.5, "roleSwitchS": 6.0, "models": [{"name": "m"}],
+    }
+    service = {
+        "name": "writers", "healthPath": "/healthz", "maxConnections": 150, "protocol": "h1", "tls": False,
+        "engine": engine,
+    }
+    return configuration(route, service, rate=200000)
+
+
+def configuration(route, service, rate=0):
+    """A configuration with one route, one service and one tenant."""
+    return {
+        "version": 3,
+        "routes": [route],
+        "services": [service],
+        "limits": {
+            "maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
+        },
+        "tenants": [
+            {"name": "t", "apiKeys": ["k1"], "priority": 1, "unit": "token_stream", "plainTokens": 200,
+             "ratePerS": rate, "burst": rate}
+        ],
+    }
+
+
+def prefilled(server, request):
+    """The answer of an engine that has read a prompt."""
+    return server.whole(request, "200 OK", b'{"kvHandle":"%x","tokens":1000,"version":1}' % len(server.received))
+
+
+async def stream(deployment, number, events):
+    """Sends a generation to the first host; returns how many events came, and whether the answer looks complete."""
+    host = deployment.hosts[0]
+    reader, writer = await asyncio.open_connection(host.ip, host.callers)
+    name = f"{number:016x}"
+    writer.write(
+        (
+            f"POST /draft/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {name}\r\nModel: m\r\n"
+            f"Token-Count: 1000,{events}\r\nPrefix-Hash: aa:200,{number:x}:800\r\nDeadline-Ms: 14000\r\n"
+            f"Authorization: Bearer k1\r\nContent-Length: 0\r\n\r\n"
+        ).encode()
+    )
+    deployment.record(f"caller sends {name}")
+    try:
+        status, _, body = await read_answer(reader)
+        came, complete = body.count(b"id: "), status == 200
+        deployment.record(f"caller got {name}: {status}, {came} events, whole answer")
+    except (asyncio.IncompleteReadError, ConnectionError) as error:
+        came, complete = getattr(error, "partial", b"").count(b"id: "), False
+        deployment.record(f"caller got {name}: {came} events, channel ended without the end of the answer")
+    finally:
+        writer.close()
+    return came, complete
+
+
 def run(case, main):
     """Runs a case; exits with 2 if it could not run."""
 
