Name the check that keeps a host from asking an engine for the rest of a stream

Cause: a stream with neither a length nor chunks whose engine was not asked for the rest left `stream: broken` with the reason `unproven end` only, so the logs could not tell a leaving engine from one that pauses, limits its requests, has restarted, is gone from the directory, or whose entries are late.

Change: `stream: engine not asked for the rest` with the reason. No decision changes.

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -15,7 +15,7 @@
     Acquired, DEFAULT_TOKENS, Decoded, Demand, KvSource, MAX_SENDS, Tried, acquire, decode,
     expected_tokens, head_timeout, hopeless_at, is_ready,
 };
-use crate::directory::Endpoint;
+use crate::directory::{Endpoint, State};
 use crate::events::{MAX_EVENT_BYTES, SMALL_BYTES, Splitter};
 use crate::health::Suspicion;
 use crate::http::Exchange;
@@ -412,7 +412,18 @@
     events: &Splitter,
 ) -> Result<Conclusion, Cut> {
     let mut step = ending.ended(run.exchange.framing(), events.count());
-    if step == Step::AskForRest && may_ask(host, run) {
+    let bar = bar(host, run);
+    if let (Step::AskForRest, Some(reason)) = (step, bar) {
+        tracing::info!(
+            id = call.head.id,
+            endpoint = run.endpoint.id,
+            version = run.endpoint.version,
+            after_event = events.last(),
+            reason,
+            "stream: engine not asked for the rest"
+        );
+    }
+    if step == Step::AskForRest && bar.is_none() {
         if host.may_retry(call) {
             host.metrics.retry("unproven_end");
             if ask_for_rest(host, call, run, events.last()).await {
@@ -444,15 +455,30 @@
     Ok(Conclusion::Broken(UNPROVEN_END))
 }
 
-/// Whether the engine of a stream may get another request without the leader: it is the same start, has not
-/// told that it leaves or wants a pause, and does not limit its requests.
-fn may_ask<D, S>(host: &Host<D, S>, run: &Running<D, S>) -> bool {
+/// Why the engine of a stream may not get another request without the leader, if so.
+fn bar<D, S>(host: &Host<D, S>, run: &Running<D, S>) -> Option<&'static str> {
     let key = run.reservation.key;
     let directory = host.directory.borrow();
-    let known = directory.get(key);
-    is_ready(host, key)
-        && known.is_some_and(|known| known.incarnation == run.endpoint.incarnation)
-        && host.limits.borrow().rate(&run.endpoint.id).is_none()
+    let Some(known) = directory.get(key) else {
+        return Some("gone");
+    };
+    if known.incarnation != run.endpoint.incarnation {
+        return Some("restarted");
+    }
+    if known.state != State::Ready {
+        return Some("draining");
+    }
+    if host.is_directory_expired(now()) {
+        return Some("entries late");
+    }
+    if !host.admits(key) {
+        return Some("leaving or paused");
+    }
+    if !host.is_open(known) {
+        return Some("evacuated");
+    }
+    let is_limited = host.limits.borrow().rate(&run.endpoint.id).is_some();
+    is_limited.then_some("limited")
 }
 
 /// Asks the engine of a stream to go on after its last event, in the place that the stream has there.
