Do not cut whole streams of engines that cannot be asked for the rest

Cause: such an end is proved by a question to the engine. `may_ask` let any state of the engine forbid the question (its entry says that it leaves or is gone, a pause it asked for, a limit, an evacuated data centre), and an end without a question counted as broken. Only a used-up retry budget was handled otherwise.

Change: `ending::Access` says when the question may be put. It waits for the end of a pause, for entries that are late, and for a permit where the engine limits its requests (the leader gives none while generations wait), as long as the caller stays; a leaving engine is asked within the drain time of the last read in which its entry was ready. Then another engine of the version is asked, as before. If none takes the stream the end is believed unless the engine accepts no connection, has started again, failed to answer the question, or broke off this stream or another one in the last 30 s (`ending::Breaks`). The last also holds where the retry budget is used up.

Bounds that do hold have tests of their own: no question during a long pause, after the drain time, or in an evacuated data centre.

What hosts tell each other is unchanged. Not covered: a leaving engine that exits at the very end of its last stream looks like one that dies and is cut (docs/QUESTIONS.md).

--- a/crates/coordination/src/ending.rs
+++ b/crates/coordination/src/ending.rs
@@ -5,9 +5,24 @@
 //! complete only if its endpoint still accepts connections; a resumable stream, only once an endpoint that
 //! was asked for the rest has sent none.
 //!
+//! An endpoint that leaves, pauses, limits its requests or is closed to new ones may get no question, or only
+//! a later one. If no endpoint of its version can be asked before the caller gives up, the end is believed
+//! unless something speaks against it: cutting such streams loses whole ones, of which sound endpoints send
+//! far more than broken ones.
+//!
 //! Three faults are not noticed: an endpoint that lives and breaks off an answer that is not resumable, one
-//! that breaks off a stream and then the rest of it before the first event, and one that breaks off a stream
-//! for the first time while the retry budget allows no question.
+//! that breaks off a stream and then the rest of it before the first event, and one that is not known to
+//! break answers off and does so while no endpoint can be asked.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::time::Duration;
+
+use crate::clock::Instant;
+
+/// Time for which an endpoint that broke an answer off is not believed without a proof. An endpoint that
+/// breaks off one answer in a hundred is found again within this time from some requests a second on.
+const BREAK_MEMORY: Duration = Duration::from_secs(30);
 
 /// What marks the end of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -84,6 +99,19 @@
         }
     }
 
+    /// Whether the end may be believed without a proof, if the endpoint still accepts connections and no other
+    /// one can be asked.
+    #[must_use]
+    pub fn is_credible(&self, reason: Unproven) -> bool {
+        !self.has_broken_off && !reason.speaks_against()
+    }
+
+    /// Whether the present endpoint was asked for the rest, so that events from it show that it broke off.
+    #[must_use]
+    pub const fn is_asked(&self) -> bool {
+        self.is_asked
+    }
+
     /// Records that the present endpoint cannot prove the end, so that another one is asked for the rest.
     pub const fn unproven(&mut self) {
         self.is_asked = false;
@@ -95,3 +123,170 @@
         self.is_asked = false;
     }
 }
+
+/// Why an endpoint has not proved the end of its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Unproven {
+    /// It has started again, so the answer may have ended with the earlier process.
+    Restarted,
+    /// Its entry is gone: it leaves, or has left.
+    Gone,
+    /// It leaves and takes no further request.
+    Leaving,
+    /// Its entry is too old for new requests.
+    EntryLate,
+    /// Nothing new goes to its data centre.
+    Evacuated,
+    /// It has asked for a pause.
+    Paused,
+    /// It limits its requests, and others have used the limit up.
+    Limited,
+    /// The retry budget is used up.
+    Budget,
+    /// It refused the question as not run.
+    Refused,
+    /// The question brought no answer, or an error.
+    NoAnswer,
+}
+
+impl Unproven {
+    /// Name for logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Restarted => "restarted",
+            Self::Gone => "gone",
+            Self::Leaving => "leaving",
+            Self::EntryLate => "entry late",
+            Self::Evacuated => "evacuated",
+            Self::Paused => "paused",
+            Self::Limited => "limited",
+            Self::Budget => "budget",
+            Self::Refused => "refused",
+            Self::NoAnswer => "no answer",
+        }
+    }
+
+    /// Whether it is evidence that the answer was broken off.
+    const fn speaks_against(self) -> bool {
+        matches!(self, Self::Restarted | Self::NoAnswer)
+    }
+}
+
+/// Entry of an endpoint at the end of its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Entry {
+    /// That of the start which sent the answer.
+    Same,
+    /// That of a later start, or of another endpoint at the address.
+    Replaced,
+    /// There is none.
+    Gone,
+}
+
+/// What bears on a question for the rest of an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Access {
+    /// Entry of the endpoint.
+    pub entry: Entry,
+    /// Time left to send it requests; `None` if it does not leave.
+    pub leaves_in: Option<Duration>,
+    /// Time until its entry is read again; `None` if it is recent enough for new requests.
+    pub entry_due_in: Option<Duration>,
+    /// Whether new requests may go to its data centre.
+    pub is_open: bool,
+    /// Time left of the pause that it has asked for.
+    pub pause_left: Option<Duration>,
+    /// Whether it limits its requests.
+    pub is_limited: bool,
+}
+
+/// When an endpoint may be asked for the rest of its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Question {
+    /// Now.
+    Ask,
+    /// Now, with a permit for one of its limited requests.
+    AskWithPermit,
+    /// Perhaps after this time.
+    Wait(Duration, Unproven),
+    /// Not at all.
+    Skip(Unproven),
+}
+
+impl Question {
+    /// The question if the caller of the answer stays for `patience`.
+    #[must_use]
+    pub fn within(self, patience: Duration) -> Self {
+        match self {
+            Self::Wait(wait, reason) if wait > patience => Self::Skip(reason),
+            question => question,
+        }
+    }
+}
+
+impl Access {
+    /// When the endpoint may be asked.
+    #[must_use]
+    pub fn question(&self) -> Question {
+        match self.entry {
+            Entry::Same => {}
+            Entry::Replaced => return Question::Skip(Unproven::Restarted),
+            Entry::Gone => return Question::Skip(Unproven::Gone),
+        }
+        if !self.is_open {
+            return Question::Skip(Unproven::Evacuated);
+        }
+        if self.leaves_in.is_some_and(|left| left.is_zero()) {
+            return Question::Skip(Unproven::Leaving);
+        }
+        if let Some(wait) = self.entry_due_in {
+            return Question::Wait(wait, Unproven::EntryLate);
+        }
+        if let Some(wait) = self.pause_left {
+            return Question::Wait(wait, Unproven::Paused);
+        }
+        if self.is_limited {
+            return Question::AskWithPermit;
+        }
+        Question::Ask
+    }
+}
+
+/// Endpoints that were shown to break answers off between two events, or inside one. Keys must not be used again.
+#[derive(Clone, Debug)]
+pub struct Breaks<K> {
+    last: HashMap<K, Instant>,
+}
+
+impl<K> Default for Breaks<K> {
+    fn default() -> Self {
+        Self {
+            last: HashMap::new(),
+        }
+    }
+}
+
+impl<K: Copy + Eq + Hash> Breaks<K> {
+    /// Records that an endpoint broke an answer off.
+    pub fn record(&mut self, now: Instant, endpoint: K) {
+        self.last.retain(|_, last| is_remembered(now, *last));
+        self.last.insert(endpoint, now);
+    }
+
+    /// Whether an endpoint has broken an answer off recently.
+    #[must_use]
+    pub fn is_recent(&self, now: Instant, endpoint: K) -> bool {
+        let last = self.last.get(&endpoint);
+        last.is_some_and(|last| is_remembered(now, *last))
+    }
+
+    /// Forgets an endpoint that has restarted.
+    pub fn remove(&mut self, endpoint: K) {
+        self.last.remove(&endpoint);
+    }
+}
+
+fn is_remembered(now: Instant, last: Instant) -> bool {
+    now.since(last) < BREAK_MEMORY
+}
--- a/crates/coordination/tests/ending.rs
+++ b/crates/coordination/tests/ending.rs
@@ -1,8 +1,14 @@
 //! Guards against answers that break off with their connection and are taken for whole.
 
-use berylknot_coordination::ending::{Ending, Framing, Step};
+use std::time::Duration;
+
+use berylknot_coordination::clock::Instant;
+use berylknot_coordination::ending::{
+    Access, Breaks, Ending, Entry, Framing, Question, Step, Unproven,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use yare::parameterized;
 
 #[test]
 fn a_stated_end_needs_no_proof() {
@@ -111,3 +117,54 @@
     let (_, early) = count(|_, _| Step::Finish);
     assert!(early > 1_000, "{early} early ends");
 }
+
+/// An endpoint that takes questions at any time.
+const FREE: Access = Access {
+    entry: Entry::Same,
+    leaves_in: None,
+    entry_due_in: None,
+    is_open: true,
+    pause_left: None,
+    is_limited: false,
+};
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Whole streams were cut when their endpoints could not be asked at once, and endpoints that want no requests
+/// must not be asked too early.
+#[parameterized(
+    free = { FREE, Question::Ask },
+    leaves_later = { Access { leaves_in: Some(SECOND), ..FREE }, Question::Ask },
+    leaves_now = { Access { leaves_in: Some(Duration::ZERO), ..FREE }, Question::Skip(Unproven::Leaving) },
+    pauses = { Access { pause_left: Some(SECOND), ..FREE }, Question::Wait(SECOND, Unproven::Paused) },
+    pauses_too_long = { Access { pause_left: Some(4 * SECOND), ..FREE }, Question::Skip(Unproven::Paused) },
+    entry_late = { Access { entry_due_in: Some(SECOND), ..FREE }, Question::Wait(SECOND, Unproven::EntryLate) },
+    limited = { Access { is_limited: true, ..FREE }, Question::AskWithPermit },
+    limited_and_pausing = { Access { is_limited: true, pause_left: Some(SECOND), ..FREE }, Question::Wait(SECOND, Unproven::Paused) },
+    evacuated = { Access { is_open: false, ..FREE }, Question::Skip(Unproven::Evacuated) },
+    gone = { Access { entry: Entry::Gone, ..FREE }, Question::Skip(Unproven::Gone) },
+    replaced = { Access { entry: Entry::Replaced, pause_left: Some(SECOND), ..FREE }, Question::Skip(Unproven::Restarted) },
+)]
+fn a_question_is_put_when_the_endpoint_takes_it(access: Access, expected: Question) {
+    assert_eq!(access.question().within(3 * SECOND), expected);
+}
+
+/// A restarted endpoint, and one that failed to answer the question, may have broken the answer off.
+#[test]
+fn an_end_is_not_believed_against_the_evidence() {
+    let mut ending = Ending::new(true);
+    assert_eq!(ending.ended(Framing::Close, 5), Step::AskForRest);
+    assert!(ending.is_credible(Unproven::Leaving) && ending.is_credible(Unproven::Budget));
+    assert!(!ending.is_credible(Unproven::Restarted) && !ending.is_credible(Unproven::NoAnswer));
+    assert_eq!(ending.ended(Framing::Close, 8), Step::Break);
+    assert!(!ending.is_credible(Unproven::Leaving));
+}
+
+#[test]
+fn an_endpoint_that_broke_off_is_remembered_until_it_restarts_or_for_half_a_minute() {
+    let mut breaks = Breaks::default();
+    breaks.record(Instant::from_millis(0), 'a');
+    breaks.record(Instant::from_millis(0), 'b');
+    breaks.remove('b');
+    let is_recent = |millis, endpoint| breaks.is_recent(Instant::from_millis(millis), endpoint);
+    assert!(is_recent(29_999, 'a') && !is_recent(30_000, 'a') && !is_recent(0, 'b'));
+}
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -582,6 +582,20 @@
     earlier(call.deadline(), decode_time + start).min(earlier(abandoned, start))
 }
 
+/// Latest time at which a stream whose caller has had no event since `last_event` may still send a request that
+/// brings the next one in time.
+pub(crate) fn latest_question<D, S>(
+    host: &Host<D, S>,
+    call: &Call,
+    last_event: Instant,
+) -> Instant {
+    let answer = call.route().latency_target.mul_f64(FIRST_EVENT_SHARE);
+    let abandoned = last_event + call.route().stall_timeout();
+    let latest = earlier(call.deadline().min(abandoned), answer);
+    let exit = host.shutdown.get().latest_start(answer);
+    exit.map_or(latest, |exit| exit.min(latest))
+}
+
 fn earlier(instant: Instant, by: Duration) -> Instant {
     Instant::from_millis(instant.as_millis().saturating_sub(by.as_millis() as u64))
 }
--- a/crates/entry/src/health.rs
+++ b/crates/entry/src/health.rs
@@ -6,6 +6,7 @@
 
 use berylknot_coordination::clock::Instant;
 use berylknot_coordination::eject::{Change, Detector, Outcome};
+use berylknot_coordination::ending::Breaks;
 use berylknot_coordination::notice::Notices;
 use serde::{Deserialize, Serialize};
 
@@ -91,6 +92,9 @@
     suspects: HashMap<Key, (Instant, Suspicion)>,
     reported_loads: HashMap<Key, (Instant, f64)>,
     notices: Notices<Key>,
+    breaks: Breaks<Key>,
+    /// Latest time at which the entry of an endpoint that leaves was certainly that of one that does not.
+    last_ready: HashMap<Key, Instant>,
 }
 
 impl Health {
@@ -104,6 +108,8 @@
         self.suspects.remove(&key);
         self.tallies.remove(&key);
         self.notices.remove(key);
+        self.breaks.remove(key);
+        self.last_ready.remove(&key);
     }
 
     /// Forgets all failures, since the links of this host caused them. What the endpoints have said stays.
@@ -115,7 +121,7 @@
         self.tallies.clear();
     }
 
-    /// Removes all state of an endpoint.
+    /// Removes all state of an endpoint, but for its recent breaks: its streams may end later.
     pub fn remove(&mut self, key: Key) {
         for detector in self.detectors.values_mut() {
             detector.remove(key);
@@ -124,6 +130,7 @@
         self.reported_loads.remove(&key);
         self.tallies.remove(&key);
         self.notices.remove(key);
+        self.last_ready.remove(&key);
     }
 
     fn tally(&mut self, now: Instant, key: Key) -> &mut Tally {
@@ -147,6 +154,28 @@
         &mut self.notices
     }
 
+    /// Records that the entry of an endpoint says it leaves; at `ready_at` it certainly did not.
+    pub fn leaves(&mut self, key: Key, ready_at: Instant) {
+        self.last_ready.entry(key).or_insert(ready_at);
+    }
+
+    /// Latest time at which an endpoint whose entry says that it leaves certainly did not.
+    #[must_use]
+    pub fn last_ready(&self, key: Key) -> Option<Instant> {
+        self.last_ready.get(&key).copied()
+    }
+
+    /// Endpoints that broke answers off.
+    #[must_use]
+    pub const fn breaks(&self) -> &Breaks<Key> {
+        &self.breaks
+    }
+
+    /// Endpoints that broke answers off, to add to them.
+    pub const fn breaks_mut(&mut self) -> &mut Breaks<Key> {
+        &mut self.breaks
+    }
+
     /// Counts a request that this host assigned to an endpoint, for itself or another host.
     pub fn assigned(&mut self, now: Instant, key: Key) {
         self.tally(now, key).assigned += 1.0;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -46,6 +46,7 @@
 pub(crate) mod completion;
 pub(crate) mod connection;
 pub(crate) mod control;
+pub(crate) mod ending;
 pub(crate) mod entries;
 pub(crate) mod explain;
 pub(crate) mod findings;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -35,6 +35,7 @@
     pub(crate) answers: Family<Kind, Counter>,
     pub(crate) unframed_answers: Family<Kind, Counter>,
     pub(crate) cuts: Family<Label, Counter>,
+    pub(crate) unproven_ends: Family<Label, Counter>,
     pub(crate) silent_streams: Counter,
     pub(crate) latency: Family<Kind, Histogram>,
     pub(crate) crashes: Counter,
@@ -59,6 +60,7 @@
         let answers = Family::default();
         let unframed_answers = Family::default();
         let cuts = Family::default();
+        let unproven_ends = Family::default();
         let silent_streams = Counter::default();
         let latency =
             Family::<Kind, Histogram>::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS_S));
@@ -90,6 +92,11 @@
             unframed_answers.clone(),
         );
         registry.register("cuts", "Streams that ended early by reason", cuts.clone());
+        registry.register(
+            "unproven_ends",
+            "Streams that ended with their connection and whose engine did not prove that they are whole, by reason",
+            unproven_ends.clone(),
+        );
         registry.register(
             "silent_streams",
             "Streams without an event for so long that another engine was sought",
@@ -162,6 +169,7 @@
             answers,
             unframed_answers,
             cuts,
+            unproven_ends,
             silent_streams,
             latency,
             crashes,
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -1,4 +1,5 @@
-//! Permits of plain calls to endpoints that limit their requests. The leader counts them for all hosts.
+//! Permits of plain calls, and of questions for the rest of a stream, to endpoints that limit their requests. The
+//! leader counts them for all hosts.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -109,9 +110,13 @@
     let mut shortest = Duration::MAX;
     let mut rate = 0.0;
     for limit in &query.limits {
-        match limits.take(now, &limit.endpoint, share) {
-            Ok(()) => return Answer::Granted(limit.endpoint.clone()),
-            Err(wait) => shortest = shortest.min(wait),
+        if is_wanted(host, &limit.endpoint) {
+            shortest = shortest.min(limits.wait(now, &limit.endpoint, share));
+        } else {
+            match limits.take(now, &limit.endpoint, share) {
+                Ok(()) => return Answer::Granted(limit.endpoint.clone()),
+                Err(wait) => shortest = shortest.min(wait),
+            }
         }
         rate += limits.rate(&limit.endpoint).unwrap_or_default();
     }
@@ -119,3 +124,12 @@
     let wait = denial_time(shortest, hosts, rate * share);
     Answer::Denied(wait.as_millis() as u64)
 }
+
+/// Whether generations wait for an engine, which go before the questions for the rest of streams.
+fn is_wanted<D, S>(host: &Host<D, S>, endpoint: &str) -> bool {
+    let directory = host.directory.borrow();
+    let engine = directory.find(endpoint);
+    engine.is_some_and(|(_, engine)| {
+        engine.stage.is_some() && admission::waits(host, &engine.service)
+    })
+}
--- a/crates/entry/src/refresh.rs
+++ b/crates/entry/src/refresh.rs
@@ -124,6 +124,12 @@
         is_peer_current && self.is_behind(peer) && self.is_older(now, self.expiry())
     }
 
+    /// Time left to send requests to an endpoint that leaves and certainly did not at `ready_at`.
+    #[must_use]
+    pub fn leaves_in(&self, now: Instant, ready_at: Instant) -> Duration {
+        (ready_at + self.expiry()).since(now)
+    }
+
     /// Whether the entries are older than they may become while the store answers.
     #[must_use]
     pub fn is_late(&self, now: Instant) -> bool {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -427,6 +427,11 @@
                     self.forecast.borrow_mut().remove(key);
                     self.trials.borrow_mut().remove(key);
                 }
+                if endpoint.state == directory::State::Draining
+                    && let Some(ready_at) = self.refresh.get().confirmed_at()
+                {
+                    health.leaves(key, ready_at);
+                }
                 self.orders.borrow_mut().observe(endpoint);
                 health.add(key, Group::of(endpoint));
                 tracing::info!(
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use berylknot_coordination::clock::Instant;
-use berylknot_coordination::ending::{Ending, Framing, Step};
+use berylknot_coordination::ending::{Ending, Framing};
 use tokio::time::timeout;
 
 use crate::aborts;
@@ -13,9 +13,10 @@
 use crate::call::{CONNECT_TIMEOUT, accepts_connection};
 use crate::completion::{
     Acquired, DEFAULT_TOKENS, Decoded, Demand, KvSource, MAX_SENDS, Tried, acquire, decode,
-    expected_tokens, head_timeout, hopeless_at, is_ready,
+    expected_tokens, hopeless_at, is_ready,
 };
-use crate::directory::{Endpoint, State};
+use crate::directory::{Endpoint, Key};
+use crate::ending::{Conclusion, UNPROVEN_END, conclude};
 use crate::events::{MAX_EVENT_BYTES, SMALL_BYTES, Splitter};
 use crate::health::Suspicion;
 use crate::http::Exchange;
@@ -42,6 +43,27 @@
     pub(crate) runs: u32,
 }
 
+impl<D, S> Running<D, S> {
+    /// Closes the connection, which cancels the request at the engine, and gives up its place there.
+    fn close(self) -> Closed {
+        Closed {
+            key: self.reservation.key,
+            framing: self.exchange.framing(),
+            endpoint: self.endpoint,
+            runs: self.runs,
+        }
+    }
+}
+
+/// A run whose connection is closed.
+struct Closed {
+    key: Key,
+    endpoint: Endpoint,
+    framing: Framing,
+    /// Number of engines that ran the request.
+    runs: u32,
+}
+
 /// Events after which the crash of an engine no longer counts against the exact request: requests that
 /// crash engines do so when these begin to run them.
 const MAX_EVENTS_OF_A_CRASH: u32 = 1;
@@ -49,8 +71,6 @@
 const TOO_SLOW: Cut = Cut("caller does not read");
 /// Cause of a break when no event came within the maximum gap.
 const NO_EVENT: &str = "no event";
-/// Cause of a break when a stream ended with its connection and its engine did not prove that it is whole.
-const UNPROVEN_END: &str = "unproven end";
 
 /// Relays the events until the stream ends or its caller disconnects.
 pub(crate) async fn relay<D: Dialect, S: Store>(
@@ -168,6 +188,7 @@
     let mut charge = None;
     let mut ending = Ending::new(call.route().resumable);
     let mut was_asked = false;
+    let mut is_rest_noted = false;
     let mut is_silent = false;
     loop {
         let left = call.deadline().since(now());
@@ -209,7 +230,7 @@
                         ending.failed();
                         events.discard_tail();
                         charge = None;
-                        run = resume(host, call, run, point, tried, Some(*place))
+                        run = resume(host, call, &run.close(), point, tried, Some(*place))
                             .await
                             .ok_or(Cut(NO_EVENT))?;
                         is_silent = false;
@@ -224,6 +245,7 @@
                 }
             }
         };
+        let mut is_credible = false;
         let cause = match read {
             Read::Events(complete) => {
                 let produced = events.count() - delivered;
@@ -239,6 +261,9 @@
                     if was_asked {
                         pace = None;
                     }
+                    if ending.is_asked() {
+                        note_rest(host, call, &run, &events, &mut is_rest_noted);
+                    }
                     if let Some(pace) = &mut pace {
                         pace.record(last_event, delivered);
                     }
@@ -266,21 +291,31 @@
                 "no event before the end"
             }
             Read::End if events.is_at_boundary() => {
-                match conclude(host, call, &mut run, &mut ending, &events).await? {
+                match conclude(host, call, &mut run, &mut ending, &events, last_event).await? {
                     Conclusion::Finished => {
-                        finish(host, call, &run, &events, pace);
+                        finish(host, call, &run.close(), &events, pace);
                         return Ok(());
                     }
                     Conclusion::GoesOn => {
                         events.discard_tail();
                         gap_start = now();
                         was_asked = true;
+                        is_rest_noted = false;
                         continue;
                     }
-                    Conclusion::Broken(cause) => cause,
+                    Conclusion::Unproven {
+                        is_credible: credible,
+                    } => {
+                        is_credible = credible;
+                        UNPROVEN_END
+                    }
                 }
             }
-            Read::End => "incomplete event",
+            Read::End => {
+                let mut health = host.health.borrow_mut();
+                health.breaks_mut().record(now(), run.reservation.key);
+                "incomplete event"
+            }
             Read::Failed(error) => {
                 if delivered <= MAX_EVENTS_OF_A_CRASH {
                     aborts::strike(host, call, &run.endpoint);
@@ -292,7 +327,7 @@
             }
         };
         note_break(call, &run, &events, cause);
-        if call.deadline() <= now() {
+        if call.deadline() <= now() && !is_credible {
             return Err(Cut("route timeout"));
         }
         if cause != UNPROVEN_END {
@@ -309,9 +344,15 @@
             parts_at: Some(run.endpoint.address),
         };
         let tried = Tried::after(&run.endpoint, point.last_event_id);
-        run = resume(host, call, run, point, tried, None)
-            .await
-            .ok_or(Cut(cause))?;
+        let closed = run.close();
+        run = match resume(host, call, &closed, point, tried, None).await {
+            Some(next) => next,
+            None if is_credible => {
+                finish(host, call, &closed, &events, None);
+                return Ok(());
+            }
+            None => return Err(Cut(cause)),
+        };
         is_silent = false;
         gap_start = now();
     }
@@ -330,6 +371,27 @@
     );
 }
 
+/// Records that an engine which was asked for the rest of a stream has sent more of it: it broke the stream off.
+fn note_rest<D, S>(
+    host: &Host<D, S>,
+    call: &Call,
+    run: &Running<D, S>,
+    events: &Splitter,
+    is_noted: &mut bool,
+) {
+    if std::mem::replace(is_noted, true) {
+        return;
+    }
+    let mut health = host.health.borrow_mut();
+    health.breaks_mut().record(now(), run.reservation.key);
+    tracing::info!(
+        id = call.head.id,
+        endpoint = run.endpoint.id,
+        last_event = events.last(),
+        "stream: engine has sent more after an end"
+    );
+}
+
 /// Records an engine whose stream has had no event for the longest gap.
 fn note_silence<D, S>(host: &Rc<Host<D, S>>, call: &Call, run: &Running<D, S>, events: &Splitter) {
     tracing::info!(
@@ -393,142 +455,15 @@
         .await
 }
 
-/// What the end of an engine's answer means for the stream.
-enum Conclusion {
-    /// The stream is whole.
-    Finished,
-    /// The engine goes on with it.
-    GoesOn,
-    /// Another engine has to go on, for this cause.
-    Broken(&'static str),
-}
-
-/// Finds out whether a stream whose engine ended it after a whole event is whole.
-async fn conclude<D: Dialect, S: Store>(
-    host: &Rc<Host<D, S>>,
-    call: &Call,
-    run: &mut Running<D, S>,
-    ending: &mut Ending,
-    events: &Splitter,
-) -> Result<Conclusion, Cut> {
-    let mut step = ending.ended(run.exchange.framing(), events.count());
-    let bar = bar(host, run);
-    if let (Step::AskForRest, Some(reason)) = (step, bar) {
-        tracing::info!(
-            id = call.head.id,
-            endpoint = run.endpoint.id,
-            version = run.endpoint.version,
-            after_event = events.last(),
-            reason,
-            "stream: engine not asked for the rest"
-        );
-    }
-    if step == Step::AskForRest && bar.is_none() {
-        if host.may_retry(call) {
-            host.metrics.retry("unproven_end");
-            if ask_for_rest(host, call, run, events.last()).await {
-                return Ok(Conclusion::GoesOn);
-            }
-        } else {
-            step = ending.denied();
-            if step == Step::Break {
-                return Err(Cut(UNPROVEN_END));
-            }
-        }
-    }
-    if step == Step::Finish {
-        return Ok(Conclusion::Finished);
-    }
-    if step == Step::Reach {
-        let left = call.deadline().since(now());
-        if accepts_connection(host, &run.exchange, &run.endpoint, left).await {
-            return Ok(Conclusion::Finished);
-        }
-        host.failed(run.reservation.key, Suspicion::Silent);
-        if events.count() == 0 {
-            aborts::crash(host, call, &run.endpoint, run.sent_at);
-        }
-    }
-    if step != Step::Break {
-        ending.unproven();
-    }
-    Ok(Conclusion::Broken(UNPROVEN_END))
-}
-
-/// Why the engine of a stream may not get another request without the leader, if so.
-fn bar<D, S>(host: &Host<D, S>, run: &Running<D, S>) -> Option<&'static str> {
-    let key = run.reservation.key;
-    let directory = host.directory.borrow();
-    let Some(known) = directory.get(key) else {
-        return Some("gone");
-    };
-    if known.incarnation != run.endpoint.incarnation {
-        return Some("restarted");
-    }
-    if known.state != State::Ready {
-        return Some("draining");
-    }
-    if host.is_directory_expired(now()) {
-        return Some("entries late");
-    }
-    if !host.admits(key) {
-        return Some("leaving or paused");
-    }
-    if !host.is_open(known) {
-        return Some("evacuated");
-    }
-    let is_limited = host.limits.borrow().rate(&run.endpoint.id).is_some();
-    is_limited.then_some("limited")
-}
-
-/// Asks the engine of a stream to go on after its last event, in the place that the stream has there.
-async fn ask_for_rest<D: Dialect, S: Store>(
-    host: &Rc<Host<D, S>>,
-    call: &Call,
-    run: &mut Running<D, S>,
-    last_event_id: Option<u64>,
-) -> bool {
-    let (key, source) = (run.reservation.key, KvSource::None);
-    let sent_at = now();
-    match decode(
-        host,
-        call,
-        key,
-        &run.endpoint,
-        source,
-        last_event_id,
-        head_timeout(call),
-    )
-    .await
-    {
-        Decoded::Started(exchange) => {
-            run.exchange = *exchange;
-            run.sent_at = sent_at;
-            true
-        }
-        Decoded::Refused => false,
-        Decoded::NotSent => {
-            host.failed(key, Suspicion::Silent);
-            false
-        }
-        // Says nothing about the engine, which may have forgotten a run that has ended.
-        Decoded::Answered(_) => false,
-        Decoded::Lost(suspicion) => {
-            host.failed(key, suspicion);
-            false
-        }
-    }
-}
-
 /// Records a whole stream; `pace` is that of a stream which did not break.
 fn finish<D, S>(
     host: &Host<D, S>,
     call: &Call,
-    run: &Running<D, S>,
+    run: &Closed,
     events: &Splitter,
     pace: Option<Pace>,
 ) {
-    host.answered(run.reservation.key, 1.0);
+    host.answered(run.key, 1.0);
     if let Some(tokens) = call.head.tokens {
         let tokens_per_event =
             engine(host, &call.service).map_or(1, |engine| engine.tokens_per_event);
@@ -541,7 +476,7 @@
         id = call.head.id,
         endpoint = run.endpoint.id,
         version = run.endpoint.version,
-        framing = ?run.exchange.framing(),
+        framing = ?run.framing,
         events = events.count(),
         last_event = events.last(),
         hint = call.head.output_hint,
@@ -598,27 +533,17 @@
 async fn resume<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     call: &Call,
-    broken: Running<D, S>,
+    broken: &Closed,
     point: ResumePoint,
     mut tried: Tried,
     mut place: Option<Acquired<D, S>>,
 ) -> Option<Running<D, S>> {
-    let Running {
-        exchange,
-        endpoint,
-        reservation,
-        runs,
-        ..
-    } = broken;
-    // Closing the connection cancels the request at the engine.
-    drop(exchange);
-    drop(reservation);
     let source = point.parts_at.map_or(KvSource::None, KvSource::Parts);
     let last_event_id = point.last_event_id;
     for _ in 0..MAX_SENDS {
         let acquired = match place.take() {
             Some(acquired) => acquired,
-            None => find_place(host, call, runs, point, &mut tried).await?,
+            None => find_place(host, call, broken.runs, point, &mut tried).await?,
         };
         let Acquired {
             reservation,
@@ -647,7 +572,7 @@
                 host.metrics.retry("resumed");
                 tracing::info!(
                     id = call.head.id,
-                    from = endpoint.id,
+                    from = broken.endpoint.id,
                     to = next.id,
                     version = next.version,
                     after_event = last_event_id,
@@ -658,7 +583,7 @@
                     endpoint: next,
                     reservation,
                     sent_at,
-                    runs: runs + 1,
+                    runs: broken.runs + 1,
                 });
             }
             Decoded::Refused | Decoded::NotSent => {}
