Keep a silent stream open until another engine has accepted it

Cause: the host closed the stream at the silent engine as soon as the leader had named a place at another one, and asked that engine only then. After its refusal nothing was left. The lines of the case show `stream: broken` (no event) before the refused request and `stream: cut` behind it, with the silent engine alive.

Ruled out: the silence alone (with one engine, or without the refusals, the streams are whole), the patience of the caller (the cut comes before its end).

Change: `stream::seek` reads the silent stream until the other engine has accepted the request, and takes what comes first. A refusal leads to the next place. If there is no answer within 300 ms the silent stream is closed, as two engines may work on it for 400 ms.

Test: path::a_stream_of_an_engine_that_pauses_is_whole_although_the_other_engine_ refuses_it fails before the fix (200, incomplete). path::a_silent_stream_is_closed_before_an_engine_that_takes_long_has_accepted_it guards the other bound and passed before.

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -1,6 +1,7 @@
 //! Relays event streams to callers and resumes broken streams at another engine.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -69,6 +70,9 @@
 const MAX_EVENTS_OF_A_CRASH: u32 = 1;
 /// Reason to end a stream whose caller does not read.
 const TOO_SLOW: Cut = Cut("caller does not read");
+/// Longest time for which a stream stays open at a silent engine after the request to go on with it was sent to
+/// another one, which may work on it before it sends the head of its answer. Two engines may do so for 400 ms.
+const MAX_OVERLAP: Duration = Duration::from_millis(300);
 /// Cause of a break when no event came within the maximum gap.
 const NO_EVENT: &str = "no event";
 
@@ -223,25 +227,26 @@
                     // An unresponsive engine would delay the KV transfer.
                     parts_at: None,
                 };
-                match seek(host, call, &mut run, &mut events, &mut charge, point).await {
-                    Sought::Read(read) => read,
-                    Sought::Place(place, tried) => {
-                        note_break(call, &run, &events, NO_EVENT);
+                match seek(host, call, run, &mut events, &mut charge, point).await {
+                    Sought::Read(same, read) => {
+                        run = same;
+                        read
+                    }
+                    Sought::Moved(next) => {
                         ending.failed();
                         events.discard_tail();
                         charge = None;
-                        run = resume(host, call, &run.close(), point, tried, Some(*place))
-                            .await
-                            .ok_or(Cut(NO_EVENT))?;
+                        run = next;
                         is_silent = false;
                         gap_start = now();
                         continue;
                     }
-                    Sought::Nothing if may_go_on(host, call, &run).await => {
+                    Sought::Nothing(same) if may_go_on(host, call, &same).await => {
+                        run = same;
                         gap_start = now();
                         continue;
                     }
-                    Sought::Nothing => return Err(Cut(NO_EVENT)),
+                    Sought::Nothing(_) | Sought::Lost => return Err(Cut(NO_EVENT)),
                 }
             }
         };
@@ -345,7 +350,7 @@
         };
         let tried = Tried::after(&run.endpoint, point.last_event_id);
         let closed = run.close();
-        run = match resume(host, call, &closed, point, tried, None).await {
+        run = match resume(host, call, &closed, point, tried).await {
             Some(next) => next,
             None if is_credible => {
                 finish(host, call, &closed, &events, None);
@@ -407,31 +412,74 @@
 
 /// What comes first at a silent stream.
 enum Sought<D, S> {
-    /// The engine goes on.
-    Read(Read),
-    /// Another engine takes the stream.
-    Place(Box<Acquired<D, S>>, Tried),
+    /// Its engine goes on.
+    Read(Running<D, S>, Read),
+    /// Another engine goes on with it.
+    Moved(Running<D, S>),
     /// No other engine takes it.
-    Nothing,
+    Nothing(Running<D, S>),
+    /// The engine that was to go on with it is lost, and the stream is closed at the silent one.
+    Lost,
 }
 
-/// Looks for another engine beside a silent stream, which stays open meanwhile.
+/// Looks for another engine beside a silent stream, which stays open until one has accepted it: the silent engine
+/// may go on, and the other one may refuse the stream.
 async fn seek<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     call: &Call,
-    run: &mut Running<D, S>,
+    mut run: Running<D, S>,
     events: &mut Splitter,
     charge: &mut Option<Charge>,
     point: ResumePoint,
 ) -> Sought<D, S> {
     let mut tried = Tried::after(&run.endpoint, point.last_event_id);
-    let place = tokio::select! {
-        read = next_events(&mut run.exchange, events, charge) => return Sought::Read(read),
-        place = find_place(host, call, run.runs, point, &mut tried) => place,
-    };
-    place.map_or(Sought::Nothing, |place| {
-        Sought::Place(Box::new(place), tried)
-    })
+    for _ in 0..MAX_SENDS {
+        let place = tokio::select! {
+            read = next_events(&mut run.exchange, events, charge) => return Sought::Read(run, read),
+            place = find_place(host, call, run.runs, point, &mut tried) => place,
+        };
+        let Some(place) = place else {
+            return Sought::Nothing(run);
+        };
+        tried.ids.push(place.endpoint.id.clone());
+        if !is_ready(host, place.reservation.key) {
+            continue;
+        }
+        let from = run.endpoint.clone();
+        let (runs, head) = (run.runs, call.deadline().since(now()));
+        let mut beginning = pin!(begin(host, call, &from, runs, place, point, head));
+        let begun = tokio::select! {
+            read = next_events(&mut run.exchange, events, charge) => {
+                // The other engine may have begun.
+                run.runs += 1;
+                return Sought::Read(run, read);
+            }
+            begun = &mut beginning => Some(begun),
+            () = tokio::time::sleep(MAX_OVERLAP) => None,
+        };
+        match begun {
+            Some(Begun::Started(next)) => {
+                note_break(call, &run, events, NO_EVENT);
+                return Sought::Moved(*next);
+            }
+            Some(Begun::Refused) => {}
+            Some(Begun::Lost) => {
+                run.runs += 1;
+                return Sought::Nothing(run);
+            }
+            None => {
+                note_break(call, &run, events, NO_EVENT);
+                let closed = run.close();
+                let next = match beginning.await {
+                    Begun::Started(next) => Some(*next),
+                    Begun::Refused => resume(host, call, &closed, point, tried).await,
+                    Begun::Lost => None,
+                };
+                return next.map_or(Sought::Lost, Sought::Moved);
+            }
+        }
+    }
+    Sought::Nothing(run)
 }
 
 /// Whether a silent stream that no other engine takes stays open. A sound engine may pause, and its caller
@@ -529,66 +577,87 @@
     host.may_retry(call).then_some(acquired)
 }
 
-/// Resumes a broken stream at another engine: first at `place`, if one was found already.
+/// Resumes a broken stream at another engine.
 async fn resume<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     call: &Call,
     broken: &Closed,
     point: ResumePoint,
     mut tried: Tried,
-    mut place: Option<Acquired<D, S>>,
 ) -> Option<Running<D, S>> {
-    let source = point.parts_at.map_or(KvSource::None, KvSource::Parts);
-    let last_event_id = point.last_event_id;
     for _ in 0..MAX_SENDS {
-        let acquired = match place.take() {
-            Some(acquired) => acquired,
-            None => find_place(host, call, broken.runs, point, &mut tried).await?,
-        };
-        let Acquired {
-            reservation,
-            endpoint: next,
-            ..
-        } = acquired;
-        tried.ids.push(next.id.clone());
-        if !is_ready(host, reservation.key) {
+        let place = find_place(host, call, broken.runs, point, &mut tried).await?;
+        tried.ids.push(place.endpoint.id.clone());
+        if !is_ready(host, place.reservation.key) {
             continue;
         }
-        let sent_at = now();
         // No further engine gets the stream, so there is no reason to give this one up early.
-        let head = call.deadline().since(sent_at);
-        match decode(
-            host,
-            call,
-            reservation.key,
-            &next,
-            source,
-            last_event_id,
-            head,
-        )
-        .await
-        {
-            Decoded::Started(exchange) => {
-                host.metrics.retry("resumed");
-                tracing::info!(
-                    id = call.head.id,
-                    from = broken.endpoint.id,
-                    to = next.id,
-                    version = next.version,
-                    after_event = last_event_id,
-                    "stream: resumed"
-                );
-                return Some(Running {
-                    exchange: *exchange,
-                    endpoint: next,
-                    reservation,
-                    sent_at,
-                    runs: broken.runs + 1,
-                });
-            }
-            Decoded::Refused | Decoded::NotSent => {}
-            Decoded::Answered(_) | Decoded::Lost(_) => return None,
+        let head = call.deadline().since(now());
+        let from = &broken.endpoint;
+        match begin(host, call, from, broken.runs, place, point, head).await {
+            Begun::Started(run) => return Some(*run),
+            Begun::Refused => {}
+            Begun::Lost => return None,
         }
     }
     None
 }
+
+/// Outcome of a request to go on with a stream.
+enum Begun<D, S> {
+    Started(Box<Running<D, S>>),
+    /// The engine has not run it.
+    Refused,
+    /// The engine may have run it.
+    Lost,
+}
+
+/// Asks an engine to go on with a stream of another one, and waits up to `head` for the head of its answer.
+async fn begin<D: Dialect, S: Store>(
+    host: &Rc<Host<D, S>>,
+    call: &Call,
+    from: &Endpoint,
+    runs: u32,
+    place: Acquired<D, S>,
+    point: ResumePoint,
+    head: Duration,
+) -> Begun<D, S> {
+    let source = point.parts_at.map_or(KvSource::None, KvSource::Parts);
+    let Acquired {
+        reservation,
+        endpoint,
+        ..
+    } = place;
+    let sent_at = now();
+    let decoded = decode(
+        host,
+        call,
+        reservation.key,
+        &endpoint,
+        source,
+        point.last_event_id,
+        head,
+    );
+    match decoded.await {
+        Decoded::Started(exchange) => {
+            host.metrics.retry("resumed");
+            tracing::info!(
+                id = call.head.id,
+                from = from.id,
+                to = endpoint.id,
+                version = endpoint.version,
+                after_event = point.last_event_id,
+                "stream: resumed"
+            );
+            Begun::Started(Box::new(Running {
+                exchange: *exchange,
+                endpoint,
+                reservation,
+                sent_at,
+                runs: runs + 1,
+            }))
+        }
+        Decoded::Refused | Decoded::NotSent => Begun::Refused,
+        Decoded::Answered(_) | Decoded::Lost(_) => Begun::Lost,
+    }
+}
