Notice a caller that leaves after a body whose last read was full

Cause: a connection reads 4 KiB ahead of the handler of its request, which reports that it has taken them whenever it waits for more. At the end of a body it does not wait, so a full last read stayed counted and the connection read no more: its end was seen only after the answer. Bodies of 4,000 or 5,000 bytes left room.

Change: the end of the body reports it too. The bound on reading ahead stays.

--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -73,7 +73,8 @@
     }
 
     /// Reads the body of a request, of at most `largest` bytes. `taken` is called whenever all received bytes
-    /// have been taken.
+    /// have been taken, also at the end of the body: the connection then goes on reading, and notices when its
+    /// client leaves.
     ///
     /// # Errors
     /// Fails as [`Error`] says. The rest of the body is then still to come.
@@ -156,6 +157,7 @@
                 part
             });
             let Some(part) = part.await else {
+                taken();
                 return Ok(body.finish());
             };
             let part = part.map_err(|_| Error::Unreadable)?;
