Do not cancel a request to go on with a silent stream

While another engine was asked to go on with a silent stream, an event of the silent one cancelled that request, which may have begun by then: both engines would have worked on the stream. A lost request left the silent one open, with the same effect.

If the other engine refuses, what has arrived meanwhile is passed on. A lost request that may have run ends the stream, as before the fix.

Also: that an engine sent more after an end is now kept by `Ending` instead of a flag of the relay, and `Access::new` replaces two copies of its defaults.

No test covers the race itself: its window is the time of an answer's head.

--- a/crates/coordination/src/ending.rs
+++ b/crates/coordination/src/ending.rs
@@ -54,6 +54,8 @@
     asked_after: Option<u32>,
     /// Whether the present endpoint was asked for it.
     is_asked: bool,
+    /// Whether the present endpoint was asked for it and has sent none yet.
+    awaits_rest: bool,
     /// Whether an endpoint had more to send after an end.
     has_broken_off: bool,
 }
@@ -66,6 +68,7 @@
             resumable,
             asked_after: None,
             is_asked: false,
+            awaits_rest: false,
             has_broken_off: false,
         }
     }
@@ -85,6 +88,7 @@
             return Step::Break;
         }
         self.is_asked = true;
+        self.awaits_rest = true;
         Step::AskForRest
     }
 
@@ -106,21 +110,23 @@
         !self.has_broken_off && !reason.speaks_against()
     }
 
-    /// Whether the present endpoint was asked for the rest, so that events from it show that it broke off.
-    #[must_use]
-    pub const fn is_asked(&self) -> bool {
-        self.is_asked
+    /// Handles an event. Returns whether it is the first one of a rest that the present endpoint was asked for,
+    /// which shows that it broke the answer off.
+    pub const fn progressed(&mut self) -> bool {
+        std::mem::replace(&mut self.awaits_rest, false)
     }
 
     /// Records that the present endpoint cannot prove the end, so that another one is asked for the rest.
     pub const fn unproven(&mut self) {
         self.is_asked = false;
+        self.awaits_rest = false;
     }
 
     /// Records that the answer failed before its end, so that another endpoint goes on with it.
     pub const fn failed(&mut self) {
         self.asked_after = None;
         self.is_asked = false;
+        self.awaits_rest = false;
     }
 }
 
@@ -226,6 +232,19 @@
 }
 
 impl Access {
+    /// Access to an endpoint that takes requests, as far as its entry goes.
+    #[must_use]
+    pub const fn new(entry: Entry) -> Self {
+        Self {
+            entry,
+            leaves_in: None,
+            entry_due_in: None,
+            is_open: true,
+            pause_left: None,
+            is_limited: false,
+        }
+    }
+
     /// When the endpoint may be asked.
     #[must_use]
     pub fn question(&self) -> Question {
--- a/crates/coordination/tests/ending.rs
+++ b/crates/coordination/tests/ending.rs
@@ -31,6 +31,19 @@
     assert_eq!(ending.ended(Framing::Close, 5), Step::Reach);
 }
 
+#[test]
+fn events_after_an_end_show_once_that_an_endpoint_broke_off() {
+    let mut ending = Ending::new(true);
+    assert!(!ending.progressed());
+    assert_eq!(ending.ended(Framing::Close, 5), Step::AskForRest);
+    assert!(ending.progressed() && !ending.progressed());
+    ending.failed();
+    assert_eq!(ending.ended(Framing::Close, 8), Step::AskForRest);
+    // Another endpoint goes on, and its events say nothing.
+    ending.unproven();
+    assert!(!ending.progressed());
+}
+
 #[test]
 fn an_endpoint_that_had_more_to_send_is_not_asked_twice() {
     let mut ending = Ending::new(true);
@@ -119,14 +132,7 @@
 }
 
 /// An endpoint that takes questions at any time.
-const FREE: Access = Access {
-    entry: Entry::Same,
-    leaves_in: None,
-    entry_due_in: None,
-    is_open: true,
-    pause_left: None,
-    is_limited: false,
-};
+const FREE: Access = Access::new(Entry::Same);
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Whole streams were cut when their endpoints could not be asked at once, and endpoints that want no requests
--- a/crates/entry/src/ending.rs
+++ b/crates/entry/src/ending.rs
@@ -83,12 +83,10 @@
     if is_credible && is_alive.is_none() {
         is_credible = is_reachable(host, call, run, events).await;
     }
-    host.metrics
-        .unproven_ends
-        .get_or_create(&Label {
-            reason: reason.name(),
-        })
-        .inc();
+    let label = Label {
+        reason: reason.name(),
+    };
+    host.metrics.unproven_ends.get_or_create(&label).inc();
     tracing::info!(
         id = call.head.id,
         endpoint = run.endpoint.id,
@@ -100,15 +98,14 @@
         is_credible,
         "stream: end not proved by its engine"
     );
-    if reason != Unproven::Budget {
-        ending.unproven();
-        return Ok(Conclusion::Unproven { is_credible });
-    }
-    // The budget allows to ask no other engine either.
-    if is_credible {
-        Ok(Conclusion::Finished)
-    } else {
-        Err(Cut(UNPROVEN_END))
+    // Without a budget no other engine can be asked either.
+    match reason {
+        Unproven::Budget if is_credible => Ok(Conclusion::Finished),
+        Unproven::Budget => Err(Cut(UNPROVEN_END)),
+        _ => {
+            ending.unproven();
+            Ok(Conclusion::Unproven { is_credible })
+        }
     }
 }
 
@@ -142,29 +139,21 @@
     let Some((key, known)) = directory.find(&engine.id) else {
         let mut others = directory.iter();
         let is_replaced = others.any(|(_, other)| other.address == engine.address);
-        return Access {
-            entry: if is_replaced {
-                Entry::Replaced
-            } else {
-                Entry::Gone
-            },
-            leaves_in: None,
-            entry_due_in: None,
-            is_open: true,
-            pause_left: None,
-            is_limited: false,
-        };
+        return Access::new(if is_replaced {
+            Entry::Replaced
+        } else {
+            Entry::Gone
+        });
     };
+    if known.incarnation != engine.incarnation {
+        return Access::new(Entry::Replaced);
+    }
     let refresh = host.refresh.get();
     let leaves_in = (known.state == State::Draining).then(|| leaves_in(host, key));
     // A notice of the engine itself that it leaves does not bind requests that were sent to it before.
     let is_late = leaves_in.is_none() && host.is_directory_expired(now);
     Access {
-        entry: if known.incarnation == engine.incarnation {
-            Entry::Same
-        } else {
-            Entry::Replaced
-        },
+        entry: Entry::Same,
         leaves_in,
         entry_due_in: is_late.then(|| refresh.query_pause()),
         is_open: host.is_open(&known),
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -192,7 +192,6 @@
     let mut charge = None;
     let mut ending = Ending::new(call.route().resumable);
     let mut was_asked = false;
-    let mut is_rest_noted = false;
     let mut is_silent = false;
     loop {
         let left = call.deadline().since(now());
@@ -250,7 +249,7 @@
                 }
             }
         };
-        let mut is_credible = false;
+        let mut is_end_credible = false;
         let cause = match read {
             Read::Events(complete) => {
                 let produced = events.count() - delivered;
@@ -266,8 +265,8 @@
                     if was_asked {
                         pace = None;
                     }
-                    if ending.is_asked() {
-                        note_rest(host, call, &run, &events, &mut is_rest_noted);
+                    if ending.progressed() {
+                        note_rest(host, call, &run, &events);
                     }
                     if let Some(pace) = &mut pace {
                         pace.record(last_event, delivered);
@@ -305,13 +304,10 @@
                         events.discard_tail();
                         gap_start = now();
                         was_asked = true;
-                        is_rest_noted = false;
                         continue;
                     }
-                    Conclusion::Unproven {
-                        is_credible: credible,
-                    } => {
-                        is_credible = credible;
+                    Conclusion::Unproven { is_credible } => {
+                        is_end_credible = is_credible;
                         UNPROVEN_END
                     }
                 }
@@ -332,7 +328,7 @@
             }
         };
         note_break(call, &run, &events, cause);
-        if call.deadline() <= now() && !is_credible {
+        if call.deadline() <= now() && !is_end_credible {
             return Err(Cut("route timeout"));
         }
         if cause != UNPROVEN_END {
@@ -352,7 +348,7 @@
         let closed = run.close();
         run = match resume(host, call, &closed, point, tried).await {
             Some(next) => next,
-            None if is_credible => {
+            None if is_end_credible => {
                 finish(host, call, &closed, &events, None);
                 return Ok(());
             }
@@ -377,16 +373,7 @@
 }
 
 /// Records that an engine which was asked for the rest of a stream has sent more of it: it broke the stream off.
-fn note_rest<D, S>(
-    host: &Host<D, S>,
-    call: &Call,
-    run: &Running<D, S>,
-    events: &Splitter,
-    is_noted: &mut bool,
-) {
-    if std::mem::replace(is_noted, true) {
-        return;
-    }
+fn note_rest<D, S>(host: &Host<D, S>, call: &Call, run: &Running<D, S>, events: &Splitter) {
     let mut health = host.health.borrow_mut();
     health.breaks_mut().record(now(), run.reservation.key);
     tracing::info!(
@@ -418,12 +405,12 @@
     Moved(Running<D, S>),
     /// No other engine takes it.
     Nothing(Running<D, S>),
-    /// The engine that was to go on with it is lost, and the stream is closed at the silent one.
+    /// The engine that was to go on with it may have run it and is lost.
     Lost,
 }
 
 /// Looks for another engine beside a silent stream, which stays open until one has accepted it: the silent engine
-/// may go on, and the other one may refuse the stream.
+/// may go on, and the other one may refuse the request.
 async fn seek<D: Dialect, S: Store>(
     host: &Rc<Host<D, S>>,
     call: &Call,
@@ -445,29 +432,19 @@
         if !is_ready(host, place.reservation.key) {
             continue;
         }
+        let head = call.deadline().since(now());
         let from = run.endpoint.clone();
-        let (runs, head) = (run.runs, call.deadline().since(now()));
-        let mut beginning = pin!(begin(host, call, &from, runs, place, point, head));
-        let begun = tokio::select! {
-            read = next_events(&mut run.exchange, events, charge) => {
-                // The other engine may have begun.
-                run.runs += 1;
-                return Sought::Read(run, read);
-            }
-            begun = &mut beginning => Some(begun),
-            () = tokio::time::sleep(MAX_OVERLAP) => None,
-        };
-        match begun {
-            Some(Begun::Started(next)) => {
+        let mut beginning = pin!(begin(host, call, &from, run.runs, place, point, head));
+        // What the silent engine sends meanwhile is read if the other one refuses: to cancel a request that may
+        // have begun would leave both at work on the stream.
+        match timeout(MAX_OVERLAP, &mut beginning).await {
+            Ok(Begun::Started(next)) => {
                 note_break(call, &run, events, NO_EVENT);
                 return Sought::Moved(*next);
             }
-            Some(Begun::Refused) => {}
-            Some(Begun::Lost) => {
-                run.runs += 1;
-                return Sought::Nothing(run);
-            }
-            None => {
+            Ok(Begun::Refused) => {}
+            Ok(Begun::Lost) => return Sought::Lost,
+            Err(_) => {
                 note_break(call, &run, events, NO_EVENT);
                 let closed = run.close();
                 let next = match beginning.await {
