Box what follows the end or the silence of a stream

Change: looking for another engine, concluding an end and resuming are boxed, so only streams that need them pay.

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -226,7 +226,9 @@
                     // An unresponsive engine would delay the KV transfer.
                     parts_at: None,
                 };
-                match seek(host, call, run, &mut events, &mut charge, point).await {
+                // Boxed, as what follows an end or a break is: the task of every stream would have room for it.
+                let seeking = seek(host, call, run, &mut events, &mut charge, point);
+                match Box::pin(seeking).await {
                     Sought::Read(same, read) => {
                         run = same;
                         read
@@ -295,7 +297,8 @@
                 "no event before the end"
             }
             Read::End if events.is_at_boundary() => {
-                match conclude(host, call, &mut run, &mut ending, &events, last_event).await? {
+                let concluding = conclude(host, call, &mut run, &mut ending, &events, last_event);
+                match Box::pin(concluding).await? {
                     Conclusion::Finished => {
                         finish(host, call, &run.close(), &events, pace);
                         return Ok(());
@@ -346,7 +349,7 @@
         };
         let tried = Tried::after(&run.endpoint, point.last_event_id);
         let closed = run.close();
-        run = match resume(host, call, &closed, point, tried).await {
+        run = match Box::pin(resume(host, call, &closed, point, tried)).await {
             Some(next) => next,
             None if is_end_credible => {
                 finish(host, call, &closed, &events, None);
