--- /dev/null
+++ b/review/harness-3/src/main.rs
@@ -0,0 +1,80 @@
+//! Cases of the third independent review: `review-3 CASE FOLDER`, from the root of the repository. Exits with 1 if
+//! the rule was broken, 0 if it held, and 2 if the case could not run.
+
+mod client;
+mod daemon;
+mod engine;
+mod http;
+mod mixed;
+mod record;
+mod store;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use record::Record;
+
+/// Result of a case: whether the rule held.
+pub type Result = std::result::Result<bool, Box<dyn std::error::Error>>;
+
+/// Disruptions that a case brings about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    None,
+    /// All but the first one.
+    Rest,
+    All,
+}
+
+/// Polls a condition until it holds.
+pub fn wait_until(
+    what: &str,
+    timeout: Duration,
+    mut condition: impl FnMut() -> bool,
+) -> std::result::Result<(), String> {
+    let started = Instant::now();
+    while !condition() {
+        if started.elapsed() > timeout {
+            return Err(format!("timed out waiting for {what}"));
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let mut args = std::env::args().skip(1);
+    let (Some(case), Some(folder)) = (args.next(), args.next()) else {
+        eprintln!("usage: review-3 CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let trouble = match std::env::var("TROUBLE").as_deref() {
+        Ok("0") => Trouble::None,
+        Ok("rest") => Trouble::Rest,
+        _ => Trouble::All,
+    };
+    let run = || -> Result {
+        let record = Arc::new(Record::create(&PathBuf::from(folder).join("record.txt"))?);
+        record.note(format!("case {case}, trouble: {trouble:?}"));
+        let held = match case.as_str() {
+            "mixed" => mixed::run(&record, trouble)?,
+            _ => return Err("no such case".into()),
+        };
+        record.note(if held {
+            "the rule held"
+        } else {
+            "the rule was broken"
+        });
+        Ok(held)
+    };
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
