--- a/review/harness-3/src/engine.rs
+++ b/review/harness-3/src/engine.rs
@@ -1,4 +1,4 @@
-//! Stand-in of a model server, which follows the pages: it echoes ids, signs its answers, checks the expected
+//! Stand-in of a model server or, without a stage, of a plain one, which follows the pages: it echoes ids, signs its answers, checks the expected
 //! instance, and drops a request when its connection closes.
 
 use std::io::{BufReader, Write};
@@ -17,6 +17,8 @@
 /// Time to the first event, and between events.
 const FIRST_EVENT: Duration = Duration::from_millis(60);
 const EVENT_INTERVAL: Duration = Duration::from_millis(49);
+/// Time of a call to a plain server.
+const CALL_TIME: Duration = Duration::from_millis(15);
 /// Prompt tokens that are read in a millisecond.
 const TOKENS_PER_MS: u64 = 55;
 const SLOTS: u32 = 12;
@@ -29,7 +31,8 @@
     pub zone: &'static str,
     /// Version of its software.
     pub version: &'static str,
-    pub stage: &'static str,
+    /// `None` for a plain server.
+    pub stage: Option<&'static str>,
 }
 
 /// A running engine; clones share it.
@@ -81,9 +84,10 @@
             stage,
         } = &self.kind;
         let address = self.address;
+        let stage = stage.map_or_else(String::new, |stage| format!("\"stage\":\"{stage}\","));
         for sequence in 1.. {
             let entry = format!(
-                r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"{version}","slots":{SLOTS},"state":"ready","stage":"{stage}","coldRemainingMs":0,"sequence":{sequence},"born":{born}}}"#
+                r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"{version}","slots":{SLOTS},"state":"ready",{stage}"coldRemainingMs":0,"sequence":{sequence},"born":{born}}}"#
             );
             store.put("keyed.servers", id, &entry);
             thread::sleep(HEARTBEAT);
@@ -140,6 +144,7 @@
             _ if head.header("request-id").is_none() => {
                 Some(answer("400 Bad Request", "Not-Executed: 1\r\n", b""))
             }
+            _ if self.kind.stage.is_none() => Some(self.call(head)),
             _ if head.header("stage") == Some("prefill") => Some(self.prefill(head)),
             _ => self.decode(head, writer),
         }
@@ -147,15 +152,23 @@
 
     fn report(&self) -> String {
         let active = self.running.load(Ordering::SeqCst);
-        let stage = self.kind.stage;
+        let stage = self.kind.stage.unwrap_or_default();
         format!(
             r#"{{"stage":"{stage}","models":[{{"name":"m","version":1,"adapters":[]}}],"busy":false,"sequence":0,"queued":0,"active":{active},"kvUsed":0,"kvTotal":71518,"kvHandles":0}}"#
         )
     }
 
+    /// The answer of a plain server.
+    fn call(&self, head: &Head) -> Vec<u8> {
+        thread::sleep(CALL_TIME);
+        let headers = format!("{}Server-Stamp: {}\r\n", self.headers(head), self.kind.id);
+        let id = head.header("request-id").unwrap_or_default();
+        answer("200 OK", &headers, format!("{id} is reserved").as_bytes())
+    }
+
     fn prefill(&self, head: &Head) -> Vec<u8> {
         let headers = self.headers(head);
-        if self.kind.stage != "prefill" {
+        if self.kind.stage != Some("prefill") {
             return answer("421 Misdirected Request", &headers, b"");
         }
         let tokens = tokens(head).0;
@@ -170,7 +183,7 @@
     /// Streams the events after the last one that the caller has; `None` when the connection ends.
     fn decode(&self, head: &Head, writer: &mut TcpStream) -> Option<Vec<u8>> {
         let headers = self.headers(head);
-        if self.kind.stage != "decode" {
+        if self.kind.stage != Some("decode") {
             return Some(answer("421 Misdirected Request", &headers, b""));
         }
         if self.running.load(Ordering::SeqCst) >= SLOTS {
--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -2,6 +2,7 @@
 //! the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod client;
+mod crowd;
 mod daemon;
 mod engine;
 mod http;
@@ -9,7 +10,7 @@
 mod record;
 mod store;
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -44,6 +45,17 @@
     Ok(())
 }
 
+/// Plays a case with a temporary folder for settings and logs, which `KEEP_LOGS` leaves there.
+pub fn in_folder(name: &str, play: impl FnOnce(&Path) -> Result) -> Result {
+    let folder = std::env::temp_dir().join(format!("review-3-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    let held = play(&folder);
+    if std::env::var_os("KEEP_LOGS").is_none() {
+        std::fs::remove_dir_all(&folder)?;
+    }
+    held
+}
+
 fn main() -> ExitCode {
     let mut args = std::env::args().skip(1);
     let (Some(case), Some(folder)) = (args.next(), args.next()) else {
@@ -59,6 +71,7 @@
         let record = Arc::new(Record::create(&PathBuf::from(folder).join("record.txt"))?);
         record.note(format!("case {case}, trouble: {trouble:?}"));
         let held = match case.as_str() {
+            "crowd" => crowd::run(&record, trouble)?,
             "mixed" => mixed::run(&record, trouble)?,
             _ => return Err("no such case".into()),
         };
--- a/review/harness-3/src/mixed.rs
+++ b/review/harness-3/src/mixed.rs
@@ -43,13 +43,7 @@
 "tenants":[{"name":"vivero","apiKeys":["key1"],"plainTokens":200,"ratePerS":0,"burst":0}]}"#;
 
 pub fn run(record: &Arc<Record>, trouble: Trouble) -> Result {
-    let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
-    std::fs::create_dir_all(&folder)?;
-    let held = play(record, trouble, &folder);
-    if std::env::var_os("KEEP_LOGS").is_none() {
-        std::fs::remove_dir_all(&folder)?;
-    }
-    held
+    crate::in_folder("mixed", |folder| play(record, trouble, folder))
 }
 
 fn play(record: &Arc<Record>, trouble: Trouble, folder: &Path) -> Result {
@@ -62,7 +56,7 @@
             service: "lector",
             zone: ZONES[index % 3],
             version: if index % 2 == 0 { "v1" } else { "v2" },
-            stage: if index < 2 { "prefill" } else { "decode" },
+            stage: Some(if index < 2 { "prefill" } else { "decode" }),
         };
         engines.push(Engine::start(kind, SERVERS, &store, record)?);
     }
