--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -71,7 +71,8 @@
         let record = Arc::new(Record::create(&PathBuf::from(folder).join("record.txt"))?);
         record.note(format!("case {case}, trouble: {trouble:?}"));
         let held = match case.as_str() {
-            "crowd" => crowd::run(&record, trouble)?,
+            "memory" => crowd::memory(&record, trouble)?,
+            "room" => crowd::room(&record, trouble)?,
             "mixed" => mixed::run(&record, trouble)?,
             _ => return Err("no such case".into()),
         };
