--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -9,6 +9,7 @@
 mod mixed;
 mod record;
 mod store;
+mod unproven;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -71,7 +72,7 @@
         let record = Arc::new(Record::create(&PathBuf::from(folder).join("record.txt"))?);
         record.note(format!("case {case}, trouble: {trouble:?}"));
         let held = match case.as_str() {
-            "memory" => crowd::memory(&record, trouble)?,
+            "unproven" => unproven::run(&record, trouble)?,
             "room" => crowd::room(&record, trouble)?,
             "mixed" => mixed::run(&record, trouble)?,
             _ => return Err("no such case".into()),
